Learn from resets how long an idle backend connection may be trusted

The pool trusted a connection for half of the settings' keepalive, but servers may give it up far earlier and reset the next request on it.

--- a/src/bin/granitethread/backends.rs
+++ b/src/bin/granitethread/backends.rs
@@ -30,6 +30,17 @@
 /// The largest body on either side.
 pub const MAX_BODY: usize = 64 << 10;
 const REAP_EVERY: Duration = Duration::from_secs(1);
+/// The upper end of the first span of idle time; each further span ends at twice that.
+const FIRST_SPAN: Duration = Duration::from_millis(16);
+const SPANS: usize = 12;
+/// A backend that has given a connection up resets a request on it at once: later breaks have other causes.
+const AT_ONCE: Duration = Duration::from_millis(20);
+/// From this share of breaks on, a new connection is cheaper than one that idled for so long.
+const STALE_SHARE: f64 = 0.15;
+/// One break may be chance.
+const STALE_LEAST: f64 = 1.5;
+/// What was learnt of a span counts half after this time, so that a changed backend is tried again.
+const STALE_MEMORY: f64 = 30.0;
 
 /// A client's request as it goes on to backends.
 pub struct Outgoing {
@@ -88,6 +99,48 @@
     }
 }
 
+/// How requests fare on connections that idled, by how long these did. Backends, and what stands between,
+/// may drop a connection long before the settings' time and say nothing until a request is written to it.
+struct Staleness {
+    /// Requests written, and those reset at once, in each span.
+    spans: [(f64, f64); SPANS],
+    faded: Instant,
+}
+
+impl Staleness {
+    fn new() -> Self {
+        Staleness { spans: [(0.0, 0.0); SPANS], faded: Instant::now() }
+    }
+
+    fn span(idle: Duration) -> usize {
+        (0..SPANS - 1).find(|n| idle < FIRST_SPAN * (1 << n)).unwrap_or(SPANS - 1)
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let keep = (-now.saturating_duration_since(self.faded).as_secs_f64() / STALE_MEMORY).exp2();
+        self.faded = now;
+        self.spans.iter_mut().for_each(|s| *s = (s.0 * keep, s.1 * keep));
+    }
+
+    fn record(&mut self, idle: Duration, reset: bool, now: Instant) {
+        self.fade(now);
+        let (written, resets) = &mut self.spans[Self::span(idle)];
+        *written += 1.0;
+        *resets += f64::from(reset);
+    }
+
+    /// From when on an idle connection is not to be trusted. The shortest span always is: what breaks there
+    /// would break on a new connection too.
+    fn limit(&mut self, now: Instant) -> Duration {
+        self.fade(now);
+        let stale = |s: &(f64, f64)| s.1 >= STALE_LEAST && s.1 > STALE_SHARE * s.0;
+        match self.spans.iter().skip(1).position(stale) {
+            Some(n) => FIRST_SPAN * (1 << n),
+            None => Duration::MAX,
+        }
+    }
+}
+
 struct Backend {
     address: Option<SocketAddr>,
     boot_ms: u64,
@@ -103,6 +156,7 @@
     budget: usize,
     connect_timeout: Duration,
     idle_time: Duration,
+    staleness: RefCell<Staleness>,
     pub connects: Cell<u64>,
 }
 
@@ -116,6 +170,7 @@
             // The backend counts idle time from when it wrote its answer and closes at the settings' time at
             // the latest: half of it keeps clear of requests written to a connection on its way out.
             idle_time: config.keepalive / 2,
+            staleness: RefCell::new(Staleness::new()),
             connects: Cell::new(0),
         })
     }
@@ -152,8 +207,9 @@
         let mut every = interval(REAP_EVERY);
         loop {
             let now = every.tick().await;
+            let limit = self.idle_limit(now);
             for b in self.table.borrow_mut().values_mut() {
-                b.idle.retain_mut(|c| now - c.used < self.idle_time && c.reusable());
+                b.idle.retain_mut(|c| now - c.used < limit && c.reusable());
             }
         }
     }
@@ -170,12 +226,17 @@
         self.table.borrow().get(name).filter(|b| b.ready).and_then(|b| b.address)
     }
 
-    fn take_idle(&self, name: &Name) -> Option<Connection> {
+    /// How long a connection may idle and still be used.
+    fn idle_limit(&self, now: Instant) -> Duration {
+        self.staleness.borrow_mut().limit(now).min(self.idle_time)
+    }
+
+    fn take_idle(&self, name: &Name, now: Instant) -> Option<Connection> {
         let mut table = self.table.borrow_mut();
         let backend = table.get_mut(name)?;
-        let now = Instant::now();
+        let limit = self.idle_limit(now);
         while let Some(mut connection) = backend.idle.pop() {
-            if now - connection.used < self.idle_time && connection.reusable() {
+            if now - connection.used < limit && connection.reusable() {
                 return Some(connection);
             }
         }
@@ -231,8 +292,13 @@
         progress: &Rc<Progress>,
     ) -> Outcome {
         let unreachable = || Outcome::without_answer(Ending::NoRoute);
-        let mut connection = match self.take_idle(name) {
-            Some(connection) => connection,
+        let written = Instant::now();
+        let mut idled = None;
+        let mut connection = match self.take_idle(name, written) {
+            Some(connection) => {
+                idled = Some(written - connection.used);
+                connection
+            }
             None => {
                 let Some(address) = self.address(name) else { return unreachable() };
                 let Some(connection) = self.connect(address).await else { return unreachable() };
@@ -249,6 +315,12 @@
         progress.whole.set(size(&request));
         let answer = connection.sender.send_request(request);
         let answer = drive(&mut connection.io, &mut connection.closed, answer).await;
+        if let Some(idled) = idled {
+            let reset = !matches!(answer, Some(Ok(_)));
+            if !reset || written.elapsed() < AT_ONCE {
+                self.staleness.borrow_mut().record(idled, reset, Instant::now());
+            }
+        }
         let Some(Ok(answer)) = answer else { return Outcome::without_answer(progress.broken()) };
         let (head, body) = answer.into_parts();
         let framed =
@@ -474,6 +546,7 @@
             budget: 10,
             connect_timeout: Duration::from_secs(5),
             idle_time: Duration::from_secs(5),
+            staleness: RefCell::new(Staleness::new()),
             connects: Cell::new(0),
         }
     }
@@ -529,6 +602,57 @@
         assert!(progress.written.get() > 0 && !progress.may_have_run());
     }
 
+    /// A backend that gives idle connections up long before the settings' time, and says so only once a
+    /// request is written to one: after a few resets such connections are closed unused.
+    #[tokio::test]
+    async fn connections_that_go_stale_early_are_not_written_to() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (b, request) = (backends(&listener), outgoing(0));
+        let accepts = async {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(async move {
+                    let mut buffer = [0; 4096];
+                    let _ = stream.read(&mut buffer).await;
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+                    // The next request finds nobody.
+                    let _ = stream.read(&mut buffer).await;
+                });
+            }
+        };
+        let asks = async {
+            let mut cut = 0;
+            for _ in 0..20 {
+                for c in &mut b.table.borrow_mut().get_mut("s-1").unwrap().idle {
+                    c.used -= Duration::from_millis(200);
+                }
+                cut += u32::from(attempt(&b, &request).await.0 != Ending::Pass);
+            }
+            cut
+        };
+        tokio::select! {
+            () = accepts => unreachable!("it goes on"),
+            cut = asks => assert!((1..=3).contains(&cut), "{cut} of 20 requests met a stale connection"),
+        }
+    }
+
+    /// Chance breaks, shorter idling and what was learnt long ago leave connections in use.
+    #[test]
+    fn only_what_breaks_often_and_of_late_counts_as_stale() {
+        let (start, ms) = (Instant::now(), Duration::from_millis);
+        let mut staleness = Staleness::new();
+        for n in 0..20 {
+            staleness.record(ms(300), n == 7, start);
+            staleness.record(ms(5), n % 2 == 0, start);
+        }
+        assert_eq!(staleness.limit(start), Duration::MAX);
+        for n in 0..20 {
+            staleness.record(ms(100), n % 2 == 0, start);
+        }
+        assert_eq!(staleness.limit(start), ms(64));
+        assert_eq!(staleness.limit(start + Duration::from_secs(600)), Duration::MAX, "it is tried again");
+    }
+
     /// The header is the simulator's figure less 1, in percent; units are the true ones.
     #[test]
     fn the_meter_and_the_bill_reach_the_module_in_its_units() {
