Handle SIGHUP: take discovery's new address from the replaced configuration

SIGHUP's default action ended the gateway (exit status 129). The file's address counts, not the environment's of the start; a bad file changes nothing.

--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -58,12 +58,21 @@
 }
 
 pub fn load() -> Result<Config, String> {
+    from_file(|variable| env::var(variable).ok())
+}
+
+/// The configuration as the file has it now. The environment is of the start and may be outdated.
+pub fn reload() -> Result<Config, String> {
+    from_file(|_| None)
+}
+
+fn from_file(environment: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set: it names the configuration file")?;
     let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    read(&text).map_err(|e| format!("{path}: {e}"))
+    read(&text, environment).map_err(|e| format!("{path}: {e}"))
 }
 
-fn read(text: &[u8]) -> Result<Config, String> {
+fn read(text: &[u8], environment: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let settings = settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
     let extra = Extra::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
@@ -75,8 +84,8 @@
     // attempt is out, and clients keep idle ones.
     let backend_sockets = (sockets - RESERVED) * 2 / 5;
     Ok(Config {
-        listen: address("LB_LISTEN", "listen", file.listen)?,
-        discovery: address("LB_DISCOVERY", "discovery", file.discovery)?,
+        listen: address(environment("LB_LISTEN"), "listen", file.listen)?,
+        discovery: address(environment("LB_DISCOVERY"), "discovery", file.discovery)?,
         seed: u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed is {:?}: up to 16 hex digits are wanted", file.seed))?,
         known: file.known,
@@ -90,7 +99,7 @@
 }
 
 /// The environment's word goes before the file's.
-fn address(variable: &str, key: &str, in_file: String) -> Result<SocketAddr, String> {
-    let text = env::var(variable).unwrap_or(in_file);
+fn address(environment: Option<String>, key: &str, in_file: String) -> Result<SocketAddr, String> {
+    let text = environment.unwrap_or(in_file);
     text.parse().map_err(|_| format!("{key} is {text:?}: an address and port are wanted"))
 }
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long a watch may wait for news.
@@ -61,12 +62,20 @@
 type Connection = SendRequest<Empty<Bytes>>;
 
 /// Asks for the whole list once, then for what changed since. Whatever fails, the old list stands and the
-/// next call comes on a new connection.
-pub async fn watch(address: SocketAddr, driver: Rc<Driver>) {
+/// next call comes on a new connection. Another address takes over at once, with the whole list.
+pub async fn watch(mut address: watch::Receiver<SocketAddr>, driver: Rc<Driver>) {
     let mut rev = None;
     let mut connection = None;
     loop {
-        match call(address, &mut connection, rev).await {
+        let at = *address.borrow_and_update();
+        let answer = tokio::select! {
+            Ok(()) = address.changed() => {
+                (rev, connection) = (None, None);
+                continue;
+            }
+            answer = call(at, &mut connection, rev) => answer,
+        };
+        match answer {
             // Changes apply to a list that is held, and only forwards.
             Ok(list) if list.all || rev.is_some_and(|r| list.rev >= r) => {
                 // An agent that answers at once with nothing new must not keep the loop busy.
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -18,9 +18,11 @@
 
 use backends::Backends;
 use driver::Driver;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 fn main() -> ExitCode {
@@ -46,6 +48,7 @@
 async fn run(config: config::Config) -> Result<(), String> {
     let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
     let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
+    let mut hangup = signals(SignalKind::hangup())?;
     let backends = Backends::new(&config);
     let driver = Driver::new(&config, backends.clone())?;
     if let Some(known) = config.known {
@@ -56,7 +59,13 @@
         log!("listening on {address}");
     }
     let server = Rc::new(server::Server::new(driver.clone(), backends.clone(), config.client_sockets));
-    spawn_local(discovery::watch(config.discovery, driver.clone()));
+    let (discovery, address) = watch::channel(config.discovery);
+    spawn_local(discovery::watch(address, driver.clone()));
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reload(&discovery);
+        }
+    });
     spawn_local(backends.reap());
     let driver = spawn_local(async move { driver.run().await });
     let stop = async {
@@ -67,3 +76,15 @@
         () = server.accept(listener, stop) => Ok(()),
     }
 }
+
+/// Takes the address of discovery from the file as it is now; the rest holds from the start on. A file that
+/// cannot be used changes nothing: whoever replaced it reads why in the log.
+fn reload(discovery: &watch::Sender<SocketAddr>) {
+    match config::reload() {
+        Ok(config) => {
+            log!("configuration read again: discovery at {}", config.discovery);
+            discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+        }
+        Err(what) => log!("configuration not taken, the old one stands: {what}"),
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -475,6 +475,29 @@
     }
 }
 
+#[test]
+fn a_hangup_takes_discovery_from_the_new_file_and_a_bad_file_changes_nothing() {
+    let (old, new) = (Backend::good(), Backend::good());
+    let (first, second) = (one(&old), one(&new));
+    let gateway = Gateway::start(&first);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    old.next();
+    let text = gateway.configuration();
+    let moved = text.replace(&first.address.to_string(), &second.address.to_string());
+    for bad in ["", "{", &moved.replace("quota_rate", "rate"), &moved.replace("127.0.0.1", "nowhere")] {
+        gateway.reconfigure(bad);
+        gateway.logs("the old one stands");
+        assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+        old.next();
+    }
+    gateway.reconfigure(&moved);
+    second.called(2);
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200, "the same connection goes on");
+    new.next();
+    assert!(old.untouched(), "the new list counts");
+}
+
 #[test]
 fn killed_and_started_again_it_serves_from_the_old_list_while_discovery_is_silent() {
     let backend = Backend::good();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -119,7 +119,7 @@
 
 /// Discovery that tells what the test says next.
 pub struct Discovery {
-    address: SocketAddr,
+    pub address: SocketAddr,
     told: Arc<(Mutex<Told>, Condvar)>,
 }
 
@@ -247,6 +247,8 @@
 pub struct Gateway {
     pub child: Child,
     pub address: SocketAddr,
+    /// Lines of its log after the first.
+    log: Receiver<String>,
     config: PathBuf,
 }
 
@@ -283,7 +285,8 @@
                 shell
             }
         };
-        command.env("LB_CONFIG", &config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+        command.env("LB_CONFIG", &config).env_remove("LB_LISTEN");
+        command.env("LB_DISCOVERY", discovery.address.to_string());
         if let Some(address) = setup.listen {
             command.env("LB_LISTEN", address.to_string());
         }
@@ -293,8 +296,25 @@
         log.read_line(&mut first).expect("a line");
         let address = first.trim().strip_prefix("listening on ").unwrap_or_else(|| panic!("{first}"));
         let address = address.parse().expect("an address");
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Gateway { child, address, config }
+        let (line, lines) = channel();
+        // Read to the end also when no test listens: a full pipe would block the gateway.
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(line.send(l))));
+        Gateway { child, address, log: lines, config }
+    }
+
+    /// Waits for a line of the log that holds this text.
+    pub fn logs(&self, text: &str) {
+        while !self.log.recv_timeout(LIMIT).expect("a line of the log").contains(text) {}
+    }
+
+    pub fn configuration(&self) -> String {
+        std::fs::read_to_string(&self.config).expect("the file is there")
+    }
+
+    /// Replaces the configuration file, and says so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a file for the configuration");
+        self.signal("-HUP");
     }
 
     pub fn client(&self) -> Client {
