--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -22,15 +22,18 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// How long after SIGTERM clients may still come, with some room.
 const WINDOW: Duration = Duration::from_millis(500);
 /// By then every request taken in the window has been answered.
 const LONGEST_DRAIN: Duration = Duration::from_millis(3600);
-/// A client that says nothing, or half a request's head, for this long is let go.
+/// A peer that has not sent one whole request by then is let go: whoever connects is owed an answer or a
+/// close within 3 s.
+const FIRST_TIME: Duration = Duration::from_millis(2500);
+/// A client that has sent one, and then nothing or half a request's head for this long, is let go.
 const HEAD_TIME: Duration = Duration::from_secs(30);
-const BODY_TIME: Duration = Duration::from_secs(3);
+const BODY_TIME: Duration = Duration::from_millis(2500);
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
 const HEAD_BYTES: usize = 16 << 10;
@@ -41,6 +44,9 @@
 
 /// A client's connection.
 struct Client {
+    connected: Instant,
+    /// Whether a request of it has been read and answered, be it with an error.
+    known: Cell<bool>,
     /// Since when it has had no request in hand.
     idle: Cell<Option<Instant>>,
     close: Notify,
@@ -120,7 +126,9 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let client = Rc::new(Client { idle: Cell::new(Some(Instant::now())), close: Notify::new() });
+                let connected = Instant::now();
+                let (known, idle) = (Cell::new(false), Cell::new(Some(connected)));
+                let client = Rc::new(Client { connected, known, idle, close: Notify::new() });
                 *next += 1;
                 self.clients.borrow_mut().insert(*next, client.clone());
                 let place = Place { server: self.clone(), number: *next };
@@ -157,7 +165,7 @@
             client.idle.set(None);
             let busy = Busy(client.clone());
             async move {
-                let reply = self.reply(request).await;
+                let reply = self.reply(request, &busy.0).await;
                 drop(busy);
                 Ok::<_, Infallible>(reply)
             }
@@ -168,12 +176,21 @@
             .max_buf_size(HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        tokio::select! {
-            // First, so that a request which has arrived is read before a close.
-            biased;
-            // Errors are the client's: it left, or sent what is no HTTP.
-            _ = connection.as_mut() => return,
-            () = client.close.notified() => {}
+        let mut first = pin!(sleep_until(client.connected + FIRST_TIME));
+        loop {
+            tokio::select! {
+                // First, so that a request which has arrived is read before a close.
+                biased;
+                // Errors are the client's: it left, or sent what is no HTTP.
+                _ = connection.as_mut() => return,
+                () = client.close.notified() => break,
+                // With a request in hand, its body's time or its answer ends it.
+                () = &mut first, if !first.is_elapsed() => {
+                    if !client.known.get() && client.idle.get().is_some() {
+                        return;
+                    }
+                }
+            }
         }
         if client.idle.get().is_none() {
             connection.as_mut().graceful_shutdown();
@@ -181,9 +198,9 @@
         }
     }
 
-    async fn reply(&self, request: Request<IncomingBody>) -> Reply {
+    async fn reply(&self, request: Request<IncomingBody>, client: &Client) -> Reply {
         let mut reply = match request.uri().path() {
-            "/api" => self.api(request).await.unwrap_or_else(|status| plain(status, "")),
+            "/api" => self.api(request, client).await.unwrap_or_else(|status| plain(status, "")),
             "/ready" if request.method() != Method::GET => plain(StatusCode::METHOD_NOT_ALLOWED, ""),
             "/ready" if self.draining.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
             "/ready" if !self.driver.can_serve() => {
@@ -192,16 +209,18 @@
             "/ready" => plain(StatusCode::OK, "ready\n"),
             _ => plain(StatusCode::NOT_FOUND, ""),
         };
+        client.known.set(true);
         if self.draining.get() || reply.status() == StatusCode::PAYLOAD_TOO_LARGE {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
     }
 
-    async fn api(&self, request: Request<IncomingBody>) -> Result<Reply, StatusCode> {
+    async fn api(&self, request: Request<IncomingBody>, client: &Client) -> Result<Reply, StatusCode> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let body = timeout(BODY_TIME, read(body)).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+        let limit = if client.known.get() { arrived + BODY_TIME } else { client.connected + FIRST_TIME };
+        let body = timeout_at(limit, read(body)).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
         let incoming = self.parse(head, body, arrived).ok_or(StatusCode::BAD_REQUEST)?;
         let ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
         Ok(match ticket.await {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -164,6 +164,25 @@
     assert!(backend.untouched());
 }
 
+/// Whoever connects is owed an answer or a close within 3 s; a client that has been served may pause for longer.
+#[test]
+fn a_peer_that_sends_no_whole_request_is_let_go_in_time() {
+    let backend = Backend::good();
+    let gateway = Gateway::start(&one(&backend));
+    let text = ask("book-slot").text();
+    let head = text.find("\r\n\r\n").expect("a head") + 4;
+    let mut served = gateway.client();
+    assert_eq!(served.ask(&ask("quote").text()).status(), 200);
+    let start = Instant::now();
+    let mut peers = [gateway.client(), gateway.client(), gateway.client()];
+    peers[1].send(&text[..head / 2]);
+    peers[2].send(&text[..head + 2]);
+    assert!(peers[0].closed() && peers[1].closed());
+    assert_eq!(peers[2].answer().status(), 408);
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    assert_eq!(served.ask(&ask("quote").text()).status(), 200);
+}
+
 #[test]
 fn an_id_that_is_still_held_is_not_sent_on_a_second_time() {
     let (go, wait) = channel::<()>();
