--- a/tests/module.rs
+++ b/tests/module.rs
@@ -523,6 +523,29 @@
     }
 }
 
+/// A server that hangs is left in time; a large request that takes long everywhere is not begun anew.
+#[test]
+fn patience_grows_with_the_units_of_a_request() {
+    let mut rig = Rig::new(settings(), 4);
+    for i in 0..200 {
+        rig.now += 100 * MS;
+        let (id, out) = rig.request(0, 0, &format!("c{i}"), 1.0);
+        let server = sent_to(&out).remove(0);
+        rig.end(id, 0, &server, Ending::Pass);
+    }
+    let mut limit = |units| {
+        let (_, out) = rig.request(0, 0, &format!("u{units}"), units);
+        let limit = out.iter().find_map(|a| match a {
+            Action::Send { not_past, .. } => Some(*not_past - rig.now),
+            _ => None,
+        });
+        limit.expect("it has room")
+    };
+    let (small, large) = (limit(1.0), limit(8.0));
+    assert!(small < SEC, "{small} ns: there is time for another server");
+    assert_eq!(large, 4 * SEC, "until its deadline");
+}
+
 #[test]
 fn a_client_that_left_is_owed_nothing_but_holds_its_room() {
     let mut rig = Rig::new(Settings { cancelling: true, ..settings() }, 1);
