Tell refused clients when to return instead of Retry-After: 0.000

A refusal's advice was always 0 and went out as 'come back at once'. It is now the time until the store holds the units, or the longest that clients heed where a request waited in vain; without advice there is no header.

--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -31,10 +31,10 @@
 /// The final answer to a request.
 pub enum Answer {
     Served(Served),
-    /// Trying again is harmless, after so long.
+    /// Trying again is harmless, best after so long.
     Refused {
         tried: bool,
-        retry_after: Duration,
+        retry_after: Option<Duration>,
     },
     Failed {
         late: bool,
@@ -279,7 +279,8 @@
     /// The end without service: a refusal only if no attempt can have run.
     fn give_up(&self, live: &mut Live, refuse: bool, advice: Time) {
         let answer = if refuse && !live.may_have_run {
-            Answer::Refused { tried: live.attempts > 0, retry_after: Duration::from_nanos(advice) }
+            let retry_after = (advice > 0).then(|| Duration::from_nanos(advice));
+            Answer::Refused { tried: live.attempts > 0, retry_after }
         } else {
             Answer::Failed { late: live.late }
         };
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -238,7 +238,9 @@
                 let status =
                     if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
                 let mut reply = plain(status, "");
-                if let Ok(after) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
+                // None means no advice, not to come back at once.
+                let after = retry_after.map(|a| HeaderValue::try_from(format!("{:.3}", a.as_secs_f64())));
+                if let Some(Ok(after)) = after {
                     reply.headers_mut().insert("retry-after", after);
                 }
                 reply
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -365,7 +365,11 @@
             return;
         }
         if !self.within_quota(&r) {
-            out.push(Action::Reject { id: r.id, advice: 0 });
+            // When the store will hold its units and one more request, if nothing else takes them.
+            let rate = self.s.plans[r.plan].rate;
+            let short = self.customers.get(&r.customer).map_or(0.0, |c| r.units - c.level);
+            let advice = self.advice((short.max(0.0) + self.mean_units) / rate.max(1e-9));
+            out.push(Action::Reject { id: r.id, advice });
             return;
         }
         self.mean_units += (r.units - self.mean_units) * GAIN / 4.0;
@@ -785,7 +789,18 @@
         if h.ran.is_some() {
             out.push(Action::Fail { id });
         } else {
-            out.push(Action::Reject { id, advice: 0 });
+            // It waited in vain: the servers are too full for a client to return soon.
+            let advice = self.advice(secs(self.s.max_retry_after));
+            out.push(Action::Reject { id, advice });
+        }
+    }
+
+    /// After how long a refused client ought to return, as far as clients may be told and heed it.
+    fn advice(&self, seconds: f64) -> Time {
+        if self.s.retry_after {
+            nanos(seconds).clamp(self.s.tick, self.s.max_retry_after.max(self.s.tick))
+        } else {
+            0
         }
     }
 
