--- a/src/decide.rs
+++ b/src/decide.rs
@@ -627,8 +627,8 @@
         let class = &self.s.classes[h.class];
         let s = self.servers.get_mut(&server).expect("chosen from the servers");
         let aim_end = h.arrived + class.aim;
-        // Beyond the paper: a repeatable request leaves a server that hangs while the aim is in reach. A large
-        // one takes long anywhere: to begin it anew wastes its work twice.
+        // Beyond the paper: a repeatable request leaves a server that hangs while the aim is in reach. A
+        // large one takes long anywhere: to begin it anew wastes its work.
         let usual = nanos(self.usual[h.class] * (h.units / self.mean_units.max(1e-9)).max(1.0));
         let patience = (4 * usual).max(aim_end.saturating_sub(now) * 6 / 10);
         let again = class.effect != Effect::Unsafe && h.sends + 1 < self.s.try_limit && self.retries >= 1.0;
