Answer 400 to Quota-Info and Account figures that no client can send

units=1e12, units=0, spread=70000 and accounts of 2^33 and more were taken in and spoilt the mean units, the demand and the spread of everyone's or a customer's quota.

--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -109,6 +109,9 @@
     try_limit: u32,
     pub classes: Vec<(String, Effect, Duration)>,
     pub plans: Vec<String>,
+    pub gateways: u32,
+    /// The most units of one request; 0 if the settings tell none.
+    pub most_units: f64,
 }
 
 /// The module's clock: nanoseconds of Unix time that only run forwards, since discovery tells starts of
@@ -148,6 +151,8 @@
             try_limit: s.try_limit,
             classes: classes.map(|c| (c.name.clone(), c.effect, Duration::from_nanos(c.deadline))).collect(),
             plans: s.plans.iter().map(|p| p.name.clone()).collect(),
+            gateways: s.gateways,
+            most_units: s.most_units,
             state: RefCell::new(Inner {
                 gateway: Gateway::new(s, config.seed, clock.time(Instant::now()))
                     .map_err(|e| format!("settings: {e}"))?,
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -36,6 +36,8 @@
 const BODY_TIME: Duration = Duration::from_millis(2500);
 /// Of a body that is too large so much is read, so that the client gets to read the answer.
 const MAX_DISCARD: usize = 1 << 20;
+/// Customers are numbered below this.
+const ACCOUNTS: u64 = 1 << 33;
 const HEAD_BYTES: usize = 16 << 10;
 const BACKLOG: u32 = 1024;
 const EMFILE_PAUSE: Duration = Duration::from_millis(5);
@@ -268,14 +270,18 @@
         let plan_name = text(h, "plan")?;
         let plan = self.driver.plans.iter().position(|name| name == plan_name)?;
         let account = text(h, "account")?;
-        hex(account)?;
+        hex(account).filter(|a| *a < ACCOUNTS)?;
         let wait: f64 = text(h, "request-timeout")?.trim().parse().ok()?;
         let wait = Duration::try_from_secs_f64(wait).ok().filter(|w| !w.is_zero())?;
         let quota = text(h, "quota-info")?;
         let field = |key: &str| quota.split(',').find_map(|f| f.trim().strip_prefix(key)?.strip_prefix('='));
         let units: f64 = field("units")?.parse().ok()?;
         let spread: u32 = field("spread")?.parse().ok()?;
-        if !(units.is_finite() && units >= 0.0 && spread > 0) {
+        let first: u32 = field("first")?.parse().ok()?;
+        // Beyond what a client of ours can say, figures would mislead the module about everyone's requests.
+        let most = if self.driver.most_units > 0.0 { self.driver.most_units } else { f64::MAX };
+        let gateways = self.driver.gateways;
+        if !(units > 0.0 && units <= most && (1..=gateways).contains(&spread) && first < gateways) {
             return None;
         }
         Some(Incoming {
