--- a/src/decide.rs
+++ b/src/decide.rs
@@ -758,8 +758,7 @@
             c.level = (c.level + (units - e.settled) * c.weight(plan, mean)).min(plan.depth);
         }
         if let Some(share) = e.metered.filter(|_| plan.rate > 0.0) {
-            // Others are taken to refuse as this gateway did, or, where the meter shows the rate exceeded all
-            // the same, a good part of it: at a wide spread hardly any of them knew.
+            // Others are taken to refuse as this gateway did.
             let span = period.min(secs(now - c.metered_at));
             let passed = c.share_then.max(0.1);
             c.told += span * share * plan.rate;
