Use an even, stable subset of the roll servers at each gateway of a large fleet

Seen: 100 gateways open 3,510 connections for 10,500 attempts, servers hold 0 to 8 requests side by side, bad ones keep their part. Ruled out: CPU, discovery, start-up, idle closes. At fault: choose and room looked at every listed server. Three module tests, two of which fail without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,6 +14,10 @@
 const RESOURCES: usize = 2;
 /// A server's room at its start, in attempts of all gateways together; "a few" for each.
 const FIRST_ROOM: f64 = 12.0;
+/// Servers that a gateway of a large fleet uses, and gateways that use a server, at least: so many that one
+/// that is out of the ordinary weighs little.
+const SUBSET: f64 = 12.0;
+const SHARERS: f64 = 20.0;
 /// Weight of one more observation in every average over answers.
 const GAIN: f64 = 0.2;
 /// Further attempts of work that may have run, as a share of first attempts.
@@ -100,6 +104,9 @@
     since: Time,
     #[serde(skip)]
     own: u32,
+    /// Whether this gateway's requests go here while any that does serves.
+    #[serde(skip)]
+    mine: bool,
     /// Attempts that the other process of this gateway has out here.
     #[serde(skip)]
     beside: u32,
@@ -205,6 +212,8 @@
     retries: f64,
     /// How much of the rooms is open: closed by late answers from all over, opened by timely ones.
     open: f64,
+    /// How many gateways use each server.
+    sharers: f64,
     /// EWMA of how long an attempt is out, in seconds.
     hold: f64,
     /// EWMA of the load that servers report.
@@ -248,6 +257,7 @@
             retries: rng.f64() + RETRY_SHARE,
             hold: 0.0,
             others: 0.0,
+            sharers: f64::from(s.gateways),
             open: 1.0,
             calm: 0.0,
             share: None,
@@ -275,7 +285,10 @@
                 Event::Timer { token: TIMER_PUMP } => self.pumping = false,
                 Event::Timer { token: TIMER_ASK } => out.push(Action::Subscribe { on: true }),
                 Event::Timer { token } => self.due(token, out),
-                Event::Disable { server } => drop(self.banned.insert(server)),
+                Event::Disable { server } => {
+                    self.banned.insert(server);
+                    self.subset();
+                }
                 Event::Enable { server } => self.enable(server),
                 Event::Restore(snapshot) => self.restore(*snapshot),
                 Event::Beside { on } => self.pair(on),
@@ -326,6 +339,7 @@
             c.out = self.customers.get(&name).map_or(0, |known| known.out);
             self.customers.insert(name, c);
         }
+        self.subset();
     }
 
     fn pair(&mut self, on: bool) {
@@ -430,7 +444,7 @@
                 s.health = Health::Removed;
             }
         }
-        let fresh_room = FIRST_ROOM / self.s.gateways as f64;
+        let fresh_room = FIRST_ROOM / self.sharers;
         let (now, slots) = (self.now, self.s.classes.len() + self.s.plans.len());
         for mut n in nodes {
             n.since = n.since.max(self.put_back.get(&n.name).copied().unwrap_or(0));
@@ -441,6 +455,7 @@
                 rating: n.rating,
                 since: n.since,
                 own: 0,
+                mine: false,
                 beside: 0,
                 room: fresh_room,
                 narrowed: now,
@@ -463,6 +478,38 @@
             (known.rating, known.since) = (n.rating, n.since);
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.own > 0);
+        self.subset();
+    }
+
+    /// Beyond the paper: in a large fleet each gateway uses a part of the servers. Guards against seeing each
+    /// so seldom that connections are new and nothing is known of it. All gateways place the servers on one
+    /// circle, in turns by zone, and take those from their own place on: each is used by equally many, and a
+    /// change of the list moves the edges only. Harms by fewer servers to choose from.
+    fn subset(&mut self) {
+        let mut zones: BTreeMap<u32, Vec<Name>> = BTreeMap::new();
+        for (name, s) in ready(&self.servers, &self.banned) {
+            zones.entry(s.zone).or_default().push(name.clone());
+        }
+        let part = |i: usize, of: usize| (i as f64 + 0.5) / of as f64;
+        let mut circle: Vec<(f64, Name)> = zones
+            .into_values()
+            .flat_map(|z| (0..z.len()).map(|i| (part(i, z.len()), z[i].clone())).collect::<Vec<_>>())
+            .collect();
+        circle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (all, gateways) = (circle.len(), f64::from(self.s.gateways));
+        let used = (SHARERS * all as f64 / gateways).max(SUBSET).ceil().min(all as f64);
+        let from = (f64::from(self.s.me) / gateways * all as f64) as usize;
+        self.servers.values_mut().for_each(|s| s.mine = false);
+        for i in 0..used as usize {
+            if let Some(s) = self.servers.get_mut(&circle[(from + i) % all].1) {
+                s.mine = true;
+            }
+        }
+        if all > 0 {
+            // What all gateways together may have at a server stays the same.
+            let before = std::mem::replace(&mut self.sharers, gateways * used / all as f64);
+            self.servers.values_mut().for_each(|s| s.room *= before / self.sharers);
+        }
     }
 
     /// Back in use, as cold as if it had started now. Without a ban before, nothing changes.
@@ -473,9 +520,10 @@
         let (now, slots) = (self.now, self.s.classes.len() + self.s.plans.len());
         if let Some(s) = self.servers.get_mut(&name) {
             s.since = now;
-            (s.room, s.slow, s.paced) = (FIRST_ROOM / self.s.gateways as f64, 1.0, 0);
+            (s.room, s.slow, s.paced) = (FIRST_ROOM / self.sharers, 1.0, 0);
             s.ends = vec![(0.0, 0.0); slots];
         }
+        self.subset();
         self.put_back.retain(|_, at| now - *at < self.s.cold);
         self.put_back.insert(name, now);
     }
@@ -642,7 +690,8 @@
     // ---- The scheduler ----
 
     fn room(&self, res: usize) -> f64 {
-        let attempts: f64 = ready(&self.servers, &self.banned).map(|(_, s)| s.room * self.warmth(s)).sum();
+        let mine = ready(&self.servers, &self.banned).filter(|(_, s)| s.mine);
+        let attempts: f64 = mine.map(|(_, s)| s.room * self.warmth(s)).sum();
         self.open * attempts * if res == 0 { 1.0 } else { self.mean_units.max(1.0) }
     }
 
@@ -798,11 +847,15 @@
 
     /// A server of the least expected wait, or nearly, among those that may take this request.
     fn choose(&mut self, id: RequestId) -> Option<Name> {
+        self.choose_among(id, false).or_else(|| self.choose_among(id, true))
+    }
+
+    fn choose_among(&mut self, id: RequestId, all: bool) -> Option<Name> {
         let h = &self.held[&id];
         let class = &self.s.classes[h.class];
         let classes = self.s.classes.len();
         let (class_pool, plan_pool) = (self.pool(h.class), self.pool(classes + h.plan));
-        let up = || ready(&self.servers, &self.banned);
+        let up = || ready(&self.servers, &self.banned).filter(|(_, s)| all || s.mine);
         let total: f64 = up().map(|(_, s)| self.warmth(s)).sum();
         // What a bad end costs, in usual answer times; twice if the request can't be repeated.
         let loss = if class.effect == Effect::Unsafe { 2.0 * LOSS } else { LOSS };
@@ -855,7 +908,7 @@
             *found.iter().min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("finite"))?;
         // Beyond the paper: near-equal servers are drawn at random, the more gateways the wider, or all
         // gateways would follow one report, or one name, to the same server.
-        let width = NEAR * wait * (1.0 - 2.0 / f64::from(self.s.gateways)).max(0.0);
+        let width = NEAR * wait * (1.0 - 2.0 / self.sharers).max(0.0);
         found.retain(|f| f.0 == again && f.1 <= least + width);
         let one = self.rng.usize(..found.len());
         Some(found[one].3.clone())
@@ -980,7 +1033,7 @@
         if pass {
             self.usual[class] += (took.min(aim) - usual) * GAIN / 4.0;
         }
-        let (memory, classes, least) = (self.memory(), self.s.classes.len(), 1.0 / self.s.gateways as f64);
+        let (memory, classes, least) = (self.memory(), self.s.classes.len(), 1.0 / self.sharers);
         let Some(s) = self.servers.get_mut(&o.server) else { return };
         s.own = s.own.saturating_sub(1);
         s.heard = now;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -969,3 +969,67 @@
     let (open, late) = (room(false), room(true));
     assert!(late + 1 >= open, "{late} at once of {open}");
 }
+
+/// Servers of three zones, as a list of a large fleet has them.
+fn large_list(servers: impl Iterator<Item = usize>) -> Event {
+    let node = |i: usize| Node { zone: i as u32 % 3, ..Node::new(&format!("s{i:02}"), Health::Up) };
+    Event::Fleet { seq: 1, scope: Scope::Full, nodes: servers.map(node).collect() }
+}
+
+/// The servers that each of so many gateways sends to, by the numbers in their names, and the gateways.
+fn used_by(gateways: u32, servers: usize) -> Vec<(Rig, std::collections::BTreeSet<usize>)> {
+    let start = |me| {
+        let s = Settings { gateways, me, ..settings() };
+        let mut rig = Rig { g: Gateway::new(s, 7, 100 * SEC).unwrap(), now: 100 * SEC, next: 1, spread: 1 };
+        rig.tell(large_list(0..servers));
+        let used = uses(&mut rig);
+        (rig, used)
+    };
+    (0..gateways).map(start).collect()
+}
+
+fn uses(rig: &mut Rig) -> std::collections::BTreeSet<usize> {
+    let mut used = std::collections::BTreeSet::new();
+    for n in 0..150 {
+        rig.now += SEC;
+        let (id, out) = rig.request(0, 0, &format!("c{n}"), 1.0);
+        for server in sent_to(&out) {
+            used.insert(server[1..].parse().unwrap());
+            rig.end(id, 0, &server, Ending::Pass);
+        }
+    }
+    used
+}
+
+#[test]
+fn each_gateway_of_a_large_fleet_uses_a_part_of_the_servers_and_each_server_has_equally_many() {
+    let mut users = [0; 60];
+    for (_, used) in used_by(100, 60) {
+        assert_eq!(used.len(), 12);
+        for zone in 0..3 {
+            assert_eq!(used.iter().filter(|s| **s % 3 == zone).count(), 4, "no zone's loss takes more");
+        }
+        used.iter().for_each(|s| users[*s] += 1);
+    }
+    assert!(users.iter().all(|n| (18..=22).contains(n)), "{users:?}");
+}
+
+#[test]
+fn a_small_fleet_uses_every_server() {
+    assert!(used_by(3, 9).iter().all(|(_, used)| used.len() == 9));
+}
+
+#[test]
+fn a_change_of_the_list_turns_over_little_of_what_each_gateway_uses() {
+    for (mut rig, before) in used_by(100, 60) {
+        rig.tell(large_list((0..60).filter(|i| ![7, 20].contains(i)).chain([61])));
+        let after = uses(&mut rig);
+        assert_eq!(after.len(), 12);
+        assert!(after.difference(&before).count() <= 4, "{before:?} {after:?}");
+        // The loss of a zone leaves the others in use and is made up for from them.
+        rig.tell(large_list((0..60).filter(|i| i % 3 != 0)));
+        let after = uses(&mut rig);
+        assert_eq!(after.len(), 12);
+        assert!(after.intersection(&before).count() >= 4, "{before:?} {after:?}");
+    }
+}
