--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -18,9 +18,14 @@
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
 /// Past this an answer that may not wait is not coming.
-const SILENCE: Duration = Duration::from_secs(2);
-/// Between a failure and the next call: under the 200 ms after which a watch counts as given up.
+const SILENCE: Duration = Duration::from_secs(4);
+/// Between an answer with nothing new and the next call: under the 200 ms after which a
+/// watch counts as given up.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Gateways ask one discovery, which may be overbooked. After a failure each calls again at a time drawn from a
+/// span in which all of them, taking turns, call once in so long. It grows while calls fail.
+const TURN: Duration = Duration::from_millis(200);
+const LONGEST_SPAN: Duration = Duration::from_secs(60);
 const LONGEST: usize = 4 << 20;
 
 /// The list of backends, or what changed in it.
@@ -61,16 +66,48 @@
 
 type Connection = SendRequest<Empty<Bytes>>;
 
-/// Asks for the whole list once, then for what changed since. Whatever fails, the old list stands and the
+/// The pauses after calls that fail: drawn from a span that grows, so that gateways which failed together do
+/// not call together again.
+struct Pauses {
+    first: Duration,
+    span: Duration,
+}
+
+impl Pauses {
+    fn new(gateways: u32) -> Self {
+        let first = (TURN * gateways).min(LONGEST_SPAN);
+        Pauses { first, span: first }
+    }
+
+    /// `chance` is from 0 to 1.
+    fn pause(&mut self, chance: f64) -> Duration {
+        let span = self.span;
+        self.span = (span * 2).min((self.first * 4).min(LONGEST_SPAN));
+        PAUSE / 2 + span.mul_f64(chance)
+    }
+
+    fn reset(&mut self) {
+        self.span = self.first;
+    }
+}
+
+/// Asks for the whole list once, unless one of version `rev` is held, then for what changed since. Whatever fails, the old list stands and the
 /// next call comes on a new connection. Another address takes over at once, with the whole list.
-pub async fn watch(mut address: watch::Receiver<SocketAddr>, driver: Rc<Driver>) {
-    let mut rev = None;
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>,
+    driver: Rc<Driver>,
+    mut rev: Option<u64>,
+    seed: u64,
+) {
+    let mut rng = fastrand::Rng::with_seed(seed);
     let mut connection = None;
+    let mut pauses = Pauses::new(driver.gateways);
     loop {
         let at = *address.borrow_and_update();
         let answer = tokio::select! {
             Ok(()) = address.changed() => {
                 (rev, connection) = (None, None);
+                pauses.reset();
                 continue;
             }
             answer = call(at, &mut connection, rev) => answer,
@@ -78,6 +115,7 @@
         match answer {
             // Changes apply to a list that is held, and only forwards.
             Ok(list) if list.all || rev.is_some_and(|r| list.rev >= r) => {
+                pauses.reset();
                 // An agent that answers at once with nothing new must not keep the loop busy.
                 if rev.replace(list.rev) == Some(list.rev) {
                     sleep(PAUSE).await;
@@ -89,7 +127,16 @@
             Err(what) => {
                 driver.discovery_failed(&what);
                 connection = None;
-                sleep(PAUSE).await;
+                // Another address is called at once.
+                let moved = async {
+                    if address.changed().await.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                };
+                if timeout(pauses.pause(rng.f64()), moved).await.is_ok() {
+                    rev = None;
+                    pauses.reset();
+                }
             }
         }
     }
@@ -131,3 +178,45 @@
     tokio::task::spawn_local(io);
     Ok(connection)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How many calls a fleet makes in each of the seconds after all its gateways failed at once.
+    fn calls(gateways: u32, seconds: usize) -> Vec<usize> {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let mut calls = vec![0; seconds];
+        for _ in 0..gateways {
+            let (mut pauses, mut at) = (Pauses::new(gateways), Duration::ZERO);
+            loop {
+                at += pauses.pause(rng.f64());
+                match calls.get_mut(at.as_secs() as usize) {
+                    Some(second) => *second += 1,
+                    None => break,
+                }
+            }
+        }
+        calls
+    }
+
+    #[test]
+    fn gateways_that_failed_together_call_in_turns_and_ever_more_seldom() {
+        for gateways in [30, 100] {
+            let calls = calls(gateways, 120);
+            assert!(calls.iter().all(|n| *n <= 20), "{gateways} gateways: {calls:?}");
+            let (early, late): (usize, usize) = (calls[..20].iter().sum(), calls[100..].iter().sum());
+            assert!(early <= 7 * 20 && late * 4 <= early * 3, "{gateways} gateways: {early}, later {late}");
+        }
+    }
+
+    #[test]
+    fn a_small_fleet_asks_again_within_a_second() {
+        let mut pauses = Pauses::new(3);
+        assert!(pauses.pause(1.0) < Duration::from_secs(1));
+        pauses.pause(1.0);
+        assert!(pauses.pause(1.0) < Duration::from_secs(3), "and soon while it goes on failing");
+        pauses.reset();
+        assert!(pauses.pause(1.0) < Duration::from_secs(1));
+    }
+}
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -66,6 +66,8 @@
     let mut hangup = signals(SignalKind::hangup())?;
     let backends = Backends::new(&config);
     let driver = Driver::new(&config, backends.clone())?;
+    // Where each call is a load on discovery, the known list spares one: a watch tells what has changed since.
+    let held = config.known.as_ref().filter(|k| k.all && config.settings.subscribe).map(|k| k.rev);
     if let Some(known) = config.known {
         driver.cached(known);
     }
@@ -99,7 +101,7 @@
         }
     }
     let (discovery, address) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(address, driver.clone()));
+    spawn_local(discovery::watch(address, driver.clone(), held, config.seed));
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             reload(&discovery);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -456,6 +456,24 @@
     }
 }
 
+#[test]
+fn where_discovery_must_be_asked_a_start_with_a_known_list_asks_for_the_changes_alone() {
+    let (known, new) = (Backend::good(), Backend::good());
+    // This discovery has no whole list to tell.
+    let discovery = Discovery::new(String::new());
+    discovery.untell();
+    discovery.tell(2, list(2, false, &[("s-1", known.address, "Gone"), ("s-2", new.address, "Ready")]));
+    let setup = Setup {
+        known: Some(list(1, true, &[("s-1", known.address, "Ready")])),
+        subscribe: true,
+        ..Setup::default()
+    };
+    let gateway = Gateway::with(&discovery, setup);
+    discovery.called(2);
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+    assert!(known.untouched() && !new.untouched());
+}
+
 // ---- Start and end ----
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -205,7 +205,7 @@
 
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
-"known":KNOWN,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"automatic","tick":2000000,
+"known":KNOWN,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
 "extra":{"cost_after":true,"meter_period":500000000,"most_units":8},
 "limits":{"cancelling":true,"connect_timeout":CONNECT,"keepalive":KEEPALIVE,"max_retry_after":2000000000,
  "retry_after":true,"second_copies":false,"try_limit":3},
@@ -227,6 +227,8 @@
     pub ulimit: Option<usize>,
     /// The list of backends that the configuration gives.
     pub known: Option<String>,
+    /// Whether discovery must be asked for its news.
+    pub subscribe: bool,
     /// In place of any free port.
     pub listen: Option<SocketAddr>,
     /// Whether operators get an address.
@@ -245,6 +247,7 @@
             keepalive_ms: 30_000,
             ulimit: None,
             known: None,
+            subscribe: false,
             listen: None,
             ops: false,
             inherited: None,
@@ -290,6 +293,7 @@
     pub fn with(discovery: &Discovery, setup: Setup) -> Self {
         let text = CONFIG
             .replace("DISCOVERY", &discovery.address.to_string())
+            .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
             .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
             .replace("SOCKETS", &setup.sockets.to_string())
             .replace("CONNECT", &(setup.connect_ms * 1_000_000).to_string())
