--- a/tests/module.rs
+++ b/tests/module.rs
@@ -644,7 +644,7 @@
     // A floor of one attempt a gateway would send this server 200 at once, whatever its warmth.
     let mut sent = 0;
     for seed in 0..200 {
-        let s = Settings { gateways: 200, ..settings() };
+        let s = Settings { gateways: 200, me: seed as u32, ..settings() };
         let mut g = Gateway::new(s, seed, 100 * SEC).expect("settings in range");
         let mut out = Vec::new();
         let mut nodes: Vec<_> = (0..20).map(|i| Rig::node(i, Health::Up)).collect();
@@ -661,7 +661,7 @@
 fn many_gateways_do_not_pick_the_same_server() {
     let mut hits = std::collections::BTreeMap::new();
     for seed in 0..200 {
-        let s = Settings { gateways: 200, ..settings() };
+        let s = Settings { gateways: 200, me: seed as u32, ..settings() };
         let mut g = Gateway::new(s, seed, 100 * SEC).expect("settings in range");
         let mut out = Vec::new();
         let nodes = (0..20).map(|i| Rig::node(i, Health::Up)).collect();
