Give a cold server the part that the slow start's draw opens to it

Ruled out: rooms, the draw's budget, bad ends. At fault: choose compared a server of which nothing recent is known with the idlest of twelve. One test fails without it; the bound between a fast and a slow start in an older test is 6/5 now, as the slow one has its part too.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -862,6 +862,7 @@
         let loss = loss * secs(class.aim) / self.usual[h.class].max(1e-9);
         let mut place = 0.0;
         let mut found: Vec<(bool, f64, f64, &Name)> = Vec::new();
+        let mut opened = None;
         for (name, s) in up() {
             let warmth = self.warmth(s);
             // Beyond the paper: slow start. A request's draw opens at most one cold server to it, each by its
@@ -902,8 +903,19 @@
             let slow = 1.0 + (s.slow - 1.0) * (-quiet).exp();
             let wait = load * slow * hung * far / s.rating.max(1e-9);
             let bad = self.bad(s, h.class, class_pool) + self.bad(s, classes + h.plan, plan_pool);
+            if warmth < 1.0 {
+                opened = Some(found.len());
+            }
             found.push((again, wait + loss * bad, wait, name));
         }
+        // It has its part unless it looks worse than half of the others: little is known of one that is seldom
+        // used, and among many servers one is always known to be idle just now.
+        if let Some(cold) = opened.map(|place| found[place]) {
+            let better = found.iter().filter(|f| (f.0, f.1) < (cold.0, cold.1)).count();
+            if better * 2 <= found.len() {
+                return Some(cold.3.clone());
+            }
+        }
         let (again, least, wait, _) =
             *found.iter().min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).expect("finite"))?;
         // Beyond the paper: near-equal servers are drawn at random, the more gateways the wider, or all
