--- a/src/decide.rs
+++ b/src/decide.rs
@@ -908,11 +908,11 @@
             }
             found.push((again, wait + loss * bad, wait, name));
         }
-        // It has its part unless it looks worse than half of the others: little is known of one seldom
+        // It has its part unless it looks worse than two in three: little is known of one that is seldom
         // used, and among many servers one is always known to be idle just now.
         if let Some(cold) = opened.map(|place| found[place]) {
             let better = found.iter().filter(|f| (f.0, f.1) < (cold.0, cold.1)).count();
-            if better * 2 <= found.len() {
+            if better * 3 <= found.len() * 2 {
                 return Some(cold.3.clone());
             }
         }
