--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,8 +6,9 @@
 //! it took. Exceptions to the paper's path carry a comment that begins with `Beyond the paper`.
 
 use crate::interface::*;
+use crate::settings;
+use crate::state::*;
 use fastrand::Rng;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The two resources: attempts in flight here, and units in flight here.
@@ -58,134 +59,6 @@
     (s.max(0.0) * 1e9) as Time
 }
 
-/// What is held of a request until its final answer.
-struct Held {
-    class: usize,
-    plan: usize,
-    customer: Name,
-    arrived: Time,
-    deadline: Time,
-    /// Past this time an answer can no longer be within the aim, so it is not sent on.
-    hope: Time,
-    units: f64,
-    sends: u32,
-    /// A random part of the fleet's warmth: which cold server, if any, may take the next attempt.
-    draw: f64,
-    out: Option<Out>,
-    streaming: bool,
-    relayed: bool,
-    gone: bool,
-    /// The first attempt that may have run: when it was sent, and to which zone and cell.
-    ran: Option<(Time, u32, u32)>,
-    tried: Vec<Name>,
-}
-
-struct Out {
-    server: Name,
-    at: Time,
-    attempt: u32,
-    cancelled: bool,
-}
-
-/// One resource's sub-scheduler: a queue and a deficit counter per plan, and a round-robin pointer.
-struct Sub {
-    queues: Vec<VecDeque<RequestId>>,
-    deficit: Vec<f64>,
-    pointer: usize,
-    in_flight: f64,
-}
-
-#[derive(Clone, Serialize, Deserialize)]
-struct Server {
-    zone: u32,
-    cell: u32,
-    health: Health,
-    rating: f64,
-    since: Time,
-    #[serde(skip)]
-    own: u32,
-    /// Whether this gateway's requests go here while any that does serves.
-    #[serde(skip)]
-    mine: bool,
-    /// Attempts that the other process of this gateway has out here.
-    #[serde(skip)]
-    beside: u32,
-    /// How many of this gateway's attempts it may hold: widened by answers, narrowed by refusals.
-    room: f64,
-    narrowed: Time,
-    /// EWMA of its elapsed time over the class's usual one.
-    slow: f64,
-    /// Weights of recent ends and of the bad ones, by class (bad: failed) and then by plan (bad: full).
-    ends: Vec<(f64, f64)>,
-    ended: Time,
-    /// EWMA of the seconds that a unit took here since its start, and over how many answers.
-    pace: f64,
-    paced: u32,
-    /// When it last answered or was first owed an answer.
-    heard: Time,
-    /// Requests of others that it reported, and when.
-    others: f64,
-    reported: Time,
-}
-
-/// One customer's quota as this gateway sees it. Rates are units a second.
-#[derive(Clone, Default, Serialize, Deserialize)]
-struct Customer {
-    plan: usize,
-    spread: f64,
-    seen: Time,
-    at: Time,
-    level: f64,
-    ceiling: f64,
-    #[serde(skip)]
-    out: u32,
-    #[serde(skip)]
-    out_beside: u32,
-    /// EWMA of what was asked and passed here, about as late as the meter.
-    asked: f64,
-    passed: f64,
-    metered: f64,
-    metered_at: Time,
-    /// Longer averages of the two, whose ratio is this gateway's part of the customer's use.
-    passed_long: f64,
-    metered_long: f64,
-    /// Units that the meter told of lately, and over how many seconds, each by the part that then passed.
-    told: f64,
-    span: f64,
-    /// The share let pass by the meter's word, as late as the meter.
-    share_then: f64,
-}
-
-/// What a gateway has learnt and holds against its customers: all that a successor needs to go on as one with
-/// it. Times are on the clock that both processes read.
-#[derive(Clone, Serialize, Deserialize)]
-pub struct Snapshot {
-    born: Time,
-    servers: BTreeMap<Name, Server>,
-    banned: BTreeSet<Name>,
-    put_back: BTreeMap<Name, Time>,
-    customers: BTreeMap<Name, Customer>,
-    mean_units: f64,
-    usual: Vec<f64>,
-    open: f64,
-    hold: f64,
-    others: f64,
-    calm: f64,
-}
-
-impl std::fmt::Debug for Snapshot {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "snapshot of {} servers and {} customers", self.servers.len(), self.customers.len())
-    }
-}
-
-impl Snapshot {
-    /// Servers that are out by hand.
-    pub fn banned(&self) -> impl Iterator<Item = &Name> {
-        self.banned.iter()
-    }
-}
-
 pub struct Gateway {
     s: Settings,
     rng: Rng,
@@ -229,7 +102,7 @@
 impl Gateway {
     /// A gateway that knows nothing but its settings. Refuses settings outside their sensible range.
     pub fn new(s: Settings, seed: u64, now: Time) -> Result<Self, String> {
-        check(&s)?;
+        settings::check(&s)?;
         let sub = || Sub {
             queues: vec![VecDeque::new(); s.plans.len()],
             deficit: vec![0.0; s.plans.len()],
@@ -1170,13 +1043,6 @@
     }
 }
 
-impl Server {
-    /// Attempts that this gateway has out here, by both of its processes if there are two.
-    fn here(&self) -> f64 {
-        f64::from(self.own + self.beside)
-    }
-}
-
 impl Customer {
     /// How much own traffic tells of the whole: near 1 where the store holds many requests of this gateway's
     /// even part, near 0 where it holds a fraction of one and only the meter knows.
@@ -1235,25 +1101,3 @@
         n => plan.rate.min(OPEN_USE * f64::from(n) * mean / hold.max(1e-9)),
     }
 }
-
-fn check(s: &Settings) -> Result<(), String> {
-    let mut figures = Vec::new();
-    let mut add =
-        |of: &str, all: &[(&str, f64)]| figures.extend(all.iter().map(|(n, v)| (format!("{of}{n}"), *v)));
-    add("", &[("cold_from", s.cold_from), ("fall_multiple", s.fall_multiple)]);
-    add("", &[("most_units", s.most_units), ("cross_zone_price", s.cross_zone_price)]);
-    for p in &s.plans {
-        let of = format!("plan {}: ", p.name);
-        add(&of, &[("rate", p.rate), ("depth", p.depth), ("ceiling_rate", p.ceiling_rate)]);
-        add(&of, &[("ceiling_burst", p.ceiling_burst), ("value_factor", p.value_factor)]);
-        add(&of, &[("over_worth", p.over_worth), ("over_cost", p.over_cost)]);
-    }
-    for c in &s.classes {
-        add(&format!("class {}: ", c.name), &[("points", c.points), ("late_worth", c.late_worth)]);
-    }
-    match figures.iter().find(|(_, v)| !v.is_finite() || *v < 0.0) {
-        Some((name, v)) => Err(format!("{name} is {v}: not a number of zero or more")),
-        None if s.gateways == 0 => Err("gateways is 0: at least one".to_string()),
-        None => Ok(()),
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,6 @@
 //! What goes in and what comes out: settings, events, actions, ids and times. No logic.
 
-use crate::decide::Snapshot;
+use crate::state::Snapshot;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,9 +24,11 @@
 pub mod decide;
 pub mod interface;
 pub mod settings;
+mod state;
 
-pub use decide::{Gateway, Snapshot};
+pub use decide::Gateway;
 pub use interface::*;
+pub use state::Snapshot;
 
 /// The README's example, compiled and run.
 #[cfg(doctest)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -174,3 +174,26 @@
         stream: s.stream,
     })
 }
+
+/// Whether all figures are within their sensible range.
+pub fn check(s: &Settings) -> Result<(), String> {
+    let mut figures = Vec::new();
+    let mut add =
+        |of: &str, all: &[(&str, f64)]| figures.extend(all.iter().map(|(n, v)| (format!("{of}{n}"), *v)));
+    add("", &[("cold_from", s.cold_from), ("fall_multiple", s.fall_multiple)]);
+    add("", &[("most_units", s.most_units), ("cross_zone_price", s.cross_zone_price)]);
+    for p in &s.plans {
+        let of = format!("plan {}: ", p.name);
+        add(&of, &[("rate", p.rate), ("depth", p.depth), ("ceiling_rate", p.ceiling_rate)]);
+        add(&of, &[("ceiling_burst", p.ceiling_burst), ("value_factor", p.value_factor)]);
+        add(&of, &[("over_worth", p.over_worth), ("over_cost", p.over_cost)]);
+    }
+    for c in &s.classes {
+        add(&format!("class {}: ", c.name), &[("points", c.points), ("late_worth", c.late_worth)]);
+    }
+    match figures.iter().find(|(_, v)| !v.is_finite() || *v < 0.0) {
+        Some((name, v)) => Err(format!("{name} is {v}: not a number of zero or more")),
+        None if s.gateways == 0 => Err("gateways is 0: at least one".to_string()),
+        None => Ok(()),
+    }
+}
