Make the pool of connections to roll servers a part of its own

Need: idle connections lived inside the attempts, with one idle limit for all servers learnt from resets alone, an attempt waited for its own handshake only, a restart under the same name kept what was in use, and a close that the event loop had not heard of yet was written to. Nothing told staff how connections fare.

pool.rs holds them now (link.rs is one connection, staleness.rs the idle limits): newest first; who finds none waits for what comes first, and a handshake in vain is kept if there is room; eras end with address, start, drain and ban; the socket itself is looked at before a request is written; limits for each server and for all with the longest idle making room; closes counted by cause in /-/metrics. After a silence idle connections of that server go.

--- a/src/bin/granitethread/backends.rs
+++ b/src/bin/granitethread/backends.rs
@@ -1,52 +1,30 @@
-//! Backends: their addresses, the pool of connections to them, and attempts.
-//!
-//! A connection is polled by the attempt that uses it and by nothing while it is idle: dropping the attempt
-//! closes it, so no late answer can reach anyone, and an exchange wakes one task.
+//! Backends: attempts at roll servers, over the connections that the pool gives.
 
 use crate::bodies::{Budget, Content, Grant, Payload, SMALL};
 use crate::config::Config;
-use crate::discovery::{State, Target};
+use crate::link::{Dialer, Link, Progress};
+use crate::pool::{Cause, Missing, Pool, Pooled};
 use bytes::Bytes;
-use granitehub::{Ending, Load, Name, Scope};
+use granitehub::{Ending, Load, Name};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Uri};
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::{interval, sleep, timeout, timeout_at, Instant, Sleep};
+use tokio::time::{interval, sleep, timeout_at, Instant, Sleep};
 
 /// An answer of unknown length that takes longer goes on to the client as it comes.
 const HOLD_TIME: Duration = Duration::from_millis(100);
 /// A backend that has begun an answer and gives nothing for so long has broken off.
 const STALL: Duration = Duration::from_secs(5);
-/// What is read ahead of a connection to a backend.
-const READ_AHEAD: usize = 16 << 10;
-const REAP_EVERY: Duration = Duration::from_secs(1);
-/// The upper end of the first span of idle time; each further span ends at twice that.
-const FIRST_SPAN: Duration = Duration::from_millis(16);
-const SPANS: usize = 12;
-/// A backend that has given a connection up resets a request on it at once: later breaks have other causes.
-const AT_ONCE: Duration = Duration::from_millis(20);
-/// From this share of breaks on, a new connection is cheaper than one that idled for so long.
-const STALE_SHARE: f64 = 0.15;
-/// One break may be chance.
-const STALE_LEAST: f64 = 1.5;
-/// What was learnt of a span counts half after this time, so that a changed backend is tried again.
-const STALE_MEMORY: f64 = 30.0;
 
 /// A client's request as it goes on to backends.
 pub struct Outgoing {
@@ -87,115 +65,26 @@
     pub fn without_answer(ending: Ending) -> Self {
         Outcome { ending, served: None, settled: 0.0, metered: None, load: None }
     }
-}
-
-/// How much of an attempt's request has been handed to its socket.
-#[derive(Default)]
-pub struct Progress {
-    written: Cell<usize>,
-    whole: Cell<usize>,
-    counted: Cell<bool>,
-}
-
-impl Progress {
-    /// Whether the last byte may be out. `whole` counts what we ask hyper to write and hyper adds at most,
-    /// so a request is never taken for unwritten when it is not.
-    fn may_have_run(&self) -> bool {
-        let whole = self.whole.get();
-        whole > 0 && self.written.get() >= whole
-    }
 
-    fn broken(&self) -> Ending {
-        if self.may_have_run() {
-            Ending::Cut
-        } else {
-            Ending::NoRoute
+    /// Nothing was written. What this gateway's own limits or list did says nothing of the server.
+    fn unconnected(missing: Missing) -> Self {
+        match missing {
+            Missing::Refused | Missing::Silent => Outcome::without_answer(Ending::NoRoute),
+            Missing::Gone | Missing::Full | Missing::Descriptors => Outcome::without_answer(Ending::Stale),
         }
     }
 }
 
-/// How requests fare on connections that idled, by how long these did. Backends, and what stands between,
-/// may drop a connection long before the settings' time and say nothing until a request is written to it.
-struct Staleness {
-    /// Requests written, and those reset at once, in each span.
-    spans: [(f64, f64); SPANS],
-    faded: Instant,
-}
-
-impl Staleness {
-    fn new() -> Self {
-        Staleness { spans: [(0.0, 0.0); SPANS], faded: Instant::now() }
-    }
-
-    fn span(idle: Duration) -> usize {
-        (0..SPANS - 1).find(|n| idle < FIRST_SPAN * (1 << n)).unwrap_or(SPANS - 1)
-    }
-
-    fn fade(&mut self, now: Instant) {
-        let keep = (-now.saturating_duration_since(self.faded).as_secs_f64() / STALE_MEMORY).exp2();
-        self.faded = now;
-        self.spans.iter_mut().for_each(|s| *s = (s.0 * keep, s.1 * keep));
-    }
-
-    fn record(&mut self, idle: Duration, reset: bool, now: Instant) {
-        self.fade(now);
-        let (written, resets) = &mut self.spans[Self::span(idle)];
-        *written += 1.0;
-        *resets += f64::from(reset);
-    }
-
-    /// From when on an idle connection is not to be trusted. The shortest span always is: what breaks there
-    /// would break on a new connection too.
-    fn limit(&mut self, now: Instant) -> Duration {
-        self.fade(now);
-        let stale = |s: &(f64, f64)| s.1 >= STALE_LEAST && s.1 > STALE_SHARE * s.0;
-        match self.spans.iter().skip(1).position(stale) {
-            Some(n) => FIRST_SPAN * (1 << n),
-            None => Duration::MAX,
-        }
-    }
-}
-
-struct Backend {
-    address: Option<SocketAddr>,
-    boot_ms: u64,
-    ready: bool,
-    /// Warm connections, the one used last at the end.
-    idle: Vec<Connection>,
-}
-
 pub struct Backends {
-    table: RefCell<HashMap<Name, Backend>>,
-    /// Out by hand. The module decides it; here it stops a send that is still connecting.
-    banned: RefCell<HashSet<Name>>,
-    /// Attempts written whole, since the start.
-    forwards: Rc<Cell<u64>>,
-    /// Connections that are up or coming up, idle ones among them.
-    open: Rc<Cell<usize>>,
-    budget: Cell<usize>,
-    connect_timeout: Duration,
-    idle_time: Duration,
-    staleness: RefCell<Staleness>,
+    pub pool: Rc<Pool<Dialer>>,
     memory: Budget,
-    pub connects: Cell<u64>,
 }
 
 impl Backends {
     pub fn new(config: &Config) -> Rc<Self> {
-        Rc::new(Backends {
-            table: RefCell::default(),
-            banned: RefCell::default(),
-            forwards: Rc::default(),
-            open: Rc::default(),
-            budget: Cell::new(config.backend_sockets),
-            connect_timeout: config.connect_timeout,
-            // The backend counts idle time from when it wrote its answer and closes at the settings' time at
-            // the latest: half of it keeps clear of requests written to a connection on its way out.
-            idle_time: config.keepalive / 2,
-            staleness: RefCell::new(Staleness::new()),
-            memory: Budget::new(config.body_memory),
-            connects: Cell::new(0),
-        })
+        let dialer = Dialer { forwards: Rc::default() };
+        let pool = Pool::new(dialer, config.backend_sockets, config.connect_timeout, config.idle_time);
+        Rc::new(Backends { pool, memory: Budget::new(config.body_memory) })
     }
 
     /// Memory for bodies, of requests and answers alike.
@@ -203,137 +92,9 @@
         &self.memory
     }
 
-    pub fn any_ready(&self) -> bool {
-        self.table.borrow().iter().any(|(name, b)| self.usable(name, b))
-    }
-
-    fn usable(&self, name: &Name, backend: &Backend) -> bool {
-        backend.ready && !self.banned.borrow().contains(name)
-    }
-
-    /// How many are in the list.
-    pub fn listed(&self) -> usize {
-        self.table.borrow().len()
-    }
-
+    /// Attempts written whole, since the start.
     pub fn forwards(&self) -> u64 {
-        self.forwards.get()
-    }
-
-    /// Whether anyone has this name: a listed backend, or one out by hand that the list lacks for now.
-    pub fn knows(&self, name: &str) -> bool {
-        self.table.borrow().contains_key(name) || self.banned.borrow().contains(name)
-    }
-
-    /// Out by hand: nothing new is written to it, and its idle connections go.
-    pub fn ban(&self, name: &Name) {
-        self.banned.borrow_mut().insert(name.clone());
-        if let Some(b) = self.table.borrow_mut().get_mut(name) {
-            b.idle.clear();
-        }
-    }
-
-    pub fn unban(&self, name: &Name) {
-        self.banned.borrow_mut().remove(name);
-    }
-
-    /// Takes in what discovery tells. Connections to an old address, an old process or a backend that wants
-    /// nothing new are of no use.
-    pub fn update(&self, scope: Scope, targets: &[Target]) {
-        let mut table = self.table.borrow_mut();
-        if scope != Scope::Changes {
-            table.retain(|name, _| targets.iter().any(|t| *t.uid == **name));
-        }
-        for t in targets {
-            if t.state == State::Gone {
-                table.remove(t.uid.as_str());
-                continue;
-            }
-            let address = t.endpoint.parse().ok();
-            let fresh = Backend { address, boot_ms: t.boot_ms, ready: false, idle: Vec::new() };
-            let known = table.entry(t.uid.as_str().into()).or_insert(fresh);
-            known.ready = t.state == State::Ready;
-            if !known.ready || known.address != address || known.boot_ms != t.boot_ms {
-                known.idle.clear();
-            }
-            (known.address, known.boot_ms) = (address, t.boot_ms);
-        }
-    }
-
-    /// How many connections there may be: while two processes share the gateway's descriptors, half.
-    pub fn set_budget(&self, budget: usize) {
-        self.budget.set(budget);
-    }
-
-    /// Closes connections that have been idle for long, or that the other side has closed.
-    pub async fn reap(self: Rc<Self>) {
-        let mut every = interval(REAP_EVERY);
-        loop {
-            let now = every.tick().await;
-            let limit = self.idle_limit(now);
-            for b in self.table.borrow_mut().values_mut() {
-                b.idle.retain_mut(|c| now - c.used < limit && c.reusable());
-            }
-        }
-    }
-
-    /// Gives descriptors back when they run short. Whether there were any to give.
-    pub fn drop_idle(&self) -> bool {
-        let before = self.open.get();
-        self.table.borrow_mut().values_mut().for_each(|b| b.idle.clear());
-        self.open.get() < before
-    }
-
-    /// Where a backend that still wants new work listens.
-    fn address(&self, name: &Name) -> Option<SocketAddr> {
-        self.table.borrow().get(name).filter(|b| self.usable(name, b)).and_then(|b| b.address)
-    }
-
-    /// How long a connection may idle and still be used.
-    fn idle_limit(&self, now: Instant) -> Duration {
-        self.staleness.borrow_mut().limit(now).min(self.idle_time)
-    }
-
-    fn take_idle(&self, name: &Name, now: Instant) -> Option<Connection> {
-        let mut table = self.table.borrow_mut();
-        let backend = table.get_mut(name)?;
-        let limit = self.idle_limit(now);
-        while let Some(mut connection) = backend.idle.pop() {
-            if now - connection.used < limit && connection.reusable() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, name: &Name, mut connection: Connection) {
-        if !connection.reusable() {
-            return;
-        }
-        if let Some(backend) = self.table.borrow_mut().get_mut(name) {
-            if backend.ready
-                && !self.banned.borrow().contains(name)
-                && backend.address == Some(connection.address)
-            {
-                connection.used = Instant::now();
-                backend.idle.push(connection);
-            }
-        }
-    }
-
-    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        if self.open.get() >= self.budget.get() && !self.drop_idle() {
-            return None;
-        }
-        self.connects.set(self.connects.get() + 1);
-        let slot = Slot::new(self.open.clone());
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let progress = Rc::new(RefCell::new(Rc::new(Progress::default())));
-        let forwards = self.forwards.clone();
-        let io = Counted { io: TokioIo::new(stream), progress: progress.clone(), forwards };
-        let (sender, io) = http1::Builder::new().max_buf_size(READ_AHEAD).handshake(io).await.ok()?;
-        Some(Connection { sender, io, closed: false, progress, address, used: Instant::now(), _slot: slot })
+        self.pool.opener().forwards.get()
     }
 
     /// One attempt at one backend, given up at `not_past`.
@@ -348,7 +109,12 @@
         let Some(upload) = request.body.relay() else {
             return match timeout_at(not_past, exchange).await {
                 Ok(outcome) => outcome,
-                Err(_) if progress.may_have_run() => Outcome::without_answer(Ending::Late),
+                Err(_) if progress.may_have_run() => {
+                    if let Some(at) = progress.sent.get() {
+                        self.pool.silent(name, at);
+                    }
+                    Outcome::without_answer(Ending::Late)
+                }
                 Err(_) => Outcome::without_answer(Ending::NoRoute),
             };
         };
@@ -381,26 +147,10 @@
         not_past: Instant,
         progress: &Rc<Progress>,
     ) -> Outcome {
-        let unreachable = || Outcome::without_answer(Ending::NoRoute);
-        let written = Instant::now();
-        let mut idled = None;
-        let mut connection = match self.take_idle(name, written) {
-            Some(connection) => {
-                idled = Some(written - connection.used);
-                connection
-            }
-            None => {
-                let Some(address) = self.address(name) else { return unreachable() };
-                let Some(connection) = self.connect(address).await else { return unreachable() };
-                // The backend may have been told to drain, or have moved, while the connection came up:
-                // nothing is written to it from then on.
-                if self.address(name) != Some(address) {
-                    return unreachable();
-                }
-                connection
-            }
+        let mut connection = match self.pool.take(name).await {
+            Ok(connection) => connection,
+            Err(missing) => return Outcome::unconnected(missing),
         };
-        connection.progress.replace(progress.clone());
         let wait = match request.body.relay() {
             Some(_) => request.wait,
             None => not_past.saturating_duration_since(Instant::now()),
@@ -409,29 +159,32 @@
         let request = request.to_backend(wait, progress);
         // Without a length beforehand, the body's end tells.
         progress.whole.set(if told { size(&request) } else { 0 });
-        let answer = connection.sender.send_request(request);
-        let answer = drive(&mut connection.io, &mut connection.closed, answer).await;
-        if let Some(idled) = idled {
-            let reset = !matches!(answer, Some(Ok(_)));
-            if !reset || written.elapsed() < AT_ONCE {
-                self.staleness.borrow_mut().record(idled, reset, Instant::now());
-            }
-        }
-        let Some(Ok(answer)) = answer else { return Outcome::without_answer(progress.broken()) };
+        let written = Instant::now();
+        progress.sent.set(Some(written));
+        let Some(answer) = connection.link.send(request, progress).await else {
+            self.pool.broke(connection, written);
+            return Outcome::without_answer(progress.broken());
+        };
+        self.pool.answered(&connection, written);
+        progress.sent.set(None);
         let (head, mut body) = answer.into_parts();
+        let outcome = |body| outcome(&head, body);
         let framed =
             head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
         if head.status != 200 {
             let body = Limited::new(body, SMALL).collect();
-            return match drive(&mut connection.io, &mut connection.closed, body).await {
+            return match connection.link.drive(body).await {
                 // Its status says it all; the connection goes.
-                Some(Err(e)) if e.is::<LengthLimitError>() => outcome(&head, None),
+                Some(Err(e)) if e.is::<LengthLimitError>() => outcome(None),
                 Some(Ok(_)) => {
-                    self.keep(name, connection);
-                    outcome(&head, None)
+                    self.pool.give_back(connection);
+                    outcome(None)
                 }
                 // An answer that breaks off was never whole.
-                _ => Outcome::without_answer(progress.broken()),
+                _ => {
+                    connection.close(Cause::Broken);
+                    Outcome::without_answer(progress.broken())
+                }
             };
         }
         let length = body.size_hint().exact();
@@ -440,7 +193,7 @@
         let hold = Instant::now() + HOLD_TIME;
         let (mut first, mut held) = (VecDeque::new(), 0);
         while grant.is_some() {
-            let next = drive(&mut connection.io, &mut connection.closed, body.frame());
+            let next = connection.link.drive(body.frame());
             let next = match length {
                 Some(_) => next.await,
                 None => match timeout_at(hold, next).await {
@@ -459,13 +212,14 @@
                 }
                 // With no stated end, the connection's is the answer's.
                 Some(None) => {
-                    if framed {
-                        self.keep(name, connection);
-                    }
+                    self.done(connection, framed);
                     let body = grant.take().map_or(Bytes::new(), |grant| grant.hold(join(first)));
-                    return outcome(&head, Some(ServedBody::Whole(body)));
+                    return outcome(Some(ServedBody::Whole(body)));
+                }
+                Some(Some(Err(_))) | None => {
+                    connection.close(Cause::Broken);
+                    return Outcome::without_answer(progress.broken());
                 }
-                Some(Some(Err(_))) | None => return Outcome::without_answer(progress.broken()),
             }
         }
         // The rest comes as the client takes it.
@@ -479,9 +233,17 @@
             stall: Box::pin(sleep(Duration::ZERO)),
             waiting: false,
             backends: self.clone(),
-            name: name.clone(),
         };
-        outcome(&head, Some(ServedBody::Stream(Box::new(download))))
+        outcome(Some(ServedBody::Stream(Box::new(download))))
+    }
+
+    /// An answer has ended. With no stated end, the connection's is the answer's.
+    fn done(&self, connection: Pooled<Link>, framed: bool) {
+        if framed {
+            self.pool.give_back(connection);
+        } else {
+            connection.close(Cause::Ended);
+        }
     }
 }
 
@@ -495,7 +257,7 @@
 
 /// An answer on its way from a backend to a client, at the client's pace. Dropping it ends the attempt.
 pub struct Download {
-    connection: Option<Connection>,
+    connection: Option<Pooled<Link>>,
     body: Incoming,
     /// What came before it was known to be one.
     first: VecDeque<Bytes>,
@@ -505,7 +267,6 @@
     stall: Pin<Box<Sleep>>,
     waiting: bool,
     backends: Rc<Backends>,
-    name: Name,
 }
 
 impl Download {
@@ -515,8 +276,8 @@
     }
 
     fn finish(&mut self) {
-        if let Some(connection) = self.connection.take().filter(|_| self.framed) {
-            self.backends.keep(&self.name, connection);
+        if let Some(connection) = self.connection.take() {
+            self.backends.done(connection, self.framed);
         }
     }
 }
@@ -535,7 +296,7 @@
         }
         me.grant = None;
         let Some(connection) = me.connection.as_mut() else { return Poll::Ready(None) };
-        connection.closed = connection.closed || Pin::new(&mut connection.io).poll(cx).is_ready();
+        let closed = connection.link.poll(cx);
         match Pin::new(&mut me.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 me.waiting = false;
@@ -550,7 +311,7 @@
                 me.finish();
                 Poll::Ready(None)
             }
-            Poll::Pending if connection.closed => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
+            Poll::Pending if closed => Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
             Poll::Pending => {
                 if !std::mem::replace(&mut me.waiting, true) {
                     me.stall.as_mut().reset(Instant::now() + STALL);
@@ -647,125 +408,18 @@
     Some(Load { inflight: r.inflight, queue: r.queue, latency_ms: r.latency_ms })
 }
 
-/// A connection's place in the descriptor budget.
-struct Slot(Rc<Cell<usize>>);
-
-impl Slot {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Slot(open)
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-type Sender = SendRequest<Payload>;
-
-struct Connection {
-    sender: Sender,
-    io: http1::Connection<Counted, Payload>,
-    closed: bool,
-    progress: Rc<RefCell<Rc<Progress>>>,
-    address: SocketAddr,
-    used: Instant,
-    _slot: Slot,
-}
-
-impl Connection {
-    /// Whether it can take another request. Looks for the other side's close first.
-    fn reusable(&mut self) -> bool {
-        let mut cx = Context::from_waker(Waker::noop());
-        self.closed = self.closed || Pin::new(&mut self.io).poll(&mut cx).is_ready();
-        !self.closed && self.sender.is_ready()
-    }
-}
-
-/// Polls a connection along with what waits for it. None if the connection ended and left it waiting.
-async fn drive<F: Future>(
-    io: &mut http1::Connection<Counted, Payload>,
-    closed: &mut bool,
-    waiting: F,
-) -> Option<F::Output> {
-    let mut waiting = pin!(waiting);
-    std::future::poll_fn(|cx| {
-        *closed = *closed || Pin::new(&mut *io).poll(cx).is_ready();
-        match waiting.as_mut().poll(cx) {
-            Poll::Ready(output) => Poll::Ready(Some(output)),
-            Poll::Pending if *closed => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
-        }
-    })
-    .await
-}
-
-/// A socket that counts what was written to it on the current attempt's account.
-struct Counted {
-    io: TokioIo<TcpStream>,
-    progress: Rc<RefCell<Rc<Progress>>>,
-    forwards: Rc<Cell<u64>>,
-}
-
-impl Counted {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &written {
-            let progress = self.progress.borrow();
-            progress.written.set(progress.written.get() + n);
-            if progress.may_have_run() && !progress.counted.replace(true) {
-                self.forwards.set(self.forwards.get() + 1);
-            }
-        }
-        written
-    }
-}
-
-impl Read for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
-    }
-}
-
-impl Write for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.count(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::discovery::State;
+    use crate::pool::tests::target;
+    use granitehub::Scope;
     use hyper::Response;
+    use std::cell::{Cell, RefCell};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::{TcpListener, TcpSocket};
+    use tokio::task::spawn_local;
+    use tokio::time::timeout;
 
     fn outgoing(body: usize) -> Outgoing {
         Outgoing {
@@ -781,20 +435,13 @@
     }
 
     fn backends(listener: &TcpListener) -> Rc<Backends> {
-        let address = listener.local_addr().ok();
-        let backend = Backend { address, boot_ms: 0, ready: true, idle: Vec::new() };
-        Rc::new(Backends {
-            table: RefCell::new(HashMap::from([("s-1".into(), backend)])),
-            banned: RefCell::default(),
-            forwards: Rc::default(),
-            open: Rc::default(),
-            budget: Cell::new(10),
-            connect_timeout: Duration::from_secs(5),
-            idle_time: Duration::from_secs(5),
-            staleness: RefCell::new(Staleness::new()),
-            memory: Budget::new(SMALL),
-            connects: Cell::new(0),
-        })
+        let dialer = Dialer { forwards: Rc::default() };
+        let limit = Duration::from_secs(5);
+        let pool = Pool::new(dialer, 10, limit, limit);
+        let backends = Rc::new(Backends { pool, memory: Budget::new(SMALL) });
+        let address = listener.local_addr().unwrap();
+        backends.pool.update(Scope::Full, &[target("s-1", address, 0, State::Ready)]);
+        backends
     }
 
     async fn attempt(b: &Rc<Backends>, request: &Outgoing) -> (Ending, Rc<Progress>) {
@@ -805,7 +452,7 @@
 
     /// What `size` says is what reaches the backend, to the byte: too much would call a request unwritten
     /// that has run.
-    #[tokio::test]
+    #[tokio::test(flavor = "local")]
     async fn the_size_of_a_request_is_what_is_written() {
         for body in [0, 5, SMALL] {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -830,7 +477,7 @@
     }
 
     /// A connection that breaks with part of the request written: it never ran.
-    #[tokio::test]
+    #[tokio::test(flavor = "local")]
     async fn a_request_broken_before_its_last_byte_never_ran() {
         let socket = TcpSocket::new_v4().unwrap();
         // Small buffers, so that the rest of the body can't be written.
@@ -850,7 +497,7 @@
 
     /// A backend that gives idle connections up long before the settings' time, and says so only once a
     /// request is written to one: after a few resets such connections are closed unused.
-    #[tokio::test]
+    #[tokio::test(flavor = "local")]
     async fn connections_that_go_stale_early_are_not_written_to() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (b, request) = (backends(&listener), outgoing(0));
@@ -869,9 +516,7 @@
         let asks = async {
             let mut cut = 0;
             for _ in 0..20 {
-                for c in &mut b.table.borrow_mut().get_mut("s-1").unwrap().idle {
-                    c.used -= Duration::from_millis(200);
-                }
+                b.pool.age(Duration::from_millis(200));
                 cut += u32::from(attempt(&b, &request).await.0 != Ending::Pass);
             }
             cut
@@ -882,21 +527,123 @@
         }
     }
 
-    /// Chance breaks, shorter idling and what was learnt long ago leave connections in use.
-    #[test]
-    fn only_what_breaks_often_and_of_late_counts_as_stale() {
-        let (start, ms) = (Instant::now(), Duration::from_millis);
-        let mut staleness = Staleness::new();
-        for n in 0..20 {
-            staleness.record(ms(300), n == 7, start);
-            staleness.record(ms(5), n % 2 == 0, start);
-        }
-        assert_eq!(staleness.limit(start), Duration::MAX);
-        for n in 0..20 {
-            staleness.record(ms(100), n % 2 == 0, start);
+    const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    /// Answers requests without a body, in the order they come over all connections; after the last answer of
+    /// the script it says nothing any more.
+    fn answers(listener: TcpListener, script: &[&str]) -> Rc<Cell<usize>> {
+        let accepted = Rc::new(Cell::new(0));
+        let count = accepted.clone();
+        let script: VecDeque<String> = script.iter().map(|s| s.to_string()).collect();
+        let script = Rc::new(RefCell::new(script));
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                count.set(count.get() + 1);
+                let script = script.clone();
+                spawn_local(async move {
+                    let (mut got, mut buffer) = (Vec::new(), [0; 4096]);
+                    while let Ok(n @ 1..) = stream.read(&mut buffer).await {
+                        got.extend_from_slice(&buffer[..n]);
+                        if !got.ends_with(b"\r\n\r\n") {
+                            continue;
+                        }
+                        got.clear();
+                        let Some(answer) = script.borrow_mut().pop_front() else { continue };
+                        stream.write_all(answer.as_bytes()).await.unwrap();
+                        if answer.ends_with("...") {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        accepted
+    }
+
+    fn closed(b: &Backends, cause: Cause) -> u64 {
+        b.pool.figures().closed.get(&cause).copied().unwrap_or(0)
+    }
+
+    /// What an answer does to its connection: the next request comes on it, or on a new one.
+    #[tokio::test(flavor = "local")]
+    async fn a_connection_whose_answer_was_not_plainly_whole_is_not_used_again() {
+        let long = format!("HTTP/1.1 200 OK\r\nX: {}\r\nContent-Length: 0\r\n\r\n", "x".repeat(20_000));
+        let cases: [(&str, Ending, Option<Cause>); 8] = [
+            (GOOD, Ending::Pass, None),
+            ("HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", Ending::Fault, None),
+            (
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n",
+                Ending::Pass,
+                Some(Cause::Closed),
+            ),
+            (
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                Ending::Pass,
+                Some(Cause::Ended),
+            ),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut...", Ending::Cut, Some(Cause::Broken)),
+            ("HTTP/1.1 200 OK\r\nContent-...", Ending::Cut, Some(Cause::Broken)),
+            ("what is this\r\n\r\n", Ending::Cut, Some(Cause::Broken)),
+            (&long, Ending::Cut, Some(Cause::Broken)),
+        ];
+        for (n, (answer, ending, cause)) in cases.into_iter().enumerate() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (b, request) = (backends(&listener), outgoing(0));
+            let accepted = answers(listener, &[answer, GOOD]);
+            assert_eq!(attempt(&b, &request).await.0, ending, "case {n}");
+            assert_eq!(attempt(&b, &request).await.0, Ending::Pass, "case {n}");
+            assert_eq!(accepted.get(), 1 + usize::from(cause.is_some()), "case {n}");
+            if let Some(cause) = cause {
+                assert_eq!(closed(&b, cause), 1, "case {n}: {:?}", b.pool.figures());
+            }
         }
-        assert_eq!(staleness.limit(start), ms(64));
-        assert_eq!(staleness.limit(start + Duration::from_secs(600)), Duration::MAX, "it is tried again");
+    }
+
+    /// The close has come in, and the event loop has not run since: the socket itself tells.
+    #[tokio::test(flavor = "local")]
+    async fn a_close_that_nobody_has_heard_of_yet_is_seen_before_a_request_is_written() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (b, request) = (backends(&listener), outgoing(0));
+        let serve = async || {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert_ne!(stream.read(&mut [0; 4096]).await.unwrap(), 0);
+            stream.write_all(GOOD.as_bytes()).await.unwrap();
+            stream
+        };
+        let ((ending, _), stream) = tokio::join!(attempt(&b, &request), serve());
+        assert_eq!(ending, Ending::Pass);
+        // Closed on the spot, with no turn of the event loop before the next attempt looks.
+        stream.into_std().unwrap().shutdown(std::net::Shutdown::Both).unwrap();
+        let anew = async { tokio::join!(attempt(&b, &request), serve()) };
+        let anew = timeout(Duration::from_secs(5), anew).await;
+        let ((ending, _), _stream) = anew.expect("it comes on a new connection");
+        assert_eq!((ending, closed(&b, Cause::Closed)), (Ending::Pass, 1));
+    }
+
+    #[tokio::test(flavor = "local")]
+    async fn a_connection_that_is_given_up_in_the_middle_of_an_answer_is_not_used_again() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (b, request) = (backends(&listener), outgoing(0));
+        let accepted = answers(listener, &["HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", GOOD]);
+        let limit = Instant::now() + Duration::from_millis(100);
+        let ending = b.attempt(&"s-1".into(), &request, limit, &Rc::default()).await.ending;
+        assert_eq!(ending, Ending::Late);
+        assert_eq!(attempt(&b, &request).await.0, Ending::Pass);
+        assert_eq!((accepted.get(), closed(&b, Cause::GivenUp)), (2, 1));
+    }
+
+    /// A machine that is cut off, or accepts and says nothing: its idle connections are not to be trusted.
+    #[tokio::test(flavor = "local")]
+    async fn a_server_that_says_nothing_any_more_is_connected_to_anew() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (b, request) = (backends(&listener), outgoing(0));
+        let accepted = answers(listener, &[GOOD, GOOD]);
+        let both = tokio::join!(attempt(&b, &request), attempt(&b, &request));
+        assert_eq!((both.0 .0, both.1 .0, b.pool.figures().idle), (Ending::Pass, Ending::Pass, 2));
+        let limit = Instant::now() + Duration::from_millis(100);
+        let ending = b.attempt(&"s-1".into(), &request, limit, &Rc::default()).await.ending;
+        assert_eq!((ending, b.pool.figures().idle), (Ending::Late, 0));
+        assert_eq!((accepted.get(), closed(&b, Cause::Silent)), (2, 1));
     }
 
     /// The header is the simulator's figure less 1, in percent; units are the true ones.
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -27,7 +27,8 @@
     /// Memory for bodies that are held, over all requests.
     pub body_memory: usize,
     pub connect_timeout: Duration,
-    pub keepalive: Duration,
+    /// How long a connection to a roll server may idle at most.
+    pub idle_time: Duration,
     /// The two halves of the descriptor budget.
     pub client_sockets: usize,
     pub backend_sockets: usize,
@@ -117,7 +118,9 @@
         // Twice over a start beside the old process, and with what sockets and heap need, within the limit.
         body_memory: (file.limits.memory_mb << 20) / 5,
         connect_timeout: Duration::from_nanos(extra.limits.connect_timeout),
-        keepalive: Duration::from_nanos(extra.limits.keepalive),
+        // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
+        // latest: half of it keeps clear of requests written to a connection on its way out.
+        idle_time: Duration::from_nanos(extra.limits.keepalive) / 2,
         client_sockets: sockets - reserved - backend_sockets,
         backend_sockets,
     })
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -3,11 +3,12 @@
 //! Whatever the module says or leaves unsaid, a request gets one final answer by its deadline, and two of
 //! its attempts are never out at once.
 
-use crate::backends::{Backends, Outcome, Outgoing, Progress, Served};
+use crate::backends::{Backends, Outcome, Outgoing, Served};
 use crate::config::Config;
 use crate::discovery::{List, State, Target};
 use crate::figures::Figures;
 use crate::handover::Note;
+use crate::link::Progress;
 use granitehub::{
     Action, AttemptEnd, Effect, Ending, Event, Gateway, Health, Name, Node, Request, RequestId, Scope, Share,
     Snapshot, Time,
@@ -188,7 +189,7 @@
     }
 
     pub fn can_serve(&self) -> bool {
-        self.backends.any_ready()
+        self.backends.pool.any_ready()
     }
 
     fn event(&self, event: Event) {
@@ -218,13 +219,13 @@
 
     pub fn ban(&self, server: Name) {
         // Before the module hears of it: an attempt on its way checks with the backends.
-        self.backends.ban(&server);
+        self.backends.pool.ban(&server);
         crate::log!("{server} is out by hand");
         self.event(Event::Disable { server });
     }
 
     pub fn unban(&self, server: Name) {
-        self.backends.unban(&server);
+        self.backends.pool.unban(&server);
         crate::log!("{server} is back by hand");
         self.event(Event::Enable { server });
     }
@@ -259,7 +260,7 @@
 
     /// Goes on from what a predecessor knew.
     pub fn take_over(&self, notes: mpsc::Sender<Note>, rev: u64, targets: Vec<Target>, snapshot: Snapshot) {
-        snapshot.banned().for_each(|server| self.backends.ban(server));
+        snapshot.banned().for_each(|server| self.backends.pool.ban(server));
         self.list(Scope::Cached, List { rev, all: true, targets });
         self.event(Event::Restore(Box::new(snapshot)));
         self.pair(notes);
@@ -267,7 +268,7 @@
 
     fn pair(&self, notes: mpsc::Sender<Note>) {
         *self.other.borrow_mut() = Some(notes);
-        self.backends.set_budget(self.backend_sockets / 2);
+        self.backends.pool.set_most(self.backend_sockets / 2);
         self.event(Event::Beside { on: true });
     }
 
@@ -279,7 +280,7 @@
     /// The other process has ended.
     pub fn alone(&self) {
         *self.other.borrow_mut() = None;
-        self.backends.set_budget(self.backend_sockets);
+        self.backends.pool.set_most(self.backend_sockets);
         self.event(Event::Beside { on: false });
     }
 
@@ -299,7 +300,7 @@
 
     fn list(&self, scope: Scope, list: List) {
         // Before the module hears of it: an attempt on its way checks with the backends.
-        self.backends.update(scope, &list.targets);
+        self.backends.pool.update(scope, &list.targets);
         self.note(scope, &list);
         let nodes = list.targets.into_iter().map(|t| self.node(t)).collect();
         self.event(Event::Fleet { seq: list.rev, scope, nodes });
@@ -639,14 +640,15 @@
         let take = |count: &Cell<u64>| count.replace(0);
         let (served, refused, failed) = (take(&c.served), take(&c.refused), take(&c.failed));
         let overdue = take(&c.overdue);
-        let (batches, connects) = (take(&c.batches), take(&self.backends.connects));
+        let batches = take(&c.batches);
         let latest = c.latest.replace(Duration::ZERO).as_millis();
         if served + refused + failed > 0 {
             let held = self.state.borrow().live.len();
             crate::log!(
-                "served {served}, refused {refused}, failed {failed} ({overdue} overdue), held {held}; new connections {connects}, \
+                "served {served}, refused {refused}, failed {failed} ({overdue} overdue), held {held}; \
                  batches {batches}, loop late by {latest} ms at most"
             );
+            crate::log!("connections since the start: {}", self.backends.pool.figures());
         }
     }
 }
@@ -734,7 +736,7 @@
             zones: Vec::new(),
             body_memory: 1 << 20,
             connect_timeout: Duration::from_secs(1),
-            keepalive: Duration::from_secs(1),
+            idle_time: Duration::from_millis(500),
             client_sockets: 10,
             backend_sockets: 10,
         };
--- a/src/bin/granitethread/figures.rs
+++ b/src/bin/granitethread/figures.rs
@@ -1,5 +1,6 @@
 //! The figures that operators read: what became of requests since the start of the process.
 
+use crate::pool::PoolFigures;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -37,6 +38,7 @@
     pub outstanding: u64,
     pub discovered: usize,
     pub ejected: usize,
+    pub connections: &'a PoolFigures,
 }
 
 impl Figures {
@@ -53,7 +55,13 @@
         Taken { figures: self.clone(), class: class.to_string(), end: End::Aborted }
     }
 
-    pub fn json(&self, forwards: u64, discovered: usize, ejected: usize) -> serde_json::Result<Vec<u8>> {
+    pub fn json(
+        &self,
+        forwards: u64,
+        discovered: usize,
+        ejected: usize,
+        connections: &PoolFigures,
+    ) -> serde_json::Result<Vec<u8>> {
         let ends = self.ends.borrow();
         serde_json::to_vec(&Report {
             succeeded: &ends.succeeded,
@@ -63,6 +71,7 @@
             outstanding: self.outstanding.get(),
             discovered,
             ejected,
+            connections,
         })
     }
 }
@@ -100,23 +109,29 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::pool::Cause;
 
     #[test]
     fn each_request_is_counted_once_and_outstanding_until_then() {
         let figures = Figures::new(["look", "watch"].into_iter());
-        let text = || String::from_utf8(figures.json(5, 3, 1).unwrap()).unwrap();
+        let mut connections = PoolFigures { open: 4, idle: 1, opening: 2, peak: 6, ..PoolFigures::default() };
+        connections.closed.insert(Cause::GivenUp, 3);
+        let told = r#","connections":{"open":4,"idle":1,"opening":2,"peak":6,"opened":0,"failed":0,"reused":0,"waits":0,"closed":{"given_up":3}}}"#;
+        let text = || String::from_utf8(figures.json(5, 3, 1, &connections).unwrap()).unwrap();
         let mut served = figures.taken("look");
         let left = figures.taken("watch");
         assert_eq!(
             text(),
-            r#"{"succeeded":{"look":0,"watch":0},"declined":{"look":0,"watch":0},"aborted":{"look":0,"watch":0},"forwards":5,"outstanding":2,"discovered":3,"ejected":1}"#
+            r#"{"succeeded":{"look":0,"watch":0},"declined":{"look":0,"watch":0},"aborted":{"look":0,"watch":0},"forwards":5,"outstanding":2,"discovered":3,"ejected":1"#.to_string()
+                + told
         );
         served.ends(End::Succeeded);
         drop(served);
         drop(left);
         assert_eq!(
             text(),
-            r#"{"succeeded":{"look":1,"watch":0},"declined":{"look":0,"watch":0},"aborted":{"look":0,"watch":1},"forwards":5,"outstanding":0,"discovered":3,"ejected":1}"#
+            r#"{"succeeded":{"look":1,"watch":0},"declined":{"look":0,"watch":0},"aborted":{"look":0,"watch":1},"forwards":5,"outstanding":0,"discovered":3,"ejected":1"#.to_string()
+                + told
         );
     }
 }
--- /dev/null
+++ b/src/bin/granitethread/link.rs
@@ -0,0 +1,239 @@
+//! One HTTP/1.1 connection to a roll server, and what was written to it on whose account.
+//!
+//! A connection is polled by the attempt that uses it and by nothing while it is idle: dropping the attempt
+//! closes it, so no late answer can reach anyone, and an exchange wakes one task.
+
+use crate::bodies::Payload;
+use crate::pool::{Fitness, Open, Reusable};
+use granitehub::Ending;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// What is read ahead of a connection to a roll server; a longer head is none.
+const READ_AHEAD: usize = 16 << 10;
+
+/// How much of an attempt's request has been handed to its socket.
+#[derive(Default)]
+pub struct Progress {
+    pub written: Cell<usize>,
+    pub whole: Cell<usize>,
+    /// When it was written, while no answer has begun.
+    pub sent: Cell<Option<Instant>>,
+    counted: Cell<bool>,
+}
+
+impl Progress {
+    /// Whether the last byte may be out. `whole` counts what we ask hyper to write and hyper adds at most,
+    /// so a request is never taken for unwritten when it is not.
+    pub fn may_have_run(&self) -> bool {
+        let whole = self.whole.get();
+        whole > 0 && self.written.get() >= whole
+    }
+
+    pub fn broken(&self) -> Ending {
+        if self.may_have_run() {
+            Ending::Cut
+        } else {
+            Ending::NoRoute
+        }
+    }
+}
+
+/// What a connection and its socket share.
+struct Account {
+    /// The attempt that writes now.
+    progress: RefCell<Rc<Progress>>,
+    /// Attempts written whole, over all connections.
+    forwards: Rc<Cell<u64>>,
+    /// Whether the socket is to be looked at itself, not only at what the event loop has heard of it.
+    look: Cell<bool>,
+    seen: Cell<Fitness>,
+}
+
+pub struct Link {
+    sender: SendRequest<Payload>,
+    io: http1::Connection<Counted, Payload>,
+    closed: Option<Fitness>,
+    account: Rc<Account>,
+}
+
+impl Link {
+    /// Sends one request and waits for the head of its answer. None if the connection broke first.
+    pub async fn send(
+        &mut self,
+        request: Request<Payload>,
+        progress: &Rc<Progress>,
+    ) -> Option<Response<Incoming>> {
+        self.account.progress.replace(progress.clone());
+        let answer = self.sender.send_request(request);
+        drive(&mut self.io, &mut self.closed, answer).await?.ok()
+    }
+
+    /// Polls the connection along with what waits for it. None if it ended and left that waiting.
+    pub async fn drive<F: Future>(&mut self, waiting: F) -> Option<F::Output> {
+        drive(&mut self.io, &mut self.closed, waiting).await
+    }
+
+    /// Polls the connection alone. Whether it has ended.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
+        poll(&mut self.io, &mut self.closed, cx)
+    }
+}
+
+impl Reusable for Link {
+    fn fitness(&mut self) -> Fitness {
+        let mut cx = Context::from_waker(Waker::noop());
+        let account = &self.account;
+        account.look.set(true);
+        account.seen.set(Fitness::Fit);
+        poll(&mut self.io, &mut self.closed, &mut cx);
+        account.look.set(false);
+        match self.closed {
+            Some(closed) => closed,
+            None if !self.sender.is_ready() => Fitness::Busy,
+            None => account.seen.get(),
+        }
+    }
+}
+
+fn poll(
+    io: &mut http1::Connection<Counted, Payload>,
+    closed: &mut Option<Fitness>,
+    cx: &mut Context<'_>,
+) -> bool {
+    if closed.is_none() {
+        match Pin::new(io).poll(cx) {
+            Poll::Ready(Ok(())) => *closed = Some(Fitness::Closed),
+            Poll::Ready(Err(_)) => *closed = Some(Fitness::Broken),
+            Poll::Pending => {}
+        }
+    }
+    closed.is_some()
+}
+
+async fn drive<F: Future>(
+    io: &mut http1::Connection<Counted, Payload>,
+    closed: &mut Option<Fitness>,
+    waiting: F,
+) -> Option<F::Output> {
+    let mut waiting = pin!(waiting);
+    std::future::poll_fn(|cx| {
+        let ended = poll(io, closed, cx);
+        match waiting.as_mut().poll(cx) {
+            Poll::Ready(output) => Poll::Ready(Some(output)),
+            Poll::Pending if ended => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+/// Opens connections to roll servers.
+pub struct Dialer {
+    /// Attempts written whole, since the start.
+    pub forwards: Rc<Cell<u64>>,
+}
+
+impl Open for Dialer {
+    type Link = Link;
+
+    async fn open(&self, address: SocketAddr) -> io::Result<Link> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let account = Rc::new(Account {
+            progress: RefCell::default(),
+            forwards: self.forwards.clone(),
+            look: Cell::new(false),
+            seen: Cell::new(Fitness::Fit),
+        });
+        let io = Counted { io: TokioIo::new(stream), account: account.clone() };
+        let (sender, io) =
+            http1::Builder::new().max_buf_size(READ_AHEAD).handshake(io).await.map_err(io::Error::other)?;
+        Ok(Link { sender, io, closed: None, account })
+    }
+}
+
+/// A socket that counts what was written to it on the current attempt's account.
+struct Counted {
+    io: TokioIo<TcpStream>,
+    account: Rc<Account>,
+}
+
+impl Counted {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = &written {
+            let progress = self.account.progress.borrow();
+            progress.written.set(progress.written.get() + n);
+            if progress.may_have_run() && !progress.counted.replace(true) {
+                self.account.forwards.set(self.account.forwards.get() + 1);
+            }
+        }
+        written
+    }
+
+    /// What has come in since the event loop last heard of this socket.
+    fn look(&self) -> Fitness {
+        match SockRef::from(self.io.inner()).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Fitness::Closed,
+            Ok(_) => Fitness::Broken,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Fitness::Fit,
+            Err(_) => Fitness::Broken,
+        }
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if read.is_pending() && self.account.look.get() {
+            self.account.seen.set(self.look());
+        }
+        read
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -18,8 +18,11 @@
 mod figures;
 mod handover;
 mod inherited;
+mod link;
 mod ops;
+mod pool;
 mod server;
+mod staleness;
 mod tap;
 
 use backends::Backends;
@@ -107,7 +110,7 @@
             reload(&discovery);
         }
     });
-    spawn_local(backends.reap());
+    spawn_local(backends.pool.clone().keep());
     let running = driver.clone();
     let running = spawn_local(async move { running.run().await });
     // From the first connection that this process lets in.
--- a/src/bin/granitethread/ops.rs
+++ b/src/bin/granitethread/ops.rs
@@ -98,8 +98,9 @@
     }
 
     fn metrics(&self) -> Response<Full<Bytes>> {
-        let (forwards, listed) = (self.backends.forwards(), self.backends.listed());
-        match self.driver.figures.json(forwards, listed, self.driver.ejected()) {
+        let (forwards, listed) = (self.backends.forwards(), self.backends.pool.listed());
+        let connections = self.backends.pool.figures();
+        match self.driver.figures.json(forwards, listed, self.driver.ejected(), &connections) {
             Ok(json) => {
                 let mut answer = Response::new(Full::new(json.into()));
                 answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -112,7 +113,7 @@
     async fn by_hand(&self, path: &str) -> Response<Full<Bytes>> {
         let known = action(path).and_then(|(id, out)| {
             let id = percent_decode_str(id).decode_utf8().ok()?;
-            self.backends.knows(&id).then(|| (id.as_ref().into(), out))
+            self.backends.pool.knows(&id).then(|| (id.as_ref().into(), out))
         });
         match known {
             Some((server, true)) => {
--- a/src/bin/granitethread/server.rs
+++ b/src/bin/granitethread/server.rs
@@ -330,7 +330,7 @@
             // Out of descriptors, or a connection that was reset in the queue. Accepting at once again would
             // spin; what can be spared is given back first.
             Err(_) => {
-                self.backends.drop_idle();
+                self.backends.pool.make_room();
                 self.close_longest_idle();
                 sleep(EMFILE_PAUSE).await;
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -350,6 +350,25 @@
     assert_eq!(backend.ended.recv_timeout(LIMIT).expect("the gateway closes it"), 0);
 }
 
+#[test]
+fn staff_see_what_became_of_connections() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let gateway = Gateway::with(&discovery, Setup { ops: true, ..Setup::default() });
+    discovery.called(2);
+    let mut client = gateway.client();
+    for _ in 0..3 {
+        assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    }
+    for (path, told) in [("opened", 1), ("open", 1), ("idle", 1), ("opening", 0), ("reused", 2), ("waits", 1)]
+    {
+        assert_eq!(gateway.figure(&format!("/connections/{path}")), told, "{path}");
+    }
+    assert_eq!(gateway.call("POST", "/-/roll-servers/s-1/disable").status(), 200);
+    assert_eq!(gateway.figure("/connections/closed/listed"), 1);
+    assert_eq!(gateway.figure("/connections/open"), 0);
+}
+
 #[test]
 fn a_new_endpoint_is_used_from_then_on() {
     let (old, new) = (Backend::good(), Backend::good());
