Let the module set the limits on connections, and bound them by two options of the pool

Need: the only limit was half of the descriptors; a server that turned connections away was asked for as many again, and an upgrade's halves were the driver's decision. Now the module tells the pool: over all servers what the descriptors bear, at each up to twice an even part, and at one that refused a connection, or turned the first request on one away, three quarters of what it held then, one more after every five rounds of good answers. Attempts do not go where no connection could carry them; two processes of an upgrade have half each; a restart begins anew; the successor goes on with what was learnt. pool.per_server and pool.idle_ms in the configuration bound both; a bad value ends the start with key and range. Five module tests, two of the program.

--- a/src/bin/granitehub-adapter/wire.rs
+++ b/src/bin/granitehub-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! Messages of the wire, read into events and written from actions.
 
-use granitehub::{Action, AttemptEnd, Ending, Event, Health, Load, Node, Request, Scope};
+use granitehub::{Action, AttemptEnd, Ending, Event, Health, Load, Node, Request, Scope, Via};
 use serde_json::Value;
 use std::fmt::Write;
 
@@ -140,6 +140,8 @@
             attempt: m.whole(8, "copy")? as u32,
             server: m.text(9, "backend")?.into(),
             load: m.load(10)?,
+            via: Via::Unknown,
+            links: 0,
         }),
         "TickDue" => Event::Timer { token: m.whole(2, "ctx")? },
         "Flowing" => Event::Streaming { id: m.id(2)?, attempt: m.whole(3, "copy")? as u32 },
@@ -188,8 +190,8 @@
         Action::Cancel { id, attempt } => write!(to, "[\"CallOff\",{instance},\"{id:016x}\",{attempt}]"),
         Action::Timer { token, at } => write!(to, "[\"NotifyMe\",{instance},{token},{at}]"),
         Action::Subscribe { on } => write!(to, "[\"StreamChanges\",{instance},{on}]"),
-        // The simulator's gateways are one process each.
-        Action::Share(_) => Ok(()),
+        // The simulator's gateways are one process each, and it holds their connections.
+        Action::Share(_) | Action::Connections { .. } => Ok(()),
     };
     done.expect("writing to a string");
 }
--- a/src/bin/granitethread/backends.rs
+++ b/src/bin/granitethread/backends.rs
@@ -5,7 +5,7 @@
 use crate::link::{Dialer, Link, Progress};
 use crate::pool::{Cause, Missing, Pool, Pooled};
 use bytes::Bytes;
-use granitehub::{Ending, Load, Name};
+use granitehub::{Ending, Load, Name, Via};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -47,6 +47,8 @@
     pub settled: f64,
     pub metered: Option<f64>,
     pub load: Option<Load>,
+    /// How it came by its connection.
+    pub via: Via,
 }
 
 /// What a client gets of an answer: the whole of it, or what comes.
@@ -63,13 +65,14 @@
 
 impl Outcome {
     pub fn without_answer(ending: Ending) -> Self {
-        Outcome { ending, served: None, settled: 0.0, metered: None, load: None }
+        Outcome { ending, served: None, settled: 0.0, metered: None, load: None, via: Via::Unknown }
     }
 
     /// Nothing was written. What this gateway's own limits or list did says nothing of the server.
     fn unconnected(missing: Missing) -> Self {
         match missing {
-            Missing::Refused | Missing::Silent => Outcome::without_answer(Ending::NoRoute),
+            Missing::Refused => Outcome { via: Via::Refused, ..Outcome::without_answer(Ending::NoRoute) },
+            Missing::Silent => Outcome::without_answer(Ending::NoRoute),
             Missing::Gone | Missing::Full | Missing::Descriptors => Outcome::without_answer(Ending::Stale),
         }
     }
@@ -151,6 +154,7 @@
             Ok(connection) => connection,
             Err(missing) => return Outcome::unconnected(missing),
         };
+        let via = if connection.idled.is_some() { Via::Kept } else { Via::Fresh };
         let wait = match request.body.relay() {
             Some(_) => request.wait,
             None => not_past.saturating_duration_since(Instant::now()),
@@ -163,12 +167,12 @@
         progress.sent.set(Some(written));
         let Some(answer) = connection.link.send(request, progress).await else {
             self.pool.broke(connection, written);
-            return Outcome::without_answer(progress.broken());
+            return Outcome { via, ..Outcome::without_answer(progress.broken()) };
         };
         self.pool.answered(&connection, written);
         progress.sent.set(None);
         let (head, mut body) = answer.into_parts();
-        let outcome = |body| outcome(&head, body);
+        let outcome = |body| Outcome { via, ..outcome(&head, body) };
         let framed =
             head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
         if head.status != 200 {
@@ -394,6 +398,7 @@
         metered: metered.map(|percent| percent / 100.0),
         load,
         served,
+        via: Via::Unknown,
     }
 }
 
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -4,9 +4,10 @@
 use crate::ops::MOST_CALLS;
 use granitehub::{settings, Settings};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use std::env;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Descriptors that are neither clients nor backends: standard streams, the event loop, signals, the
@@ -46,6 +47,8 @@
     limits: Limits,
     #[serde(default)]
     known: Option<List>,
+    #[serde(default)]
+    pool: Map<String, Value>,
     settings: Value,
 }
 
@@ -56,6 +59,26 @@
     sockets: usize,
 }
 
+/// The options under `pool`: the most connections to one roll server, and how long one may idle at most, in
+/// milliseconds. Without them the module and the settings decide.
+const POOL: [(&str, RangeInclusive<u64>); 2] = [("per_server", 1..=100_000), ("idle_ms", 1..=3_600_000)];
+
+fn pool(file: &Map<String, Value>) -> Result<[Option<u64>; 2], String> {
+    if let Some(key) = file.keys().find(|key| POOL.iter().all(|(known, _)| known != key)) {
+        return Err(format!("pool.{key} is no option: per_server and idle_ms are"));
+    }
+    let mut told = [None; 2];
+    for ((key, range), told) in POOL.iter().zip(&mut told) {
+        let Some(value) = file.get(*key) else { continue };
+        *told = value.as_u64().filter(|v| range.contains(v));
+        if told.is_none() {
+            let (least, most) = (range.start(), range.end());
+            return Err(format!("pool.{key} is {value}: a whole number from {least} to {most} is wanted"));
+        }
+    }
+    Ok(told)
+}
+
 fn usual_memory() -> usize {
     64
 }
@@ -91,7 +114,7 @@
 
 fn read(text: &[u8], environment: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let settings = settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
+    let mut settings = settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
     let extra = Extra::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
     let sockets = file.limits.sockets;
     let ops = match (environment("LB_OPS"), file.ops) {
@@ -105,6 +128,12 @@
     // A held request needs a client's connection for as long as it waits and a backend's only while an
     // attempt is out, and clients keep idle ones.
     let backend_sockets = (sockets - reserved) * 2 / 5;
+    settings.connections = backend_sockets.try_into().unwrap_or(u32::MAX);
+    let [each, idle_ms] = pool(&file.pool)?;
+    settings.connections_each = each.map_or(u32::MAX, |n| n as u32);
+    // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
+    // latest: half of it keeps clear of requests written to a connection on its way out.
+    let idle_time = Duration::from_nanos(extra.limits.keepalive) / 2;
     Ok(Config {
         name: environment("LB_NAME").unwrap_or(file.name),
         listen: address(environment("LB_LISTEN"), "listen", file.listen)?,
@@ -118,9 +147,7 @@
         // Twice over a start beside the old process, and with what sockets and heap need, within the limit.
         body_memory: (file.limits.memory_mb << 20) / 5,
         connect_timeout: Duration::from_nanos(extra.limits.connect_timeout),
-        // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
-        // latest: half of it keeps clear of requests written to a connection on its way out.
-        idle_time: Duration::from_nanos(extra.limits.keepalive) / 2,
+        idle_time: idle_ms.map_or(idle_time, |ms| idle_time.min(Duration::from_millis(ms))),
         client_sockets: sockets - reserved - backend_sockets,
         backend_sockets,
     })
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -116,7 +116,6 @@
     other: RefCell<Option<mpsc::Sender<Note>>>,
     /// The list as discovery tells it, for a successor.
     list: RefCell<(u64, BTreeMap<String, Target>)>,
-    backend_sockets: usize,
     counts: Counts,
     pub figures: Rc<Figures>,
     discovery_down: Cell<bool>,
@@ -165,7 +164,6 @@
             backends,
             other: RefCell::default(),
             list: RefCell::default(),
-            backend_sockets: config.backend_sockets,
             counts: Counts::default(),
             figures: Figures::new(s.classes.iter().map(|c| c.name.as_str())),
             discovery_down: Cell::new(false),
@@ -268,7 +266,6 @@
 
     fn pair(&self, notes: mpsc::Sender<Note>) {
         *self.other.borrow_mut() = Some(notes);
-        self.backends.pool.set_most(self.backend_sockets / 2);
         self.event(Event::Beside { on: true });
     }
 
@@ -280,7 +277,6 @@
     /// The other process has ended.
     pub fn alone(&self) {
         *self.other.borrow_mut() = None;
-        self.backends.pool.set_most(self.backend_sockets);
         self.event(Event::Beside { on: false });
     }
 
@@ -532,6 +528,10 @@
             }
             // The watch always stands.
             Action::Subscribe { .. } => {}
+            Action::Connections { server: Some(server), most } => {
+                self.backends.pool.set_most_at(&server, most as usize);
+            }
+            Action::Connections { server: None, most } => self.backends.pool.set_most(most as usize),
             Action::Share(share) => self.tell(Note::Share(share)),
         }
     }
@@ -620,6 +620,7 @@
         elapsed: Duration,
         outcome: Outcome,
     ) -> Event {
+        let links = self.backends.pool.held_at(&server) as u32;
         Event::AttemptEnd(AttemptEnd {
             id,
             attempt,
@@ -631,6 +632,8 @@
             settled: outcome.settled,
             metered: outcome.metered,
             load: outcome.load,
+            via: outcome.via,
+            links,
         })
     }
 
--- a/src/bin/granitethread/pool.rs
+++ b/src/bin/granitethread/pool.rs
@@ -376,7 +376,6 @@
     }
 
     /// The most connections to one server.
-    #[cfg(test)]
     pub fn set_most_at(&self, name: &Name, most: usize) {
         if let Some(s) = self.servers.borrow_mut().get_mut(name) {
             let over = s.held.get().saturating_sub(most).min(s.idle.len());
@@ -600,7 +599,6 @@
     }
 
     /// Connections to a server that are up or being opened.
-    #[cfg(test)]
     pub fn held_at(&self, name: &Name) -> usize {
         self.servers.borrow().get(name).map_or(0, |s| s.held.get())
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,6 +93,9 @@
     others: f64,
     /// EWMA of the seconds that a unit takes on a warm server that is not busy.
     calm: f64,
+    /// Whether the limits on connections may have changed, and the one over all servers as told.
+    resize: bool,
+    told: u32,
     /// What is to be told to the other process of this gateway, while there is one.
     share: Option<Share>,
     /// Attempts and units that the other process has in flight.
@@ -133,6 +136,8 @@
             sharers: f64::from(s.gateways),
             open: 1.0,
             calm: 0.0,
+            resize: true,
+            told: 0,
             share: None,
             beside: [0.0; RESOURCES],
             rng,
@@ -170,6 +175,7 @@
             }
         }
         self.sweep();
+        self.connections(out);
         self.pump(out);
         self.tell(out);
     }
@@ -216,6 +222,7 @@
     }
 
     fn pair(&mut self, on: bool) {
+        self.resize = true;
         if on {
             // All that is out here now is news to the other.
             let out = self.servers.iter().filter(|(_, s)| s.own > 0).map(|(n, s)| (n.clone(), s.own));
@@ -338,17 +345,19 @@
                 pace: 0.0,
                 paced: 0,
                 heard: now,
+                bears: BOUNDLESS,
+                told: 0,
                 others: 0.0,
                 reported: 0,
             };
             let known = self.servers.entry(n.name).or_insert(fresh);
             if n.since > known.since {
                 // A restart: what was learnt of the old process says nothing of the new one.
-                (known.room, known.slow, known.paced) = (fresh_room, 1.0, 0);
+                (known.room, known.slow, known.paced, known.bears) = (fresh_room, 1.0, 0, BOUNDLESS);
                 known.ends = vec![(0.0, 0.0); slots];
             }
             (known.zone, known.cell, known.health) = (n.zone, n.cell, n.health);
-            (known.rating, known.since) = (n.rating, n.since);
+            (known.rating, known.since, known.told) = (n.rating, n.since, 0);
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.own > 0);
         self.subset();
@@ -378,6 +387,7 @@
                 s.mine = true;
             }
         }
+        self.resize = true;
         if all > 0 {
             // What all gateways together may have at a server stays the same.
             let before = std::mem::replace(&mut self.sharers, gateways * used / all as f64);
@@ -393,7 +403,7 @@
         let (now, slots) = (self.now, self.s.classes.len() + self.s.plans.len());
         if let Some(s) = self.servers.get_mut(&name) {
             s.since = now;
-            (s.room, s.slow, s.paced) = (FIRST_ROOM / self.sharers, 1.0, 0);
+            (s.room, s.slow, s.paced, s.bears) = (FIRST_ROOM / self.sharers, 1.0, 0, BOUNDLESS);
             s.ends = vec![(0.0, 0.0); slots];
         }
         self.subset();
@@ -401,6 +411,28 @@
         self.put_back.insert(name, now);
     }
 
+    /// Beyond the paper: how many connections the pool may hold. A server gets up to twice an even part of
+    /// what the descriptors bear, and one that turned a connection away, what it bore. Guards against
+    /// connections that all gateways open in vain; harms where a server was only starting.
+    fn connections(&mut self, out: &mut Vec<Action>) {
+        if self.s.connections == 0 || !std::mem::take(&mut self.resize) {
+            return;
+        }
+        let used = self.servers.values().filter(|s| s.mine).count().max(1) as f64;
+        // Two processes share the descriptors and what servers bear.
+        let part = if self.share.is_some() { 0.5 } else { 1.0 };
+        let whole = f64::from(self.s.connections);
+        let fair = (2.0 * whole / used).min(whole).min(f64::from(self.s.connections_each));
+        let most = |bears: f64| (part * bears).max(1.0) as u32;
+        let told =
+            self.servers.iter_mut().map(|(n, s)| (Some(n.clone()), &mut s.told, most(s.bears.min(fair))));
+        for (server, told, most) in told.chain([(None, &mut self.told, most(whole))]) {
+            if std::mem::replace(told, most) != most {
+                out.push(Action::Connections { server, most });
+            }
+        }
+    }
+
     // ---- Quotas ----
 
     /// Brings a customer's store and averages up to now.
@@ -748,7 +780,7 @@
                     continue;
                 }
             }
-            if s.here() + 1.0 > (s.room * warmth).max(1.0) {
+            if s.here() + 1.0 > (s.room * warmth).min(s.bears).max(1.0) {
                 continue;
             }
             if let Some((first, zone, cell)) = h.ran {
@@ -923,6 +955,12 @@
         s.own = s.own.saturating_sub(1);
         s.heard = now;
         let full = e.ending == Ending::Full;
+        // A new connection that was turned away, or refused beside others: the server holds no more of them.
+        let crowded = full && e.via == Via::Fresh || e.via == Via::Refused;
+        if crowded || pass && s.bears < BOUNDLESS {
+            s.bears = if crowded { 0.75 * f64::from(e.links) } else { s.bears + GAIN / s.bears }.max(1.0);
+            self.resize = true;
+        }
         if pass && took <= aim * LATE && f64::from(s.own) + 1.0 >= s.room / 2.0 {
             s.room += (4.0 * least).min(1.0) / s.room.max(1.0);
         } else if (full || e.ending == Ending::Late || pass && took > aim) && now - s.narrowed > nanos(usual)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -109,6 +109,10 @@
     pub cross_zone_price: f64,
     /// The shortest time between two calls.
     pub tick: Time,
+    /// Connections to servers that the caller's descriptors bear; 0 if it holds none.
+    pub connections: u32,
+    /// The most of them to one server, whatever it bears.
+    pub connections_each: u32,
 }
 
 impl Default for Settings {
@@ -137,6 +141,8 @@
             answer_slack: 0,
             cross_zone_price: 0.0,
             tick: 1_000_000,
+            connections: 0,
+            connections_each: u32::MAX,
         }
     }
 }
@@ -222,6 +228,19 @@
     Stale,
 }
 
+/// How an attempt came by its connection, as far as the caller knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Via {
+    #[default]
+    Unknown,
+    /// One that had carried others before.
+    Kept,
+    /// One that was new.
+    Fresh,
+    /// None: the server's machine refused to open one.
+    Refused,
+}
+
 /// What a server says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -247,6 +266,9 @@
     /// The customer's metered use over all gateways as a share of its rate, where the answer tells.
     pub metered: Option<f64>,
     pub load: Option<Load>,
+    pub via: Via,
+    /// Connections that this process holds to the server, those that are being opened among them.
+    pub links: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -324,6 +346,11 @@
     Subscribe {
         on: bool,
     },
+    /// The most connections to hold to a server from now on, or over all of them.
+    Connections {
+        server: Option<Name>,
+        most: u32,
+    },
     /// To be told to the other process of this gateway.
     Share(Share),
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -146,6 +146,7 @@
         answer_slack: env.obligations.answer_slack,
         cross_zone_price: env.prices.cross_zone,
         tick: env.tick,
+        ..Settings::default()
     })
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,13 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Connections that a server bears while it has turned none away.
+pub(crate) const BOUNDLESS: f64 = 1e9;
+
+fn boundless() -> f64 {
+    BOUNDLESS
+}
+
 /// What is held of a request until its final answer.
 pub(crate) struct Held {
     pub(crate) class: usize,
@@ -69,6 +76,11 @@
     pub(crate) paced: u32,
     /// When it last answered or was first owed an answer.
     pub(crate) heard: Time,
+    /// How many of this gateway's connections it bears, by what it turned away, and what the pool was told.
+    #[serde(default = "boundless")]
+    pub(crate) bears: f64,
+    #[serde(skip)]
+    pub(crate) told: u32,
     /// Requests of others that it reported, and when.
     pub(crate) others: f64,
     pub(crate) reported: Time,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -518,6 +518,44 @@
     }
 }
 
+#[test]
+fn an_option_out_of_range_ends_the_start_with_its_key_and_range() {
+    let backend = Backend::good();
+    let gateway = Gateway::start(&one(&backend));
+    let text = gateway.configuration();
+    let run = |pool: &str| {
+        let path = config_file(&text.replace(r#""pool":{}"#, &format!(r#""pool":{pool}"#)));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_granitethread"));
+        let out = command.env("LB_CONFIG", &path).env("LB_LISTEN", "nowhere").output().expect("it runs");
+        let _ = std::fs::remove_file(path);
+        assert!(!out.status.success());
+        String::from_utf8(out.stderr).expect("text")
+    };
+    for (pool, told) in [
+        (r#"{"per_server":0}"#, "pool.per_server is 0: a whole number from 1 to 100000 is wanted"),
+        (r#"{"per_server":"many"}"#, r#"pool.per_server is "many": a whole number from 1 to 100000"#),
+        (r#"{"idle_ms":-5}"#, "pool.idle_ms is -5: a whole number from 1 to 3600000 is wanted"),
+        (r#"{"idle":5}"#, "pool.idle is no option"),
+        // Good ones: the start ends for the address only.
+        (r#"{"per_server":3,"idle_ms":500}"#, "listen is"),
+    ] {
+        let text = run(pool);
+        assert!(text.contains(told) && text.lines().count() == 1, "{pool}: {text}");
+    }
+}
+
+#[test]
+fn the_options_of_the_pool_bound_what_is_kept() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let pool = Some(r#"{"per_server":1,"idle_ms":100}"#);
+    let gateway = Gateway::with(&discovery, Setup { ops: true, pool, ..Setup::default() });
+    discovery.called(2);
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+    assert_eq!(backend.ended.recv_timeout(LIMIT).expect("the gateway closes it"), 0);
+    assert_eq!(gateway.figure("/connections/closed/expired"), 1);
+}
+
 #[test]
 fn a_hangup_takes_discovery_from_the_new_file_and_a_bad_file_changes_nothing() {
     let (old, new) = (Backend::good(), Backend::good());
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -91,6 +91,8 @@
             settled,
             metered,
             load,
+            via: Via::Unknown,
+            links: 0,
         }))
     }
 }
@@ -758,6 +760,8 @@
                 settled: 0.0,
                 metered: None,
                 load: None,
+                via: Via::Unknown,
+                links: 0,
             }));
         }
         to
@@ -898,6 +902,8 @@
                 settled: 1.0,
                 metered: None,
                 load: Some(Load { inflight: Some(0.0), ..Load::default() }),
+                via: Via::Unknown,
+                links: 0,
             }));
         };
         for n in 0..100 {
@@ -1056,8 +1062,150 @@
             settled: 1.0,
             metered: None,
             load: Some(Load { inflight: Some((n % 5 * 2) as f64), ..Load::default() }),
+            via: Via::Unknown,
+            links: 0,
         }));
     }
     // From a fifth to three fifths of the capacity of one in twelve.
     assert!((6..=30).contains(&cold), "{cold} of 400");
 }
+
+// ---- How many connections ----
+
+/// What the pool is told: over all servers (None) and for each.
+fn told(actions: &[Action]) -> Vec<(Option<String>, u32)> {
+    let tells = |a: &Action| match a {
+        Action::Connections { server, most } => Some((server.as_ref().map(|s| s.to_string()), *most)),
+        _ => None,
+    };
+    actions.iter().filter_map(tells).collect()
+}
+
+fn told_of(actions: &[Action], server: &str) -> Option<u32> {
+    told(actions).into_iter().rev().find(|(of, _)| of.as_deref() == Some(server)).map(|(_, most)| most)
+}
+
+/// A gateway with 40 descriptors for so many servers, and one plan without a quota.
+fn pooled(servers: usize, connections_each: u32) -> (Rig, Vec<Action>) {
+    let plans = vec![Plan::new("free", 0.0, 0.0)];
+    let s = Settings { connections: 40, connections_each, plans, gateways: 1, ..settings() };
+    let mut rig =
+        Rig { g: Gateway::new(s, 1, 100 * SEC).expect("in range"), now: 100 * SEC, next: 1, spread: 1 };
+    let nodes = (0..servers).map(|i| Rig::node(i, Health::Up)).collect();
+    let actions = rig.tell(Event::Fleet { seq: 1, scope: Scope::Full, nodes });
+    (rig, actions)
+}
+
+impl Rig {
+    /// The end of an attempt, with how it came by its connection and how many there are.
+    fn end_via(&mut self, id: u64, server: &str, ending: Ending, via: Via, links: u32) -> Vec<Action> {
+        self.tell(Event::AttemptEnd(AttemptEnd {
+            id,
+            attempt: 0,
+            server: server.into(),
+            ending,
+            last: true,
+            spent: false,
+            elapsed: 50 * MS,
+            settled: 0.0,
+            metered: None,
+            load: None,
+            via,
+            links,
+        }))
+    }
+
+    /// One more request goes to a server, and ends there so.
+    fn once(&mut self, ending: Ending, via: Via, links: u32) -> (String, Vec<Action>) {
+        let (id, out) = self.request(0, 0, "c", 1.0);
+        let server = sent_to(&out).pop().expect("it goes out");
+        let told = self.end_via(id, &server, ending, via, links);
+        (server, told)
+    }
+}
+
+#[test]
+fn the_pool_is_told_what_the_descriptors_bear_and_who_sets_a_bound_of_his_own() {
+    let (_, actions) = pooled(2, u32::MAX);
+    assert_eq!(told(&actions), [(Some("s0".into()), 40), (Some("s1".into()), 40), (None, 40)]);
+    let (_, actions) = pooled(2, 5);
+    assert_eq!((told_of(&actions, "s0"), told_of(&actions, "s1")), (Some(5), Some(5)));
+    let mut rig = Rig::new(settings(), 2);
+    let (id, out) = rig.request(0, 0, "c", 1.0);
+    let server = sent_to(&out).remove(0);
+    assert!(told(&rig.end_via(id, &server, Ending::NoRoute, Via::Refused, 9)).is_empty(), "no pool to tell");
+}
+
+#[test]
+fn a_server_that_turns_new_connections_away_gets_fewer_and_slowly_more_again() {
+    for (ending, via) in [(Ending::NoRoute, Via::Refused), (Ending::Full, Via::Fresh)] {
+        let (mut rig, _) = pooled(1, u32::MAX);
+        let (server, actions) = rig.once(ending, via, 8);
+        assert_eq!(told(&actions), [(Some(server.clone()), 6)], "{via:?}");
+        // One more for each five rounds of good answers, not sooner.
+        let mut answers = 0;
+        let more = loop {
+            let (_, actions) = rig.once(Ending::Pass, Via::Kept, 6);
+            answers += 1;
+            rig.now += 100 * MS;
+            if let Some(most) = told_of(&actions, &server).or((answers == 100).then_some(0)) {
+                break most;
+            }
+        };
+        assert_eq!(more, 7);
+        assert!((28..=36).contains(&answers), "{answers} answers for one more than 6");
+    }
+    // A full queue says nothing of connections.
+    let (mut rig, _) = pooled(2, u32::MAX);
+    assert!(told(&rig.once(Ending::Full, Via::Kept, 8).1).is_empty());
+}
+
+#[test]
+fn attempts_do_not_wait_for_connections_that_a_server_does_not_bear() {
+    let (mut rig, _) = pooled(2, u32::MAX);
+    let (server, _) = rig.once(Ending::NoRoute, Via::Refused, 3);
+    let all: Vec<String> = (0..16).flat_map(|_| sent_to(&rig.request(0, 0, "c", 1.0).1)).collect();
+    let there = all.iter().filter(|s| **s == server).count();
+    assert!(there <= 2, "{there} of {} at a server that bore 2", all.len());
+    assert!(all.len() > 4, "the other has room: {}", all.len());
+    // A restart has room as at first.
+    let node = Node { since: rig.now, ..Node::new(&server, Health::Up) };
+    let out = rig.tell(Event::Fleet { seq: 2, scope: Scope::Changes, nodes: vec![node] });
+    assert_eq!(told_of(&out, &server), Some(40));
+}
+
+#[test]
+fn two_processes_of_a_gateway_share_its_connections() {
+    let (mut rig, _) = pooled(2, u32::MAX);
+    let (server, _) = rig.once(Ending::NoRoute, Via::Refused, 8);
+    let out = rig.tell(Event::Beside { on: true });
+    assert_eq!(told_of(&out, &server), Some(3));
+    assert!(told(&out).contains(&(None, 20)), "{out:?}");
+    // The successor goes on with what the server bore.
+    let s = Settings { connections: 40, gateways: 1, plans: vec![Plan::new("free", 0.0, 0.0)], ..settings() };
+    let mut next = Gateway::new(s, 2, rig.now).expect("in range");
+    let mut out = Vec::new();
+    let snapshot = serde_json::to_string(&rig.g.snapshot()).expect("words");
+    let snapshot = serde_json::from_str(&snapshot).expect("the same");
+    next.handle(rig.now, vec![Event::Restore(Box::new(snapshot)), Event::Beside { on: true }], &mut out);
+    assert_eq!(told_of(&out, &server), Some(3));
+    let out = rig.tell(Event::Beside { on: false });
+    assert_eq!(told_of(&out, &server), Some(6));
+    assert!(told(&out).contains(&(None, 40)), "{out:?}");
+}
+
+/// Hundreds of gateways start within a second, each with more to send than it may: what they have out at one
+/// server, and so open there, is a few in all.
+#[test]
+fn a_fleet_that_starts_at_once_opens_few_connections_to_each_server() {
+    let mut at = std::collections::BTreeMap::new();
+    for (mut rig, _) in used_by(300, 60) {
+        for n in 0..30 {
+            for server in sent_to(&rig.request(0, 0, &format!("c{n}"), 1.0).1) {
+                *at.entry(server).or_insert(0) += 1;
+            }
+        }
+    }
+    let most = at.values().copied().max().unwrap_or(0);
+    assert!(at.len() == 60 && most <= 90, "{most} at one of {} servers", at.len());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -205,7 +205,7 @@
 
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
-"known":KNOWN,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
+"known":KNOWN,"pool":POOL,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
 "extra":{"cost_after":true,"meter_period":500000000,"most_units":8},
 "limits":{"cancelling":true,"connect_timeout":CONNECT,"keepalive":KEEPALIVE,"max_retry_after":2000000000,
  "retry_after":true,"second_copies":false,"try_limit":3},
@@ -233,6 +233,8 @@
     pub listen: Option<SocketAddr>,
     /// Whether operators get an address.
     pub ops: bool,
+    /// The options of the pool.
+    pub pool: Option<&'static str>,
     /// The clients' listening socket, held by the platform.
     pub inherited: Option<TcpListener>,
     /// Where a gateway's processes meet.
@@ -250,6 +252,7 @@
             subscribe: false,
             listen: None,
             ops: false,
+            pool: None,
             inherited: None,
             folder: None,
         }
@@ -294,6 +297,7 @@
         let text = CONFIG
             .replace("DISCOVERY", &discovery.address.to_string())
             .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
+            .replace("POOL", setup.pool.unwrap_or("{}"))
             .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
             .replace("SOCKETS", &setup.sockets.to_string())
             .replace("CONNECT", &(setup.connect_ms * 1_000_000).to_string())
