--- a/src/bin/granitethread/pool.rs
+++ b/src/bin/granitethread/pool.rs
@@ -572,22 +572,34 @@
         let now = Instant::now();
         if let Some(s) = self.servers.borrow_mut().get_mut(&p.server) {
             s.heard = now;
-            if let Some(idled) = p.idled.filter(|_| now - written < AT_ONCE) {
-                s.staleness.record(idled, false, now);
-                self.staleness.borrow_mut().record(idled, false, now);
-            }
+            self.learn(s, p, false, written, now);
         }
     }
 
     /// The connection broke before an answer began.
     pub fn broke(&self, p: Pooled<O::Link>, written: Instant) {
         let now = Instant::now();
-        let stale = p.idled.filter(|_| now - written < AT_ONCE);
-        if let (Some(idled), Some(s)) = (stale, self.servers.borrow_mut().get_mut(&p.server)) {
-            s.staleness.record(idled, true, now);
-            self.staleness.borrow_mut().record(idled, true, now);
+        if let Some(s) = self.servers.borrow_mut().get_mut(&p.server) {
+            self.learn(s, &p, true, written, now);
+        }
+        let stale = p.idled.is_some() && now - written < AT_ONCE;
+        p.close(if stale { Cause::Stale } else { Cause::Broken });
+    }
+
+    /// How a connection fared that had idled for so long, or was new.
+    fn learn(
+        &self,
+        s: &mut Server<O::Link>,
+        p: &Pooled<O::Link>,
+        broken: bool,
+        written: Instant,
+        now: Instant,
+    ) {
+        if now - written < AT_ONCE {
+            let idled = p.idled.unwrap_or_default();
+            s.staleness.record(idled, broken, now);
+            self.staleness.borrow_mut().record(idled, broken, now);
         }
-        p.close(if stale.is_some() { Cause::Stale } else { Cause::Broken });
     }
 
     /// Nothing came for a request that was written at `written`. If nothing at all has come from this server
