Count how long attempts wait for a connection

Need: whether connections opened ahead would save time is a question of how long attempts wait for one; the count of waits does not tell. waited_us in the pool's figures and the status line; asserted in the test of what comes free first.

--- a/src/bin/granitethread/figures.rs
+++ b/src/bin/granitethread/figures.rs
@@ -116,7 +116,7 @@
         let figures = Figures::new(["look", "watch"].into_iter());
         let mut connections = PoolFigures { open: 4, idle: 1, opening: 2, peak: 6, ..PoolFigures::default() };
         connections.closed.insert(Cause::GivenUp, 3);
-        let told = r#","connections":{"open":4,"idle":1,"opening":2,"peak":6,"opened":0,"failed":0,"reused":0,"waits":0,"closed":{"given_up":3}}}"#;
+        let told = r#","connections":{"open":4,"idle":1,"opening":2,"peak":6,"opened":0,"failed":0,"reused":0,"waits":0,"waited_us":0,"closed":{"given_up":3}}}"#;
         let text = || String::from_utf8(figures.json(5, 3, 1, &connections).unwrap()).unwrap();
         let mut served = figures.taken("look");
         let left = figures.taken("watch");
--- a/src/bin/granitethread/pool.rs
+++ b/src/bin/granitethread/pool.rs
@@ -103,13 +103,20 @@
     pub failed: u64,
     pub reused: u64,
     pub waits: u64,
+    /// How long those that got one waited, in all.
+    pub waited_us: u64,
     pub closed: BTreeMap<Cause, u64>,
 }
 
 impl fmt::Display for PoolFigures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let PoolFigures { open, idle, opening, peak, opened, failed, reused, waits, closed } = self;
-        write!(f, "opened {opened}, not come up {failed}, used again {reused}, waited for {waits}, ")?;
+        let PoolFigures { open, idle, opening, peak, opened, failed, reused, waits, waited_us, closed } =
+            self;
+        write!(
+            f,
+            "opened {opened}, not come up {failed}, used again {reused}, waited for {waits} ({} ms), ",
+            waited_us / 1000
+        )?;
         write!(f, "closed {closed:?}; open now {open} ({idle} idle), being opened {opening}, at most {peak}")
     }
 }
@@ -411,13 +418,18 @@
             Ticket::new(given, self)
         };
         self.open_for(name);
+        let asked = Instant::now();
         match timeout(self.connect_timeout, &mut ticket.given).await {
             // The list or operators may have spoken since it was handed over.
             Ok(Ok(Ok(p))) if !self.current(&p) => {
                 p.close(Cause::Listed);
                 Err(Missing::Gone)
             }
-            Ok(Ok(given)) => given.map(|p| self.hand_out(p)),
+            Ok(Ok(given)) => {
+                let p = given?;
+                self.tally.figures.borrow_mut().waited_us += asked.elapsed().as_micros() as u64;
+                Ok(self.hand_out(p))
+            }
             Ok(Err(_)) => Err(Missing::Gone),
             Err(_) => {
                 let opening = self.servers.borrow().get(name).is_some_and(|s| s.opening.get() > 0);
--- a/src/bin/granitethread/pool/tests.rs
+++ b/src/bin/granitethread/pool/tests.rs
@@ -178,10 +178,12 @@
         let busy = opened(&pool, &world, "s").await;
         let waits = ask(&pool, "s").await;
         assert_eq!(world.under_way().len(), 1);
+        advance(Duration::from_millis(30)).await;
         let number = busy.link.number;
         pool.give_back(busy);
         let got = waits.await.unwrap().unwrap();
         assert_eq!((got.link.number, got.idled), (number, Some(Duration::ZERO)));
+        assert!((30_000..33_000).contains(&pool.figures().waited_us), "{}", pool.figures());
         world.answers(Ok(()));
         settle().await;
         assert_eq!(pool.figures().idle, 1, "for the next");
