Move the list of roll servers into the library, and refuse one that names a server twice

Need: the registry to come serves the list that the gateway reads; types, reading and merging belong to both. src/list.rs has them (List, Target, State, Roster); the gateway's own merging in driver.rs is gone.

--- a/src/bin/granitethread/backends.rs
+++ b/src/bin/granitethread/backends.rs
@@ -416,8 +416,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::State;
     use crate::pool::tests::target;
+    use granitehub::list::State;
     use granitehub::Scope;
     use hyper::Response;
     use std::cell::{Cell, RefCell};
--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at its start: the file that `LB_CONFIG` names.
 
-use crate::discovery::List;
 use crate::ops::MOST_CALLS;
+use granitehub::list::List;
 use granitehub::{settings, Settings};
 use serde::Deserialize;
 use serde_json::{Map, Value};
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -2,12 +2,12 @@
 
 use crate::driver::Driver;
 use bytes::Bytes;
+use granitehub::list::{List, LONGEST};
 use granitehub::Scope;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,43 +26,6 @@
 /// again at a time drawn from a span in which all of them, taking turns, call once in so long.
 const TURN: Duration = Duration::from_millis(200);
 const LONGEST_SPAN: Duration = Duration::from_secs(60);
-const LONGEST: usize = 4 << 20;
-
-/// The list of backends, or what changed in it.
-#[derive(Deserialize)]
-pub struct List {
-    pub rev: u64,
-    pub all: bool,
-    pub targets: Vec<Target>,
-}
-
-#[derive(Clone, Deserialize, Serialize)]
-pub struct Target {
-    pub uid: String,
-    /// Not an address yet: an entry that says `Gone` counts, whatever stands here.
-    #[serde(default)]
-    pub endpoint: String,
-    #[serde(default)]
-    pub az: String,
-    #[serde(default)]
-    pub pod_group: u32,
-    pub state: State,
-    #[serde(default = "one")]
-    pub capacity_hint: f64,
-    #[serde(default)]
-    pub boot_ms: u64,
-}
-
-#[derive(Clone, Copy, Deserialize, Serialize, PartialEq, Eq)]
-pub enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
-
-fn one() -> f64 {
-    1.0
-}
 
 type Connection = SendRequest<Empty<Bytes>>;
 
@@ -169,7 +132,7 @@
         return Err(format!("status {}", answer.status()));
     }
     let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(|e| e.to_string())?;
-    let list = serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
+    let list = List::parse(&body.to_bytes())?;
     *kept = Some(connection);
     Ok(list)
 }
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -5,17 +5,17 @@
 
 use crate::backends::{Backends, Outcome, Outgoing, Served};
 use crate::config::Config;
-use crate::discovery::{List, State, Target};
 use crate::figures::Figures;
 use crate::handover::Note;
 use crate::link::Progress;
+use granitehub::list::{List, Roster, State, Target};
 use granitehub::{
     Action, AttemptEnd, Effect, Ending, Event, Gateway, Health, Name, Node, Request, RequestId, Scope, Share,
     Snapshot, Time,
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap};
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -115,7 +115,7 @@
     /// Told what this process does, while there is another of this gateway.
     other: RefCell<Option<mpsc::Sender<Note>>>,
     /// The list as discovery tells it, for a successor.
-    list: RefCell<(u64, BTreeMap<String, Target>)>,
+    list: RefCell<Roster>,
     counts: Counts,
     pub figures: Rc<Figures>,
     discovery_down: Cell<bool>,
@@ -253,7 +253,7 @@
         let snapshot = self.state.borrow().gateway.snapshot();
         self.pair(notes);
         let list = self.list.borrow();
-        (list.0, list.1.values().cloned().collect(), snapshot)
+        (list.rev, list.targets.values().cloned().collect(), snapshot)
     }
 
     /// Goes on from what a predecessor knew.
@@ -297,25 +297,11 @@
     fn list(&self, scope: Scope, list: List) {
         // Before the module hears of it: an attempt on its way checks with the backends.
         self.backends.pool.update(scope, &list.targets);
-        self.note(scope, &list);
+        self.list.borrow_mut().apply(&list);
         let nodes = list.targets.into_iter().map(|t| self.node(t)).collect();
         self.event(Event::Fleet { seq: list.rev, scope, nodes });
     }
 
-    fn note(&self, scope: Scope, list: &List) {
-        let (rev, targets) = &mut *self.list.borrow_mut();
-        *rev = list.rev;
-        if scope != Scope::Changes {
-            targets.clear();
-        }
-        for t in &list.targets {
-            match t.state {
-                State::Gone => drop(targets.remove(&t.uid)),
-                _ => drop(targets.insert(t.uid.clone(), t.clone())),
-            }
-        }
-    }
-
     fn node(&self, t: Target) -> Node {
         let zone = self.zones.iter().position(|z| *z == t.az).unwrap_or(self.zones.len());
         Node {
--- a/src/bin/granitethread/handover.rs
+++ b/src/bin/granitethread/handover.rs
@@ -4,9 +4,9 @@
 //! Each process listens on a Unix socket under its gateway's name in `$TMPDIR`. Notes are lines of JSON. What
 //! they mean is the module's and the server's business.
 
-use crate::discovery::Target;
 use crate::driver::Driver;
 use crate::server::Server;
+use granitehub::list::Target;
 use granitehub::{Name, Share, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::env;
--- a/src/bin/granitethread/pool.rs
+++ b/src/bin/granitethread/pool.rs
@@ -8,8 +8,8 @@
 //! A connection belongs to an era of its server, which ends when the list tells another address or start, and
 //! when the server wants nothing new. Nothing of a past era is handed out, kept or written to.
 
-use crate::discovery::{State, Target};
 use crate::staleness::Staleness;
+use granitehub::list::{State, Target};
 use granitehub::{Name, Scope};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
--- a/src/bin/granitethread/pool/tests.rs
+++ b/src/bin/granitethread/pool/tests.rs
@@ -12,6 +12,7 @@
         uid: uid.to_string(),
         endpoint: address.to_string(),
         az: String::new(),
+        model: String::new(),
         pod_group: 0,
         state,
         capacity_hint: 1.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod decide;
 pub mod interface;
+pub mod list;
 pub mod settings;
 mod state;
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -458,7 +458,10 @@
     let discovery = one(&backend);
     let gateway = Gateway::start(&discovery);
     let mut client = gateway.client();
-    for garbage in ["", "{", "[]", r#"{"rev":2,"all":true}"#, r#"{"rev":2,"all":true,"targets":[{"uid":7}]}"#]
+    let twice =
+        r#"{"rev":2,"all":true,"targets":[{"uid":"s-9","state":"Ready"},{"uid":"s-9","state":"Ready"}]}"#;
+    for garbage in
+        ["", "{", "[]", r#"{"rev":2,"all":true}"#, r#"{"rev":2,"all":true,"targets":[{"uid":7}]}"#, twice]
     {
         let calls = discovery.calls();
         discovery.tell(2, garbage.to_string());
