Add granitehub-registry: leases, versions, watches and a durable list of roll servers

Need: the list came from a discovery that is not the project's. The registry speaks the list protocol to gateways; servers announce, renew, drain and leave at an address apart. Not yet: followers, and several addresses in the gateway's client.

--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,288 @@
+//! The registry as a program on loopback, with a gateway, servers and readers around it.
+
+// Each test program uses a part of it.
+#[allow(dead_code)]
+mod support;
+
+use granitehub::list::{List, State};
+use std::fs::OpenOptions;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use support::{ask, folder, Backend, Client, Gateway, Message, Setup, LIMIT};
+
+struct Registry {
+    child: Child,
+    readers: SocketAddr,
+    registrars: SocketAddr,
+    operators: SocketAddr,
+    log: Receiver<String>,
+}
+
+fn command(dir: &Path, at: [SocketAddr; 3], more: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_granitehub-registry"));
+    command.arg("--dir").arg(dir);
+    for (name, address) in ["--readers", "--registrars", "--operators"].iter().zip(at) {
+        command.args([name.to_string(), address.to_string()]);
+    }
+    command.args(more);
+    command
+}
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+impl Registry {
+    fn start(dir: &Path, at: [SocketAddr; 3]) -> Self {
+        let mut child = command(dir, at, &[]).stderr(Stdio::piped()).spawn().expect("the registry starts");
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let (line, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(line.send(l))));
+        let mut registry = Registry { child, readers: ANY, registrars: ANY, operators: ANY, log: lines };
+        registry.readers = registry.told("Readers call at ");
+        registry.registrars = registry.told("Registrars call at ");
+        registry.operators = registry.told("Operators call at ");
+        registry
+    }
+
+    fn new(dir: &Path) -> Self {
+        Registry::start(dir, [ANY; 3])
+    }
+
+    fn told(&self, what: &str) -> SocketAddr {
+        loop {
+            let line = self.log.recv_timeout(LIMIT).expect("a line of the log");
+            if let Some(address) = line.strip_prefix(what) {
+                return address.parse().expect("an address");
+            }
+        }
+    }
+
+    fn call(&self, method: &str, path: &str, body: &str) -> Message {
+        let length = body.len();
+        Client::to(self.registrars)
+            .ask(&format!("{method} {path} HTTP/1.1\r\nHost: r\r\nContent-Length: {length}\r\n\r\n{body}"))
+    }
+
+    fn register(&self, uid: &str, address: SocketAddr, boot_ms: u64, lease_ms: u64) -> Message {
+        let body =
+            format!(r#"{{"endpoint":"{address}","az":"hall","boot_ms":{boot_ms},"lease_ms":{lease_ms}}}"#);
+        self.call("PUT", &format!("/v1/registrations/{uid}"), &body)
+    }
+
+    /// A reader's call, not yet answered.
+    fn reader(&self, query: &str) -> Client {
+        let mut reader = Client::to(self.readers);
+        reader.send(&format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: r\r\n\r\n"));
+        reader
+    }
+
+    fn list(&self, query: &str) -> List {
+        parsed(&self.reader(query).answer())
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        let answer = Client::to(self.operators).ask("GET /-/metrics HTTP/1.1\r\nHost: r\r\n\r\n");
+        let json: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+        json[name].as_u64().unwrap_or_else(|| panic!("{name} in {json}"))
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+}
+
+impl Drop for Registry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn parsed(answer: &Message) -> List {
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    List::parse(&answer.body).expect("a list")
+}
+
+/// A folder for the list, gone at the end.
+struct Kept(PathBuf);
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+const LONG: u64 = 600_000;
+
+#[test]
+fn a_gateway_serves_what_registers_and_loses_no_request_over_drains_and_a_killed_registry() {
+    let kept = Kept(folder());
+    let mut registry = Registry::new(&kept.0);
+    let (one, two) = (Backend::good(), Backend::good());
+    assert_eq!(registry.register("s-1", one.address, 1, LONG).status(), 200);
+    let gateway = Gateway::at(registry.readers, Setup::default());
+    let mut client = gateway.client();
+    let mut served = |n: usize| {
+        for _ in 0..n {
+            assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+        }
+    };
+    // Until the list is in, a request waits for a server.
+    served(5);
+    registry.register("s-2", two.address, 1, LONG);
+    while two.untouched() {
+        served(1);
+    }
+    let before = registry.list("").rev;
+    let at = [registry.readers, registry.registrars, registry.operators];
+    // Killed outright: the gateway goes on with its list, and the registry with its own.
+    registry.child.kill().expect("it runs");
+    registry.child.wait().expect("it ends");
+    served(20);
+    registry = Registry::start(&kept.0, at);
+    let after = registry.list("");
+    assert_eq!((after.rev, after.targets.len()), (before, 2));
+    assert_eq!(registry.call("POST", "/v1/registrations/s-1/drain", r#"{"boot_ms":1}"#).status(), 200);
+    let drained = registry.list("");
+    assert!(drained.rev > before && drained.targets[0].state == State::Terminating);
+    // The gateway calls again by itself; once it has heard, nothing goes to the drained one.
+    while registry.figure("watchers") == 0 {
+        served(1);
+    }
+    served(1);
+    while one.requests.try_iter().count() > 0 {
+        served(5);
+    }
+    served(20);
+    assert!(one.untouched() && !two.untouched());
+    assert_eq!(registry.call("DELETE", "/v1/registrations/s-1", r#"{"boot_ms":1}"#).status(), 200);
+    served(5);
+    assert_eq!(registry.list("").targets.len(), 1);
+}
+
+#[test]
+fn bad_calls_say_why_and_change_nothing() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    registry.register("s-1", ANY, 5, LONG);
+    let rev = registry.list("").rev;
+    let good = r#"{"endpoint":"127.0.0.1:1","boot_ms":5,"lease_ms":1000}"#;
+    let one = "/v1/registrations/s-1";
+    let large = format!(r#"{{"model":"{}"}}"#, "x".repeat(70_000));
+    for (method, path, body, status) in [
+        ("PUT", one, "", 400),
+        ("PUT", one, "{", 400),
+        ("PUT", one, &good.replace("127.0.0.1:1", "nowhere"), 400),
+        ("PUT", one, &good.replace("1000", "1"), 400),
+        ("PUT", one, &good.replace("5", "-5"), 400),
+        ("PUT", one, &good.replace("{", r#"{"capacity_hint":-1,"#), 400),
+        ("PUT", one, &large, 413),
+        ("PUT", one, &good.replace("\"boot_ms\":5", "\"boot_ms\":4"), 409),
+        ("PUT", "/v1/registrations/", good, 404),
+        ("POST", "/v1/registrations/s-1/renew", r#"{"boot_ms":4}"#, 409),
+        ("POST", "/v1/registrations/s-1/renew", r#"{"boot_ms":6}"#, 404),
+        ("POST", "/v1/registrations/s-1/renew", "", 400),
+        ("POST", "/v1/registrations/s-1/drain", r#"{"boot_ms":"5"}"#, 400),
+        ("POST", "/v1/registrations/s-9/drain", "", 404),
+        ("POST", "/v1/registrations/s-1/praise", "", 404),
+        ("DELETE", "/v1/registrations/s-9", "", 404),
+        ("DELETE", one, r#"{"boot_ms":4}"#, 409),
+        ("PATCH", one, "", 405),
+        ("GET", "/v1/registrations/s-1/drain", "", 405),
+        ("DELETE", "/v1/registrations", "", 405),
+        ("GET", "/v2", "", 404),
+    ] {
+        let answer = registry.call(method, path, body);
+        assert_eq!(answer.status(), status, "{method} {path} {}", &body[..body.len().min(60)]);
+        assert!(answer.body.len() > 5, "{method} {path}: a reason");
+    }
+    for (query, status) in
+        [("?since=x", 400), ("?since=-1&timeout_ms=5", 400), ("?since=1&timeout_ms=soon", 400)]
+    {
+        assert_eq!(registry.reader(query).answer().status(), status, "{query}");
+    }
+    // A repeated call and a renewal are no changes either.
+    assert_eq!(registry.register("s-1", ANY, 5, LONG).status(), 200);
+    assert_eq!(registry.call("POST", "/v1/registrations/s-1/renew", r#"{"boot_ms":5}"#).status(), 200);
+    assert_eq!((registry.list("").rev, registry.figure("renewals")), (rev, 1));
+}
+
+#[test]
+fn hundreds_of_watchers_get_one_change_put_into_bytes_once_and_are_let_go_at_the_end() {
+    let kept = Kept(folder());
+    let mut registry = Registry::new(&kept.0);
+    let rev = registry.list("").rev;
+    let query = format!("?since={rev}&timeout_ms=60000");
+    let mut watchers: Vec<Client> = (0..300).map(|_| registry.reader(&query)).collect();
+    while registry.figure("watchers") < 300 {}
+    let encodings = registry.figure("encodings");
+    registry.register("s-1", ANY, 5, LONG);
+    for w in &mut watchers {
+        let list = parsed(&w.answer());
+        assert_eq!((list.all, list.rev, list.targets.len()), (false, rev + 1, 1));
+    }
+    assert_eq!(registry.figure("encodings"), encodings + 1);
+    // Who comes with a version from another history gets the whole list, also if it is a later one.
+    for other in [1, rev + 1000] {
+        assert!(registry.list(&format!("?since={other}&timeout_ms=60000")).all);
+    }
+    // Nothing new within the time: an answer that says so.
+    let list = registry.list(&format!("?since={}&timeout_ms=10", rev + 1));
+    assert_eq!((list.all, list.rev, list.targets.len()), (false, rev + 1, 0));
+    let mut waits = registry.reader(&format!("?since={}&timeout_ms=60000", rev + 1));
+    while registry.figure("watchers") == 0 {}
+    registry.signal("-TERM");
+    assert_eq!(parsed(&waits.answer()).rev, rev + 1);
+    assert!(registry.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn a_server_that_renews_no_more_leaves_the_list() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    registry.register("s-1", ANY, 5, LONG);
+    registry.register("s-2", ANY, 5, 100);
+    let mut rev = 0;
+    loop {
+        let list = registry.list(&format!("?since={rev}&timeout_ms=60000"));
+        rev = list.rev;
+        if list.targets.iter().any(|t| t.uid == "s-2" && t.state == State::Gone) {
+            break;
+        }
+    }
+    assert_eq!(registry.figure("expiries"), 1);
+    assert_eq!(registry.list("").targets.len(), 1);
+}
+
+#[test]
+fn bad_options_and_a_damaged_log_end_the_start_with_a_message() {
+    let kept = Kept(folder());
+    let run = |dir: &Path, more: &[&str]| {
+        let out = command(dir, [ANY; 3], more).output().expect("it runs");
+        assert!(!out.status.success());
+        String::from_utf8(out.stderr).expect("text")
+    };
+    for (more, told) in [
+        (&["--grace-ms", "soon"][..], "--grace-ms is \"soon\": 0 to 600000 is wanted"),
+        (&["--grace-ms", "600001"], "0 to 600000 is wanted"),
+        (&["--readers", "nowhere"], "--readers is \"nowhere\": an address and port are wanted"),
+        (&["--fast"], "--fast is no option"),
+        (&["more"], "more"),
+    ] {
+        let text = run(&kept.0, more);
+        assert!(text.contains(told) && text.lines().count() == 1, "{more:?}: {text}");
+    }
+    let registry = Registry::new(&kept.0);
+    registry.register("s-1", ANY, 5, LONG);
+    registry.register("s-2", ANY, 5, LONG);
+    drop(registry);
+    let log = kept.0.join("log");
+    let mut text = std::fs::read(&log).expect("a log");
+    text[20] ^= 1;
+    OpenOptions::new().write(true).open(&log).and_then(|mut f| f.write_all(&text)).expect("written");
+    assert!(run(&kept.0, &[]).contains("the log is damaged at byte 0"));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -294,8 +294,12 @@
     }
 
     pub fn with(discovery: &Discovery, setup: Setup) -> Self {
+        Gateway::at(discovery.address, setup)
+    }
+
+    pub fn at(discovery: SocketAddr, setup: Setup) -> Self {
         let text = CONFIG
-            .replace("DISCOVERY", &discovery.address.to_string())
+            .replace("DISCOVERY", &discovery.to_string())
             .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
             .replace("POOL", setup.pool.unwrap_or("{}"))
             .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
@@ -318,7 +322,7 @@
             }
         };
         command.env("LB_CONFIG", &config).env_remove("LB_LISTEN").env_remove("LB_OPS");
-        command.env("LB_DISCOVERY", discovery.address.to_string());
+        command.env("LB_DISCOVERY", discovery.to_string());
         if let Some(address) = setup.listen {
             command.env("LB_LISTEN", address.to_string());
         }
@@ -411,7 +415,7 @@
 }
 
 impl Client {
-    fn to(address: SocketAddr) -> Self {
+    pub fn to(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).expect("the gateway accepts");
         stream.set_read_timeout(Some(LIMIT)).expect("a limit");
         let reader = BufReader::new(stream.try_clone().expect("a second handle"));
