Let the gateway read the list at several addresses, failing over and never going back

A list older than the one held, the one given at the start too, is passed over. /-/metrics and the log tell version and age. With one address the calls are as before.

--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -14,10 +14,13 @@
 /// listeners, discovery, operators' calls, and a few in passing between accept and close.
 const RESERVED: usize = 40;
 
+const MOST_FALLBACKS: usize = 15;
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where the list is read; others are called when the first does not answer.
+    pub discovery: Vec<SocketAddr>,
     /// Where operators call; without an address there is no such listener.
     pub ops: Option<SocketAddr>,
     pub seed: u64,
@@ -42,6 +45,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    discovery_fallbacks: Vec<String>,
+    #[serde(default)]
     ops: Option<String>,
     seed: String,
     limits: Limits,
@@ -134,10 +139,18 @@
     // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
     // latest: half of it keeps clear of requests written to a connection on its way out.
     let idle_time = Duration::from_nanos(extra.limits.keepalive) / 2;
+    let mut discovery = vec![address(environment("LB_DISCOVERY"), "discovery", file.discovery)?];
+    if file.discovery_fallbacks.len() > MOST_FALLBACKS {
+        let many = file.discovery_fallbacks.len();
+        return Err(format!("discovery_fallbacks has {many} addresses: 0 to {MOST_FALLBACKS} are wanted"));
+    }
+    for (n, told) in file.discovery_fallbacks.into_iter().enumerate() {
+        discovery.push(address(None, &format!("discovery_fallbacks[{n}]"), told)?);
+    }
     Ok(Config {
         name: environment("LB_NAME").unwrap_or(file.name),
         listen: address(environment("LB_LISTEN"), "listen", file.listen)?,
-        discovery: address(environment("LB_DISCOVERY"), "discovery", file.discovery)?,
+        discovery,
         ops,
         seed: u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed is {:?}: up to 16 hex digits are wanted", file.seed))?,
--- a/src/bin/granitethread/driver.rs
+++ b/src/bin/granitethread/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::backends::{Backends, Outcome, Outgoing, Served};
 use crate::config::Config;
-use crate::figures::Figures;
+use crate::figures::{Figures, ListAge};
 use crate::handover::Note;
 use crate::link::Progress;
 use granitehub::list::{List, Roster, State, Target};
@@ -119,6 +119,8 @@
     counts: Counts,
     pub figures: Rc<Figures>,
     discovery_down: Cell<bool>,
+    /// When the list was last told or found to be as it was.
+    list_told: Cell<Instant>,
     zones: Vec<String>,
     tick: Duration,
     try_limit: u32,
@@ -167,6 +169,7 @@
             counts: Counts::default(),
             figures: Figures::new(s.classes.iter().map(|c| c.name.as_str())),
             discovery_down: Cell::new(false),
+            list_told: Cell::new(Instant::now()),
             zones: config.zones.clone(),
             tick: Duration::from_nanos(s.tick),
             try_limit: s.try_limit,
@@ -288,6 +291,7 @@
     }
 
     pub fn fleet(&self, scope: Scope, list: List) {
+        self.list_told.set(Instant::now());
         if self.discovery_down.replace(false) {
             crate::log!("discovery: back, version {}", list.rev);
         }
@@ -318,6 +322,12 @@
         }
     }
 
+    /// The version of the list in use, and how long ago it was last known to be the latest.
+    pub fn list_age(&self) -> ListAge {
+        let age_ms = self.list_told.get().elapsed().as_millis() as u64;
+        ListAge { version: self.list.borrow().rev, age_ms }
+    }
+
     pub fn discovery_failed(&self, what: &str) {
         if !self.discovery_down.replace(true) {
             crate::log!("discovery: {what}; the old list stands");
@@ -637,6 +647,10 @@
                 "served {served}, refused {refused}, failed {failed} ({overdue} overdue), held {held}; \
                  batches {batches}, loop late by {latest} ms at most"
             );
+            if self.discovery_down.get() {
+                let ListAge { version, age_ms } = self.list_age();
+                crate::log!("discovery: away; version {version}, last confirmed {age_ms} ms ago, stands");
+            }
             crate::log!("connections since the start: {}", self.backends.pool.figures());
         }
     }
@@ -713,7 +727,7 @@
         let config = Config {
             name: String::new(),
             listen: ([127, 0, 0, 1], 0).into(),
-            discovery: ([127, 0, 0, 1], 0).into(),
+            discovery: vec![([127, 0, 0, 1], 0).into()],
             ops: None,
             seed: 7,
             known: None,
--- a/src/bin/granitethread/figures.rs
+++ b/src/bin/granitethread/figures.rs
@@ -39,6 +39,15 @@
     pub discovered: usize,
     pub ejected: usize,
     pub connections: &'a PoolFigures,
+    pub list: ListAge,
+}
+
+/// The list in use.
+#[derive(Serialize)]
+pub struct ListAge {
+    pub version: u64,
+    /// Since discovery last told it or had nothing newer.
+    pub age_ms: u64,
 }
 
 impl Figures {
@@ -61,6 +70,7 @@
         discovered: usize,
         ejected: usize,
         connections: &PoolFigures,
+        list: ListAge,
     ) -> serde_json::Result<Vec<u8>> {
         let ends = self.ends.borrow();
         serde_json::to_vec(&Report {
@@ -72,6 +82,7 @@
             discovered,
             ejected,
             connections,
+            list,
         })
     }
 }
@@ -116,8 +127,13 @@
         let figures = Figures::new(["look", "watch"].into_iter());
         let mut connections = PoolFigures { open: 4, idle: 1, opening: 2, peak: 6, ..PoolFigures::default() };
         connections.closed.insert(Cause::GivenUp, 3);
-        let told = r#","connections":{"open":4,"idle":1,"opening":2,"peak":6,"opened":0,"failed":0,"reused":0,"waits":0,"waited_us":0,"closed":{"given_up":3}}}"#;
-        let text = || String::from_utf8(figures.json(5, 3, 1, &connections).unwrap()).unwrap();
+        let told = r#","connections":{"open":4,"idle":1,"opening":2,"peak":6,"opened":0,"failed":0,"reused":0,"waits":0,"waited_us":0,"closed":{"given_up":3}},"list":{"version":9,"age_ms":70}}"#;
+        let text = || {
+            String::from_utf8(
+                figures.json(5, 3, 1, &connections, ListAge { version: 9, age_ms: 70 }).unwrap(),
+            )
+            .unwrap()
+        };
         let mut served = figures.taken("look");
         let left = figures.taken("watch");
         assert_eq!(
--- a/src/bin/granitethread/main.rs
+++ b/src/bin/granitethread/main.rs
@@ -71,6 +71,7 @@
     let driver = Driver::new(&config, backends.clone())?;
     // Where each call is a load on discovery, the known list spares one: a watch tells what has changed since.
     let held = config.known.as_ref().filter(|k| k.all && config.settings.subscribe).map(|k| k.rev);
+    let known = config.known.as_ref().map_or(0, |k| k.rev);
     if let Some(known) = config.known {
         driver.cached(known);
     }
@@ -104,7 +105,7 @@
         }
     }
     let (discovery, address) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(address, driver.clone(), held, config.seed));
+    spawn_local(discovery::watch(address, driver.clone(), held, known, config.seed));
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             reload(&discovery);
@@ -124,13 +125,18 @@
     }
 }
 
-/// Takes the address of discovery from the file as it is now; the rest holds from the start on. A file that
+/// Takes the addresses of discovery from the file as it is now; the rest holds from the start on. A file that
 /// cannot be used changes nothing: whoever replaced it reads why in the log.
-fn reload(discovery: &watch::Sender<SocketAddr>) {
+fn reload(discovery: &watch::Sender<Vec<SocketAddr>>) {
     match config::reload() {
         Ok(config) => {
-            log!("configuration read again: discovery at {}", config.discovery);
-            discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            let told: Vec<String> = config.discovery.iter().map(SocketAddr::to_string).collect();
+            log!("configuration read again: discovery at {}", told.join(", "));
+            discovery.send_if_modified(|at| {
+                let other = *at != config.discovery;
+                *at = config.discovery;
+                other
+            });
         }
         Err(what) => log!("configuration not taken, the old one stands: {what}"),
     }
--- a/src/bin/granitethread/ops.rs
+++ b/src/bin/granitethread/ops.rs
@@ -100,7 +100,13 @@
     fn metrics(&self) -> Response<Full<Bytes>> {
         let (forwards, listed) = (self.backends.forwards(), self.backends.pool.listed());
         let connections = self.backends.pool.figures();
-        match self.driver.figures.json(forwards, listed, self.driver.ejected(), &connections) {
+        match self.driver.figures.json(
+            forwards,
+            listed,
+            self.driver.ejected(),
+            &connections,
+            self.driver.list_age(),
+        ) {
             Ok(json) => {
                 let mut answer = Response::new(Full::new(json.into()));
                 answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -478,6 +478,45 @@
     }
 }
 
+#[test]
+fn when_the_first_list_address_fails_the_next_serves_but_no_older_list_than_the_one_held() {
+    let (old, now) = (Backend::good(), Backend::good());
+    let first = one(&now);
+    first.untell();
+    first.tell(5, list(5, true, &[("s-2", now.address, "Ready")]));
+    // It lags: its list names a server that is gone.
+    let (lagging, third) = (one(&old), one(&old));
+    lagging.tell(6, list(3, true, &[("s-1", old.address, "Ready")]));
+    third.tell(6, list(6, true, &[("s-3", now.address, "Ready")]));
+    let fallbacks = vec![lagging.address, third.address];
+    let known = Some(list(4, true, &[("s-2", now.address, "Ready")]));
+    let gateway = Gateway::with(&first, Setup { ops: true, fallbacks, known, ..Setup::default() });
+    first.called(2);
+    assert_eq!(gateway.figure("/list/version"), 5);
+    // An answer that is no list: the call has failed.
+    first.tell(7, "{".to_string());
+    lagging.called(1);
+    third.called(2);
+    let mut client = gateway.client();
+    for _ in 0..20 {
+        assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    }
+    assert!(old.untouched(), "the older list counts for nothing");
+    assert_eq!((gateway.figure("/list/version"), gateway.figure("/discovered")), (6, 1));
+}
+
+#[test]
+fn a_start_with_several_list_addresses_takes_no_list_older_than_the_one_it_is_given() {
+    let (old, now) = (Backend::good(), Backend::good());
+    let (lagging, second) = (one(&old), Discovery::new(list(6, true, &[("s-3", now.address, "Ready")])));
+    let known = Some(list(4, true, &[("s-2", now.address, "Ready")]));
+    let fallbacks = vec![second.address];
+    let gateway = Gateway::with(&lagging, Setup { ops: true, fallbacks, known, ..Setup::default() });
+    second.called(2);
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+    assert!(old.untouched() && gateway.figure("/list/version") == 6);
+}
+
 #[test]
 fn where_discovery_must_be_asked_a_start_with_a_known_list_asks_for_the_changes_alone() {
     let (known, new) = (Backend::good(), Backend::good());
@@ -527,7 +566,9 @@
     let gateway = Gateway::start(&one(&backend));
     let text = gateway.configuration();
     let run = |pool: &str| {
-        let path = config_file(&text.replace(r#""pool":{}"#, &format!(r#""pool":{pool}"#)));
+        let bare = r#""discovery_fallbacks":[],"pool":{}"#;
+        assert!(text.contains(bare));
+        let path = config_file(&text.replace(bare, &format!(r#""pool":{pool}"#)));
         let mut command = Command::new(env!("CARGO_BIN_EXE_granitethread"));
         let out = command.env("LB_CONFIG", &path).env("LB_LISTEN", "nowhere").output().expect("it runs");
         let _ = std::fs::remove_file(path);
@@ -539,6 +580,7 @@
         (r#"{"per_server":"many"}"#, r#"pool.per_server is "many": a whole number from 1 to 100000"#),
         (r#"{"idle_ms":-5}"#, "pool.idle_ms is -5: a whole number from 1 to 3600000 is wanted"),
         (r#"{"idle":5}"#, "pool.idle is no option"),
+        (r#"{},"discovery_fallbacks":["there"]"#, "discovery_fallbacks[0] is \"there\": an address"),
         // Good ones: the start ends for the address only.
         (r#"{"per_server":3,"idle_ms":500}"#, "listen is"),
     ] {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -205,7 +205,7 @@
 
 const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
-"known":KNOWN,"pool":POOL,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
+"known":KNOWN,"discovery_fallbacks":[MORE],"pool":POOL,"settings":{"az":0,"dcs":["hall"],"me":0,"siblings":1,"discovery":"MODE","tick":2000000,
 "extra":{"cost_after":true,"meter_period":500000000,"most_units":8},
 "limits":{"cancelling":true,"connect_timeout":CONNECT,"keepalive":KEEPALIVE,"max_retry_after":2000000000,
  "retry_after":true,"second_copies":false,"try_limit":3},
@@ -233,6 +233,8 @@
     pub listen: Option<SocketAddr>,
     /// Whether operators get an address.
     pub ops: bool,
+    /// More addresses of discovery.
+    pub fallbacks: Vec<SocketAddr>,
     /// The options of the pool.
     pub pool: Option<&'static str>,
     /// The clients' listening socket, held by the platform.
@@ -252,6 +254,7 @@
             subscribe: false,
             listen: None,
             ops: false,
+            fallbacks: Vec::new(),
             pool: None,
             inherited: None,
             folder: None,
@@ -298,9 +301,11 @@
     }
 
     pub fn at(discovery: SocketAddr, setup: Setup) -> Self {
+        let more: Vec<String> = setup.fallbacks.iter().map(|a| format!("\"{a}\"")).collect();
         let text = CONFIG
             .replace("DISCOVERY", &discovery.to_string())
             .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
+            .replace("MORE", &more.join(","))
             .replace("POOL", setup.pool.unwrap_or("{}"))
             .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
             .replace("SOCKETS", &setup.sockets.to_string())
