Add followers to the registry, and share the call for the list with the gateway

Need: one registry is one point of failure for readers. A follower (--follow) serves another's list under the same versions, keeps the last one while that is gone and tells its age; followers of followers work, and a list that came through a follower is not taken by it again.

--- /dev/null
+++ b/src/bin/granitehub-registry/follow.rs
@@ -0,0 +1,45 @@
+//! Follows another registry's list by its watch, as a gateway does.
+
+use crate::service::Registry;
+use granitehub::watch::{Client, Told};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a watch may wait for news.
+const WAIT: Duration = Duration::from_secs(20);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+
+/// Takes the list from `address` for as long as the program runs. While that fails the last list stands.
+pub async fn follow(address: SocketAddr, registry: Rc<Registry>, seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut client, mut rev, mut pause, mut away) = (Client::default(), None, FIRST_PAUSE, false);
+    loop {
+        let wait = if rev.is_some() { WAIT } else { Duration::ZERO };
+        let told = client.call(address, rev, wait).await;
+        match told.and_then(|Told { list, path }| registry.follow(&list, &path, rev).map(|()| list.rev)) {
+            Ok(now) => {
+                pause = FIRST_PAUSE;
+                if std::mem::take(&mut away) {
+                    crate::log!("{address} is back, version {now}");
+                }
+                // One that answers at once with nothing new must not keep the loop busy.
+                if rev.replace(now) == Some(now) {
+                    sleep(FIRST_PAUSE).await;
+                }
+            }
+            Err(why) => {
+                if !std::mem::replace(&mut away, true) {
+                    crate::log!("{address}: {why}; the last list stands");
+                }
+                client.disconnect();
+                // The whole list tells what a broken watch left unclear.
+                rev = None;
+                sleep(pause.mul_f64(0.5 + rng.f64())).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
--- a/src/bin/granitehub-registry/http.rs
+++ b/src/bin/granitehub-registry/http.rs
@@ -4,6 +4,7 @@
 use crate::store::Refusal;
 use bytes::Bytes;
 use granitehub::list::{List, State, Target};
+use granitehub::watch::PATH;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
@@ -135,7 +136,15 @@
         return wrong_method("GET");
     }
     match watch_of(request.uri().query().unwrap_or("")) {
-        Ok((since, wait)) => json(registry.read(since, wait).await),
+        Ok((since, wait)) => {
+            if registry.path().is_none() {
+                return say(StatusCode::SERVICE_UNAVAILABLE, "there is no list yet");
+            }
+            let mut answer = json(registry.read(since, wait).await);
+            let path = registry.path().and_then(|path| HeaderValue::try_from(path).ok());
+            path.map(|path| answer.headers_mut().insert(PATH, path));
+            answer
+        }
         Err(why) => say(StatusCode::BAD_REQUEST, why),
     }
 }
@@ -295,7 +304,10 @@
         return wrong_method("GET");
     }
     if path == "/-/ready" {
-        return say(StatusCode::OK, "ready");
+        return match registry.path() {
+            Some(_) => say(StatusCode::OK, "ready"),
+            None => say(StatusCode::SERVICE_UNAVAILABLE, "there is no list yet"),
+        };
     }
     match serde_json::to_vec(&registry.figures()) {
         Ok(figures) => json(figures),
--- a/src/bin/granitehub-registry/main.rs
+++ b/src/bin/granitehub-registry/main.rs
@@ -12,6 +12,7 @@
 pub(crate) use log;
 
 mod disk;
+mod follow;
 mod http;
 mod service;
 mod store;
@@ -36,7 +37,9 @@
 const MOST_GRACE: u64 = 600_000;
 const HELP: &str = "\
 granitehub-registry --dir FOLDER [--readers ADDRESS] [--registrars ADDRESS] [--operators ADDRESS] [--grace-ms N]
+granitehub-registry --follow ADDRESS [--readers ADDRESS] [--operators ADDRESS]
 
+  --follow ADDRESS      serve the list of the registry whose readers call there; nobody registers here
   --dir FOLDER          where the list is kept; made if it is not there
   --readers ADDRESS     where gateways read the list (127.0.0.1:8500)
   --registrars ADDRESS  where servers announce themselves (127.0.0.1:8501)
@@ -45,11 +48,15 @@
 ";
 
 struct Options {
-    dir: PathBuf,
+    list: Source,
     readers: SocketAddr,
-    registrars: SocketAddr,
     operators: Option<SocketAddr>,
-    grace: Duration,
+}
+
+/// Where the list comes from.
+enum Source {
+    Own { dir: PathBuf, registrars: SocketAddr, grace: Duration },
+    Another(SocketAddr),
 }
 
 fn main() -> ExitCode {
@@ -76,9 +83,9 @@
 /// None if help is asked for.
 fn options(args: impl IntoIterator<Item = OsString>) -> Result<Option<Options>, String> {
     let mut parser = Parser::from_iter(args);
-    let mut dir = None;
-    let (mut readers, mut registrars) = (([127, 0, 0, 1], 8500).into(), ([127, 0, 0, 1], 8501).into());
-    let (mut operators, mut grace) = (None, 30_000);
+    let mut readers = ([127, 0, 0, 1], 8500).into();
+    let (mut operators, mut follow) = (None, None);
+    let (mut dir, mut registrars, mut grace) = (None, None, None);
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         let name = match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(None),
@@ -94,19 +101,31 @@
         match name.as_str() {
             "dir" => dir = Some(PathBuf::from(value(&mut parser)?)),
             "readers" => readers = address(&mut parser)?,
-            "registrars" => registrars = address(&mut parser)?,
+            "registrars" => registrars = Some(address(&mut parser)?),
+            "follow" => follow = Some(address(&mut parser)?),
             "operators" => operators = Some(address(&mut parser)?),
             "grace-ms" => {
                 let told = value(&mut parser)?;
                 let number = told.parse::<u64>().ok().filter(|n| *n <= MOST_GRACE);
-                grace =
-                    number.ok_or_else(|| format!("--grace-ms is {told:?}: 0 to {MOST_GRACE} is wanted"))?;
+                let wrong = || format!("--grace-ms is {told:?}: 0 to {MOST_GRACE} is wanted");
+                grace = Some(number.ok_or_else(wrong)?);
             }
             _ => return Err(format!("--{name} is no option")),
         }
     }
-    let dir = dir.ok_or("--dir is wanted: the folder that keeps the list")?;
-    Ok(Some(Options { dir, readers, registrars, operators, grace: Duration::from_millis(grace) }))
+    let list = match (follow, dir) {
+        (Some(address), None) if registrars.is_none() && grace.is_none() => Source::Another(address),
+        (Some(_), _) => return Err("--follow goes without --dir, --registrars and --grace-ms".to_string()),
+        (None, Some(dir)) => Source::Own {
+            dir,
+            registrars: registrars.unwrap_or(([127, 0, 0, 1], 8501).into()),
+            grace: Duration::from_millis(grace.unwrap_or(30_000)),
+        },
+        (None, None) => {
+            return Err("--dir, the folder that keeps the list, or --follow is wanted".to_string())
+        }
+    };
+    Ok(Some(Options { list, readers, operators }))
 }
 
 fn start(options: Options) -> Result<(), String> {
@@ -120,12 +139,20 @@
 async fn run(options: Options) -> Result<(), String> {
     let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
     let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let (disk, kept) = Disk::open(&options.dir, disk::first_version(now.as_millis() as u64))?;
-    log!("version {}, {} entries", kept.rev, kept.entries.len());
-    let registry = Registry::new(disk, kept, options.grace);
+    let mut rng = fastrand::Rng::new();
+    let id = format!("{:016x}", rng.u64(..));
     let (close, closing) = watch::channel(false);
-    let mut sides = vec![(options.readers, Side::Readers), (options.registrars, Side::Registrars)];
+    let mut sides = vec![(options.readers, Side::Readers)];
+    let (registry, followed) = match options.list {
+        Source::Own { dir, registrars, grace } => {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let (disk, kept) = Disk::open(&dir, disk::first_version(now.as_millis() as u64))?;
+            log!("version {}, {} entries", kept.rev, kept.entries.len());
+            sides.push((registrars, Side::Registrars));
+            (Registry::new(disk, kept, grace, id), None)
+        }
+        Source::Another(address) => (Registry::follower(id), Some(address)),
+    };
     sides.extend(options.operators.map(|address| (address, Side::Operators)));
     let mut serving = Vec::new();
     for (address, side) in sides {
@@ -136,7 +163,10 @@
         serving.push(spawn_local(http::serve(listener, registry.clone(), side, closing.clone())));
     }
     spawn_local(registry.clone().tell());
-    spawn_local(registry.clone().expire());
+    match followed {
+        Some(address) => drop(spawn_local(follow::follow(address, registry.clone(), rng.u64(..)))),
+        None => drop(spawn_local(registry.clone().expire())),
+    }
     tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
     log!("ends: watchers are let go");
     close.send_replace(true);
--- a/src/bin/granitehub-registry/service.rs
+++ b/src/bin/granitehub-registry/service.rs
@@ -54,11 +54,17 @@
     disk_failures: u64,
     /// How long ago the list last changed.
     age_ms: u64,
+    /// At a follower: how long ago its list was last known to be the latest.
+    confirmed_ms: Option<u64>,
 }
 
 pub struct Registry {
     store: RefCell<Store>,
-    disk: RefCell<Disk>,
+    /// None at a follower, whose list is another's.
+    disk: RefCell<Option<Disk>>,
+    /// Through whom the list came here, this one last; none while a follower has no list.
+    path: RefCell<Option<String>>,
+    id: String,
     changed: Notify,
     /// The version that watchers have been woken for.
     told: watch::Sender<u64>,
@@ -66,21 +72,37 @@
     /// Answers to those who come with a version, of the version that the list has now.
     answers: RefCell<(u64, HashMap<Option<u64>, Bytes>)>,
     last_change: Cell<Instant>,
+    /// When a follower last heard that its list is the latest.
+    confirmed: Cell<Instant>,
     counts: Counts,
 }
 
 impl Registry {
-    pub fn new(disk: Disk, kept: Kept, grace: Duration) -> Rc<Self> {
+    /// One that keeps a list of its own.
+    pub fn new(disk: Disk, kept: Kept, grace: Duration, id: String) -> Rc<Self> {
+        let store = Store::new(kept.rev, kept.entries, grace, Instant::now());
+        Registry::with(store, Some(disk), Some(id.clone()), id)
+    }
+
+    /// One that serves another's.
+    pub fn follower(id: String) -> Rc<Self> {
+        let store = Store::new(0, Vec::new(), Duration::ZERO, Instant::now());
+        Registry::with(store, None, None, id)
+    }
+
+    fn with(store: Store, disk: Option<Disk>, path: Option<String>, id: String) -> Rc<Self> {
         let now = Instant::now();
-        let store = Store::new(kept.rev, kept.entries, grace, now);
         Rc::new(Registry {
             told: watch::Sender::new(store.rev()),
             store: RefCell::new(store),
             disk: RefCell::new(disk),
+            path: RefCell::new(path),
+            id,
             changed: Notify::new(),
             closing: watch::Sender::new(false),
             answers: RefCell::default(),
             last_change: Cell::new(now),
+            confirmed: Cell::new(now),
             counts: Counts::default(),
         })
     }
@@ -101,6 +123,9 @@
 
     fn confirm(&self, store: &mut Store, change: &Change) -> io::Result<()> {
         let mut disk = self.disk.borrow_mut();
+        let Some(disk) = disk.as_mut() else {
+            return Err(io::Error::other("a follower keeps no list of its own"));
+        };
         let rev = store.rev() + 1;
         if let Err(e) = disk.append(rev, change) {
             add(&self.counts.disk_failures);
@@ -127,6 +152,38 @@
         Ok(())
     }
 
+    /// Takes in what another registry told for the version that was named to it.
+    pub fn follow(&self, list: &List, path: &str, since: Option<u64>) -> Result<(), String> {
+        if path.split(',').any(|id| id == self.id) {
+            return Err(format!("its list came through here: {path}"));
+        }
+        if !list.all && since.is_none_or(|since| list.rev < since) {
+            return Err("changes to a list that is not held".to_string());
+        }
+        let mut store = self.store.borrow_mut();
+        // One that lags behind may be asked after a restart of the one in between.
+        if list.rev < store.rev() {
+            return Err(format!("version {} is older than {}, which is held", list.rev, store.rev()));
+        }
+        let now = Instant::now();
+        if store.follow(list) {
+            crate::log!("version {} by {path}", list.rev);
+            self.last_change.set(now);
+        }
+        let own = if path.is_empty() { self.id.clone() } else { format!("{path},{}", self.id) };
+        self.path.replace(Some(own));
+        self.confirmed.set(now);
+        drop(store);
+        // Followers of followers would else add up the times in which changes are gathered.
+        self.publish();
+        Ok(())
+    }
+
+    /// Through whom the list comes to readers; none while there is no list to read.
+    pub fn path(&self) -> Option<String> {
+        self.path.borrow().clone()
+    }
+
     pub fn renew(&self, uid: &str, boot_ms: u64) -> Result<Duration, Refusal> {
         let lease = self.store.borrow_mut().renew(uid, boot_ms, Instant::now())?;
         add(&self.counts.renewals);
@@ -157,11 +214,15 @@
         loop {
             self.changed.notified().await;
             sleep(TOGETHER).await;
-            let rev = self.store.borrow().rev();
-            self.told.send_if_modified(|told| std::mem::replace(told, rev) != rev);
+            self.publish();
         }
     }
 
+    fn publish(&self) {
+        let rev = self.store.borrow().rev();
+        self.told.send_if_modified(|told| std::mem::replace(told, rev) != rev);
+    }
+
     // ---- Readers ----
 
     /// The answer to a reader with this version, once there is one or its time is up.
@@ -230,6 +291,7 @@
 
     pub fn figures(&self) -> Figures {
         let (store, c) = (self.store.borrow(), &self.counts);
+        let follows = self.disk.borrow().is_none();
         Figures {
             version: store.rev(),
             entries: store.whole().targets.len(),
@@ -240,6 +302,7 @@
             encodings: c.encodings.get(),
             disk_failures: c.disk_failures.get(),
             age_ms: self.last_change.get().elapsed().as_millis() as u64,
+            confirmed_ms: follows.then(|| self.confirmed.get().elapsed().as_millis() as u64),
         }
     }
 
@@ -263,3 +326,24 @@
         self.0.watchers.set(self.0.watchers.get() - 1);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::tests::target;
+
+    #[test]
+    fn a_follower_takes_neither_what_came_through_itself_nor_what_is_older() {
+        let follower = Registry::follower("me".to_string());
+        let list = |rev, all| List { rev, all, targets: vec![target("s", 1, 5)] };
+        assert_eq!(follower.path(), None, "nothing to read yet");
+        assert!(follower.follow(&list(5, false), "a", None).unwrap_err().contains("not held"));
+        follower.follow(&list(7, true), "a,b", None).unwrap();
+        assert_eq!((follower.figures().version, follower.path().as_deref()), (7, Some("a,b,me")));
+        assert!(follower.follow(&list(9, true), "a,me,b", Some(7)).unwrap_err().contains("through here"));
+        assert!(follower.follow(&list(6, true), "a", None).unwrap_err().contains("older"));
+        follower.follow(&list(9, false), "", Some(7)).unwrap();
+        assert_eq!((follower.figures().version, follower.path().as_deref()), (9, Some("me")));
+        assert!(follower.change(|s| s.remove("s", None).map(Some)).is_err(), "the list is another's");
+    }
+}
--- a/src/bin/granitehub-registry/store.rs
+++ b/src/bin/granitehub-registry/store.rs
@@ -184,7 +184,29 @@
         let rev = self.roster.rev + 1;
         self.history.push_back((rev, uid.clone()));
         self.roster.apply(&List { rev, all: false, targets: vec![target] });
-        while self.history.len() > HISTORY.max(2 * self.leases.len()) {
+        self.forget();
+    }
+
+    /// Takes in a list, or changes, of another registry. Whether anything is new.
+    pub fn follow(&mut self, list: &List) -> bool {
+        let before = std::mem::take(&mut self.roster);
+        self.roster = before.clone();
+        self.roster.apply(list);
+        // What changed, also between two whole lists.
+        let names: BTreeSet<&String> = before.targets.keys().chain(self.roster.targets.keys()).collect();
+        let changed = names.into_iter().filter(|n| before.targets.get(*n) != self.roster.targets.get(*n));
+        self.history.extend(changed.map(|uid| (list.rev, uid.clone())));
+        if before.rev == 0 {
+            // Nothing is known of what came before the first list.
+            self.history.clear();
+            self.oldest = list.rev;
+        }
+        self.forget();
+        self.roster.rev != before.rev
+    }
+
+    fn forget(&mut self) {
+        while self.history.len() > HISTORY.max(2 * self.roster.targets.len()) {
             if let Some((rev, _)) = self.history.pop_front() {
                 self.oldest = rev;
             }
@@ -363,6 +385,8 @@
         let mut store = Store::new(10, Vec::new(), ms(0), now);
         let mut model: BTreeMap<String, Target> = BTreeMap::new();
         let mut readers = vec![Roster::default(); 3];
+        // Follows the store by its answers; the last reader reads from it.
+        let mut follower = Store::new(0, Vec::new(), ms(0), now);
         for step in steps {
             let before = store.rev();
             let name = |s: &u8| format!("s{s}");
@@ -391,7 +415,12 @@
                     None
                 }
                 Step::Read(n) => {
-                    match store.since(readers[*n].rev) {
+                    match store.since(follower.rev()) {
+                        News::None => {}
+                        News::Changes(list) | News::Whole(list) => drop(follower.follow(&list)),
+                    }
+                    let from = if *n == 2 { &follower } else { &store };
+                    match from.since(readers[*n].rev) {
                         News::None => {}
                         News::Changes(list) | News::Whole(list) => readers[*n].apply(&list),
                     }
--- a/src/bin/granitethread/discovery.rs
+++ b/src/bin/granitethread/discovery.rs
@@ -1,24 +1,16 @@
 //! The watch on the list of backends.
 
 use crate::driver::Driver;
-use bytes::Bytes;
-use granitehub::list::{List, LONGEST};
+use granitehub::watch::{Client, Told};
 use granitehub::Scope;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::Request;
-use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
-/// Past this an answer that may not wait is not coming.
-const SILENCE: Duration = Duration::from_secs(2);
 /// Between an answer with nothing new and the next call: under the 200 ms after which a
 /// watch counts as given up.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -30,8 +22,6 @@
 const FIRST_RETURN: Duration = Duration::from_secs(30);
 const LONGEST_RETURN: Duration = Duration::from_secs(600);
 
-type Connection = SendRequest<Empty<Bytes>>;
-
 /// The pauses after calls that fail: drawn from a span that grows, so that gateways which failed together do
 /// not call together again.
 struct Pauses {
@@ -113,29 +103,30 @@
     // The latest version that is held, also while the whole list is asked for.
     let mut newest = known;
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut connection = None;
+    let mut client = Client::default();
     let mut pauses = Pauses::new(driver.gateways, driver.discovery_asked);
     let mut sources = Sources::new(addresses.borrow_and_update().clone());
     loop {
         let several = sources.all.len() > 1;
         let tries_first = sources.tries_first();
         if tries_first {
-            connection = None;
+            client.disconnect();
         }
         let at = sources.all[if tries_first { 0 } else { sources.at }];
         // Only to see whether it is back: it may not keep the list waiting.
         let wait = if rev.is_none() || tries_first { Duration::ZERO } else { WAIT };
         let answer = tokio::select! {
             Ok(()) = addresses.changed() => {
-                (rev, connection, newest) = (None, None, 0);
+                (rev, newest) = (None, 0);
+                client.disconnect();
                 sources = Sources::new(addresses.borrow_and_update().clone());
                 pauses.reset();
                 continue;
             }
-            answer = call(at, &mut connection, rev, wait) => answer,
+            answer = client.call(at, rev, wait) => answer,
         };
         // A follower may lag: what is newer stands, whoever answers.
-        let answer = answer.and_then(|list| match list.rev < newest && several {
+        let answer = answer.and_then(|Told { list, .. }| match list.rev < newest && several {
             true => Err(format!("version {} is older than {newest}, which is held", list.rev)),
             false => Ok(list),
         });
@@ -155,7 +146,7 @@
             Ok(_) => rev = None,
             Err(what) => {
                 sources.failed(tries_first, rng.f64());
-                connection = None;
+                client.disconnect();
                 if tries_first {
                     // The one that answered is still there.
                     continue;
@@ -177,48 +168,6 @@
     }
 }
 
-async fn call(
-    address: SocketAddr,
-    kept: &mut Option<Connection>,
-    rev: Option<u64>,
-    wait: Duration,
-) -> Result<List, String> {
-    let path = match rev {
-        None => "/v1/endpoints".to_string(),
-        Some(r) => format!("/v1/endpoints?since={r}&timeout_ms={}", wait.as_millis()),
-    };
-    let answer = timeout(wait + SILENCE, exchange(address, kept, path)).await;
-    answer.map_err(|_| "silent".to_string())?
-}
-
-async fn exchange(address: SocketAddr, kept: &mut Option<Connection>, path: String) -> Result<List, String> {
-    let mut connection = match kept.take().filter(|c| c.is_ready()) {
-        Some(connection) => connection,
-        None => connect(address).await.map_err(|e| e.to_string())?,
-    };
-    let request = Request::get(path)
-        .header("host", address.to_string())
-        .body(Empty::new())
-        .map_err(|e| e.to_string())?;
-    let answer = connection.send_request(request).await.map_err(|e| e.to_string())?;
-    if answer.status() != 200 {
-        return Err(format!("status {}", answer.status()));
-    }
-    let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(|e| e.to_string())?;
-    let list = List::parse(&body.to_bytes())?;
-    *kept = Some(connection);
-    Ok(list)
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, Box<dyn std::error::Error>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (connection, io) = http1::handshake(TokioIo::new(stream)).await?;
-    // Ends when the sending half is dropped.
-    tokio::task::spawn_local(io);
-    Ok(connection)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod list;
 pub mod settings;
 mod state;
+pub mod watch;
 
 pub use decide::Gateway;
 pub use interface::*;
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,82 @@
+//! One caller's side of the list protocol: calls for the list over one connection that is kept.
+
+use crate::list::{List, LONGEST};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Past this an answer that may not wait is not coming.
+pub const SILENCE: Duration = Duration::from_secs(2);
+/// Names the registries that a list came through, the first one first.
+pub const PATH: &str = "list-path";
+
+/// An answer to a call.
+pub struct Told {
+    pub list: List,
+    /// Through whom it came, as far as they say so.
+    pub path: String,
+}
+
+/// Makes one call at a time. Whatever fails, the next call comes on a new connection. To be used on a local
+/// runtime.
+#[derive(Default)]
+pub struct Client {
+    kept: Option<SendRequest<Empty<Bytes>>>,
+}
+
+impl Client {
+    /// Calls for what is newer than `rev`, and waits so long for it; without a version, for the whole list.
+    pub async fn call(
+        &mut self,
+        address: SocketAddr,
+        rev: Option<u64>,
+        wait: Duration,
+    ) -> Result<Told, String> {
+        let path = match rev {
+            None => "/v1/endpoints".to_string(),
+            Some(r) => format!("/v1/endpoints?since={r}&timeout_ms={}", wait.as_millis()),
+        };
+        match timeout(wait + SILENCE, self.exchange(address, path)).await {
+            Ok(told) => told.map_err(|e| e.to_string()),
+            Err(_) => Err("silent".to_string()),
+        }
+    }
+
+    /// The next call opens a connection of its own.
+    pub fn disconnect(&mut self) {
+        self.kept = None;
+    }
+
+    async fn exchange(&mut self, address: SocketAddr, path: String) -> Result<Told, Box<dyn Error>> {
+        let mut connection = match self.kept.take().filter(|c| c.is_ready()) {
+            Some(connection) => connection,
+            None => connect(address).await?,
+        };
+        let request = Request::get(path).header("host", address.to_string()).body(Empty::new())?;
+        let answer = connection.send_request(request).await?;
+        if answer.status() != 200 {
+            return Err(format!("status {}", answer.status()).into());
+        }
+        let path = answer.headers().get(PATH).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
+        let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(|e| e.to_string())?;
+        let list = List::parse(&body.to_bytes())?;
+        self.kept = Some(connection);
+        Ok(Told { list, path })
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, Box<dyn Error>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (connection, io) = http1::handshake(TokioIo::new(stream)).await?;
+    // Ends when the sending half is dropped.
+    tokio::task::spawn_local(io);
+    Ok(connection)
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -22,6 +22,19 @@
     log: Receiver<String>,
 }
 
+impl Registry {
+    /// One that serves another's list.
+    fn following(address: SocketAddr) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_granitehub-registry"));
+        command.args(["--follow", &address.to_string(), "--readers", "127.0.0.1:0"]);
+        command.args(["--operators", "127.0.0.1:0"]);
+        let mut registry = Registry::of(command);
+        registry.readers = registry.told("Readers call at ");
+        registry.operators = registry.told("Operators call at ");
+        registry
+    }
+}
+
 fn command(dir: &Path, at: [SocketAddr; 3], more: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_granitehub-registry"));
     command.arg("--dir").arg(dir);
@@ -35,12 +48,16 @@
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 impl Registry {
-    fn start(dir: &Path, at: [SocketAddr; 3]) -> Self {
-        let mut child = command(dir, at, &[]).stderr(Stdio::piped()).spawn().expect("the registry starts");
+    fn of(mut command: Command) -> Self {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the registry starts");
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let (line, lines) = channel();
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(line.send(l))));
-        let mut registry = Registry { child, readers: ANY, registrars: ANY, operators: ANY, log: lines };
+        Registry { child, readers: ANY, registrars: ANY, operators: ANY, log: lines }
+    }
+
+    fn start(dir: &Path, at: [SocketAddr; 3]) -> Self {
+        let mut registry = Registry::of(command(dir, at, &[]));
         registry.readers = registry.told("Readers call at ");
         registry.registrars = registry.told("Registrars call at ");
         registry.operators = registry.told("Operators call at ");
@@ -240,6 +257,52 @@
     assert!(registry.child.wait().expect("it ends").success());
 }
 
+/// A gateway reads at a follower of a follower, and goes on over the loss of either and of the first registry.
+#[test]
+fn followers_serve_the_list_on_and_keep_it_while_the_one_they_follow_is_gone() {
+    let kept = Kept(folder());
+    let mut first = Registry::new(&kept.0);
+    let (one, two) = (Backend::good(), Backend::good());
+    first.register("s-1", one.address, 1, LONG);
+    let second = Registry::following(first.readers);
+    let third = Registry::following(second.readers);
+    let fallbacks = vec![second.readers];
+    let gateway = Gateway::at(third.readers, Setup { ops: true, fallbacks, ..Setup::default() });
+    let mut client = gateway.client();
+    let mut served = |n: usize| {
+        for _ in 0..n {
+            assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+        }
+    };
+    served(5);
+    // The same versions, and a path that tells through whom they came.
+    let rev = first.list("").rev;
+    let answer = third.reader("").answer();
+    assert_eq!(parsed(&answer).rev, rev);
+    assert_eq!(answer.header("list-path").expect("told").split(',').count(), 3);
+    let at = [first.readers, first.registrars, first.operators];
+    first.child.kill().expect("it runs");
+    first.child.wait().expect("it ends");
+    served(10);
+    assert_eq!(second.list("").rev, rev);
+    let before = second.figure("confirmed_ms");
+    while second.figure("confirmed_ms") <= before {}
+    first = Registry::start(&kept.0, at);
+    first.register("s-2", two.address, 1, LONG);
+    while two.untouched() {
+        served(1);
+    }
+    assert_eq!(third.list("").rev, rev + 1);
+    // The gateway's own list address goes: its other one serves.
+    drop(third);
+    first.call("DELETE", "/v1/registrations/s-1", "");
+    while gateway.figure("/list/version") < rev + 2 {
+        served(1);
+    }
+    served(5);
+    assert_eq!(gateway.figure("/discovered"), 1);
+}
+
 #[test]
 fn a_server_that_renews_no_more_leaves_the_list() {
     let kept = Kept(folder());
@@ -271,6 +334,7 @@
         (&["--grace-ms", "600001"], "0 to 600000 is wanted"),
         (&["--readers", "nowhere"], "--readers is \"nowhere\": an address and port are wanted"),
         (&["--fast"], "--fast is no option"),
+        (&["--follow", "127.0.0.1:1"], "--follow goes without --dir"),
         (&["more"], "more"),
     ] {
         let text = run(&kept.0, more);
