Let a watch from the version of a change just made wait for the next change

Seen: a watcher who had the list's latest version got an answer with nothing new at once, since changes are told to watchers 20 ms after they are confirmed and the wait compared with what had been told. At fault: Registry::read. A test with ten pairs of changes fails without it at the first.

--- a/src/bin/granitehub-registry/service.rs
+++ b/src/bin/granitehub-registry/service.rs
@@ -229,17 +229,17 @@
     pub async fn read(&self, since: Option<u64>, wait: Duration) -> Bytes {
         let Some(since) = since else { return self.answer(None) };
         let (mut told, mut closing) = (self.told.subscribe(), self.closing.subscribe());
-        if *told.borrow_and_update() == since {
+        // Changes are told a little after they are confirmed, and who has just made one has its version already.
+        let news = |told: &u64| *told != since && self.store.borrow().rev() != since;
+        let ended = async {
             let _watcher = Watcher::new(&self.counts);
-            let ended = async {
-                tokio::select! {
-                    _ = told.wait_for(|rev| *rev != since) => {}
-                    _ = closing.wait_for(|closing| *closing) => {}
-                }
-            };
-            // Its time is up: there is nothing new.
-            let _ = timeout(wait, ended).await;
-        }
+            tokio::select! {
+                _ = told.wait_for(news) => {}
+                _ = closing.wait_for(|closing| *closing) => {}
+            }
+        };
+        // Else its time is up: there is nothing new.
+        let _ = timeout(wait, ended).await;
         self.answer(Some(since))
     }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -303,6 +303,24 @@
     assert_eq!(gateway.figure("/discovered"), 1);
 }
 
+/// A watch that begins between two changes, before the first has been told to anyone.
+#[test]
+fn a_watch_from_the_version_of_a_change_just_made_waits_for_the_next() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    let mut rev = registry.list("").rev;
+    for n in 0..10 {
+        registry.register("s-1", ANY, n, LONG);
+        rev += 1;
+        let mut reader = registry.reader(&format!("?since={rev}&timeout_ms=60000"));
+        registry.register("s-2", ANY, n, LONG);
+        rev += 1;
+        let list = parsed(&reader.answer());
+        assert_eq!((list.rev, list.all), (rev, false));
+        assert_eq!(list.targets.iter().map(|t| t.uid.as_str()).collect::<Vec<_>>(), ["s-2"]);
+    }
+}
+
 #[test]
 fn a_server_that_renews_no_more_leaves_the_list() {
     let kept = Kept(folder());
