--- a/src/bin/granitehub-registry/http.rs
+++ b/src/bin/granitehub-registry/http.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use percent_encoding::percent_decode_str;
 use serde::Deserialize;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
@@ -32,6 +33,8 @@
 const HEAD_TIME: Duration = Duration::from_secs(30);
 /// A body comes with its head or soon after.
 const BODY_TIME: Duration = Duration::from_secs(5);
+/// How long an answer may stand in the socket with nothing of it taken.
+const UNREAD: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(5);
 /// Connections at one address; more wait in its queue.
 const MOST_CALLERS: usize = 8192;
@@ -85,6 +88,8 @@
 async fn call(stream: TcpStream, registry: Rc<Registry>, side: Side, mut closing: watch::Receiver<bool>) {
     // Without it an answer is only slower.
     let _ = stream.set_nodelay(true);
+    // A caller that takes nothing of its answer, or whose machine is gone, does not hold its place for ever.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD));
     let service = service_fn(|request| async {
         Ok::<_, Infallible>(match side {
             Side::Readers => read(&registry, request).await,
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -303,6 +303,51 @@
     assert_eq!(gateway.figure("/discovered"), 1);
 }
 
+/// All that watched a registry which was killed call the next one together.
+#[test]
+fn hundreds_that_reconnect_after_a_kill_watch_on_from_their_version() {
+    let kept = Kept(folder());
+    let mut registry = Registry::new(&kept.0);
+    registry.register("s-1", ANY, 1, LONG);
+    let rev = registry.list("").rev;
+    let query = format!("?since={rev}&timeout_ms=60000");
+    let watchers: Vec<Client> = (0..300).map(|_| registry.reader(&query)).collect();
+    while registry.figure("watchers") < 300 {}
+    let at = [registry.readers, registry.registrars, registry.operators];
+    registry.child.kill().expect("it runs");
+    registry.child.wait().expect("it ends");
+    drop(watchers);
+    registry = Registry::start(&kept.0, at);
+    let mut watchers: Vec<Client> = (0..300).map(|_| registry.reader(&query)).collect();
+    while registry.figure("watchers") < 300 {}
+    assert_eq!(registry.figure("encodings"), 0, "nobody needs the whole list again");
+    registry.register("s-2", ANY, 1, LONG);
+    for w in &mut watchers {
+        assert_eq!(parsed(&w.answer()).targets.len(), 1);
+    }
+    assert_eq!(registry.figure("encodings"), 1);
+}
+
+/// One that asks and asks and reads nothing: the others are served, and what it asked for is not heaped up.
+#[test]
+fn a_reader_that_takes_nothing_holds_up_none_and_costs_little() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    for n in 0..200 {
+        registry.register(&format!("s-{n}"), ANY, 1, LONG);
+    }
+    let mut stuck = Client::to(registry.readers);
+    stuck.send(&"GET /v1/endpoints HTTP/1.1\r\nHost: r\r\n\r\n".repeat(3000));
+    let size = registry.reader("").answer().body.len();
+    for _ in 0..50 {
+        assert_eq!(registry.list("").targets.len(), 200);
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", registry.child.id())).expect("it runs");
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a line");
+    let rss: usize = rss.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(size * 3000 > 64 << 20 && rss < 32 << 10, "{rss} kB for answers of {size} bytes");
+}
+
 /// A watch that begins between two changes, before the first has been told to anyone.
 #[test]
 fn a_watch_from_the_version_of_a_change_just_made_waits_for_the_next() {
