Test the registry on a full disk, with readers that leave and with a server's new start

Need: cases of the discovery issue that nothing showed. A program whose files may not grow answers 507, reads on, and starts again with all that was confirmed; readers that leave or end their half are forgotten; a new start at another address takes over while the old lease runs, and calls of the old one get 409; an empty list after a full one is meant, and the gateway serves again once a server is back.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -517,6 +517,25 @@
     assert!(old.untouched() && gateway.figure("/list/version") == 6);
 }
 
+#[test]
+fn an_empty_list_after_a_full_one_is_meant_and_what_comes_back_serves_again() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let gateway = Gateway::start(&discovery);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    backend.next();
+    discovery.tell(2, list(2, true, &[]));
+    discovery.called(3);
+    let mut a = ask("quote");
+    a.timeout = "0.3";
+    assert!(refused(&client.ask(&a.text())));
+    assert!(backend.untouched());
+    discovery.tell(3, list(3, false, &[("s-1", backend.address, "Ready")]));
+    discovery.called(4);
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+}
+
 #[test]
 fn where_discovery_must_be_asked_a_start_with_a_known_list_asks_for_the_changes_alone() {
     let (known, new) = (Backend::good(), Backend::good());
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -348,6 +348,78 @@
     assert!(size * 3000 > 64 << 20 && rss < 32 << 10, "{rss} kB for answers of {size} bytes");
 }
 
+#[test]
+fn readers_that_leave_or_end_their_half_are_forgotten() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    let query = format!("?since={}&timeout_ms=60000", registry.list("").rev);
+    let (left, half, stays) = (registry.reader(&query), registry.reader(&query), registry.reader(&query));
+    while registry.figure("watchers") < 3 {}
+    drop(left);
+    half.stream.shutdown(std::net::Shutdown::Write).expect("it is up");
+    while registry.figure("watchers") > 1 {}
+    drop(stays);
+    while registry.figure("watchers") > 0 {}
+}
+
+/// A server starts again under its name at another address while the lease of its old start still runs.
+#[test]
+fn a_new_start_takes_over_and_the_old_one_can_end_nothing() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    let (old, new) = (Backend::good(), Backend::good());
+    registry.register("s-1", old.address, 1, LONG);
+    let gateway = Gateway::at(registry.readers, Setup { ops: true, ..Setup::default() });
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    assert_eq!(registry.register("s-1", new.address, 2, LONG).status(), 200);
+    let rev = registry.list("").rev;
+    for (method, path) in [
+        ("POST", "/v1/registrations/s-1/renew"),
+        ("POST", "/v1/registrations/s-1/drain"),
+        ("DELETE", "/v1/registrations/s-1"),
+    ] {
+        assert_eq!(registry.call(method, path, r#"{"boot_ms":1}"#).status(), 409, "{method} {path}");
+    }
+    assert_eq!(registry.register("s-1", old.address, 1, LONG).status(), 409);
+    while gateway.figure("/list/version") < rev {}
+    let _ = old.requests.try_iter().count();
+    for _ in 0..10 {
+        assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    }
+    assert!(old.untouched() && !new.untouched() && registry.list("").rev == rev);
+}
+
+/// A file that may not grow stands in for a full disk.
+#[test]
+fn a_full_disk_refuses_changes_and_serves_readers_and_nothing_confirmed_is_lost() {
+    let kept = Kept(folder());
+    let program = command(&kept.0, [ANY; 3], &[]);
+    let mut shell = Command::new("/bin/sh");
+    // 8 blocks of 512 bytes; a write beyond is an error, not a signal.
+    shell.args(["-c", "trap '' XFSZ; ulimit -f 8; exec \"$0\" \"$@\""]).arg(program.get_program());
+    shell.args(program.get_args());
+    let mut registry = Registry::of(shell);
+    registry.readers = registry.told("Readers call at ");
+    registry.registrars = registry.told("Registrars call at ");
+    registry.operators = registry.told("Operators call at ");
+    let mut confirmed = 0;
+    while registry.register(&format!("s-{confirmed}"), ANY, 1, LONG).status() == 200 {
+        confirmed += 1;
+        assert!(confirmed < 1000, "the disk never fills");
+    }
+    assert!(confirmed > 0);
+    let before = registry.list("");
+    assert_eq!(registry.register("late", ANY, 1, LONG).status(), 507);
+    assert_eq!(registry.call("DELETE", "/v1/registrations/s-0", "").status(), 507);
+    assert_eq!(registry.call("POST", "/v1/registrations/s-0/renew", r#"{"boot_ms":1}"#).status(), 200);
+    assert_eq!((registry.list(""), registry.figure("disk_failures")), (before.clone(), 3));
+    drop(registry);
+    let registry = Registry::new(&kept.0);
+    assert_eq!((registry.list(""), before.targets.len()), (before, confirmed));
+    assert_eq!(registry.register("late", ANY, 1, LONG).status(), 200, "there is room again");
+}
+
 /// A watch that begins between two changes, before the first has been told to anyone.
 #[test]
 fn a_watch_from_the_version_of_a_change_just_made_waits_for_the_next() {
