--- a/src/bin/granitethread/config.rs
+++ b/src/bin/granitethread/config.rs
@@ -53,7 +53,7 @@
     #[serde(default)]
     known: Option<List>,
     #[serde(default)]
-    pool: Map<String, Value>,
+    pool: Value,
     settings: Value,
 }
 
@@ -68,7 +68,13 @@
 /// milliseconds. Without them the module and the settings decide.
 const POOL: [(&str, RangeInclusive<u64>); 2] = [("per_server", 1..=100_000), ("idle_ms", 1..=3_600_000)];
 
-fn pool(file: &Map<String, Value>) -> Result<[Option<u64>; 2], String> {
+fn pool(told: &Value) -> Result<[Option<u64>; 2], String> {
+    let none = Map::new();
+    let file = match told {
+        Value::Null => &none,
+        Value::Object(options) => options,
+        other => return Err(format!("pool is {other}: an object with per_server and idle_ms is wanted")),
+    };
     if let Some(key) = file.keys().find(|key| POOL.iter().all(|(known, _)| known != key)) {
         return Err(format!("pool.{key} is no option: per_server and idle_ms are"));
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -599,6 +599,7 @@
         (r#"{"per_server":"many"}"#, r#"pool.per_server is "many": a whole number from 1 to 100000"#),
         (r#"{"idle_ms":-5}"#, "pool.idle_ms is -5: a whole number from 1 to 3600000 is wanted"),
         (r#"{"idle":5}"#, "pool.idle is no option"),
+        ("[5]", "pool is [5]: an object with per_server and idle_ms is wanted"),
         (r#"{},"discovery_fallbacks":["there"]"#, "discovery_fallbacks[0] is \"there\": an address"),
         // Good ones: the start ends for the address only.
         (r#"{"per_server":3,"idle_ms":500}"#, "listen is"),
