--- a/src/bin/granitehub-registry/http.rs
+++ b/src/bin/granitehub-registry/http.rs
@@ -76,7 +76,7 @@
         callers.set(callers.get() + 1);
         let (registry, callers, closing) = (registry.clone(), callers.clone(), closing.clone());
         spawn_local(async move {
-            call(stream, registry, side, closing).await;
+            call(stream, registry, side, closing, UNREAD).await;
             callers.set(callers.get() - 1);
         });
     }
@@ -85,11 +85,17 @@
     }
 }
 
-async fn call(stream: TcpStream, registry: Rc<Registry>, side: Side, mut closing: watch::Receiver<bool>) {
+async fn call(
+    stream: TcpStream,
+    registry: Rc<Registry>,
+    side: Side,
+    mut closing: watch::Receiver<bool>,
+    unread: Duration,
+) {
     // Without it an answer is only slower.
     let _ = stream.set_nodelay(true);
     // A caller that takes nothing of its answer, or whose machine is gone, does not hold its place for ever.
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD));
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(unread));
     let service = service_fn(|request| async {
         Ok::<_, Infallible>(match side {
             Side::Readers => read(&registry, request).await,
@@ -319,3 +325,28 @@
         Err(e) => say(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::tests::target;
+    use tokio::io::AsyncWriteExt;
+
+    /// The other side is up but takes nothing, as one whose machine is gone: its place comes free.
+    #[tokio::test(flavor = "local")]
+    async fn a_caller_that_takes_nothing_is_let_go() {
+        let registry = Registry::follower("me".to_string());
+        let targets = (0..2000).map(|n| target(&format!("s-{n}"), 1, 1)).collect();
+        registry.follow(&List { rev: 5, all: true, targets }, "a", None).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut caller = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        caller
+            .write_all("GET /v1/endpoints HTTP/1.1\r\nHost: r\r\n\r\n".repeat(1000).as_bytes())
+            .await
+            .unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let (_close, closing) = watch::channel(false);
+        let call = call(stream, registry, Side::Readers, closing, Duration::from_millis(200));
+        assert!(timeout(Duration::from_secs(20), call).await.is_ok(), "it holds its place for ever");
+    }
+}
