Split the crate into a workspace, make the gateway a library and end its circle of modules

Need: one crate held decisions, list protocol, gateway, registry and adapter, and seven modules of the gateway imported each other in a circle (backends, config, driver, handover, ops, server, tap), so that nothing could host a gateway or share a part of it.

Change: folders under `crates/` by concern. The gateway is a library (`Host`, `Tuning`) with a thin program. What two processes tell each other is in `notes.rs`, a client's connection in `client.rs`; the number of operators' calls moves to the configuration that reserves descriptors for it. The scripted neighbours of the tests are a crate. The list call left the decisions' library.

No behaviour changes.

--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -23,10 +23,8 @@
 
 pub mod decide;
 pub mod interface;
-pub mod list;
 pub mod settings;
 mod state;
-pub mod watch;
 
 pub use decide::Gateway;
 pub use interface::*;
@@ -34,5 +32,5 @@
 
 /// The README's example, compiled and run.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/src/bin/granitethread/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -417,8 +417,8 @@
 mod tests {
     use super::*;
     use crate::pool::tests::target;
-    use granitehub::list::State;
     use granitehub::Scope;
+    use granitehub_protocol::list::State;
     use hyper::Response;
     use std::cell::{Cell, RefCell};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/bin/granitethread/tap.rs
+++ b/crates/gateway/src/client.rs
@@ -1,15 +1,59 @@
-//! A client's socket as the HTTP layer reads and writes it. The server keeps the socket in sight beside it:
-//! whether a request has begun to come in decides whether an idle connection may close.
+//! A client's connection, and its socket as the HTTP layer reads and writes it. The server keeps the socket in
+//! sight beside it: whether a request has begun to come in decides whether an idle connection may close.
 
-use crate::server::Client;
+use socket2::SockRef;
+use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// A client that takes nothing of its answer for so long is let go.
+const UNREAD_TIME: Duration = Duration::from_secs(15);
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    /// Whether bytes have come since its last request: a next one, of which the head is not whole.
+    pub begun: Cell<bool>,
+    /// Since when it has taken nothing of what is to be written to it.
+    pub unread: Cell<Option<Instant>>,
+    /// Its next answer is to be the last.
+    pub closing: Cell<bool>,
+    pub connected: Instant,
+    /// Whether a request of it has been read and answered, be it with an error.
+    pub known: Cell<bool>,
+    /// Since when it has had no request in hand.
+    pub idle: Cell<Option<Instant>>,
+    pub close: Notify,
+}
+
+impl Client {
+    pub fn new(stream: TcpStream, connected: Instant) -> Self {
+        let idle = Cell::new(Some(connected));
+        let (known, begun, unread, closing, close) = Default::default();
+        Client { stream, begun, unread, closing, connected, known, idle, close }
+    }
+
+    /// Whether it has left its answer unread for too long.
+    pub fn takes_nothing(&self, now: Instant) -> bool {
+        self.unread.get().is_some_and(|at| now.saturating_duration_since(at) >= UNREAD_TIME)
+    }
+
+    /// Whether bytes wait in the socket, also those that the event loop has not been told of yet.
+    pub fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|n| n > 0)
+    }
+}
+
 pub struct Tap(pub Rc<Client>);
 
 impl AsyncRead for Tap {
@@ -76,6 +120,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
--- a/src/bin/granitethread/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,7 @@
 //! What a gateway is told at its start: the file that `LB_CONFIG` names.
 
-use crate::ops::MOST_CALLS;
-use granitehub::list::List;
 use granitehub::{settings, Settings};
+use granitehub_protocol::list::List;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::env;
@@ -14,6 +13,9 @@
 /// listeners, discovery, operators' calls, and a few in passing between accept and close.
 const RESERVED: usize = 40;
 
+/// Operators' calls open at once. When there are more, the oldest, which is half a call, makes room.
+pub const MOST_CALLS: usize = 16;
+
 const MOST_FALLBACKS: usize = 15;
 
 pub struct Config {
--- a/src/bin/granitethread/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The watch on the list of backends.
 
 use crate::driver::Driver;
-use granitehub::watch::{Client, Told};
 use granitehub::Scope;
+use granitehub_protocol::watch::{Client, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/bin/granitethread/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -6,13 +6,13 @@
 use crate::backends::{Backends, Outcome, Outgoing, Served};
 use crate::config::Config;
 use crate::figures::{Figures, ListAge};
-use crate::handover::Note;
 use crate::link::Progress;
-use granitehub::list::{List, Roster, State, Target};
+use crate::notes::Note;
 use granitehub::{
     Action, AttemptEnd, Effect, Ending, Event, Gateway, Health, Name, Node, Request, RequestId, Scope, Share,
     Snapshot, Time,
 };
+use granitehub_protocol::list::{List, Roster, State, Target};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/src/bin/granitethread/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -5,10 +5,8 @@
 //! they mean is the module's and the server's business.
 
 use crate::driver::Driver;
+use crate::notes::{Note, State};
 use crate::server::Server;
-use granitehub::list::Target;
-use granitehub::{Name, Share, Snapshot};
-use serde::{Deserialize, Serialize};
 use std::env;
 use std::fs::{self, File};
 use std::io;
@@ -31,36 +29,6 @@
 /// The longest path that a socket's address holds, with some room.
 const LONGEST_PATH: usize = 100;
 
-#[derive(Serialize, Deserialize)]
-pub enum Note {
-    /// The successor's first word.
-    Hello,
-    /// The predecessor's answer.
-    State(Box<State>),
-    /// The successor serves from now on.
-    Ready,
-    Share(Share),
-    Disable {
-        server: Name,
-    },
-    Enable {
-        server: Name,
-    },
-    /// Operators have clients sent away, or no more.
-    Away {
-        on: bool,
-    },
-}
-
-/// All that a successor needs to go on as one with its predecessor.
-#[derive(Serialize, Deserialize)]
-pub struct State {
-    pub rev: u64,
-    pub targets: Vec<Target>,
-    pub snapshot: Snapshot,
-    pub away: bool,
-}
-
 /// Where a gateway's processes meet.
 pub struct Place {
     path: PathBuf,
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The gateway on real sockets, around the decisions in `granitehub`. The program in `main.rs` is thin: tests and
+//! tools host a gateway the same way, on a local runtime.
+
+/// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
+macro_rules! log {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stderr(), $($part)*);
+    }};
+}
+pub(crate) use log;
+
+mod backends;
+mod bodies;
+mod client;
+pub mod config;
+mod discovery;
+mod driver;
+mod figures;
+mod handover;
+mod host;
+pub mod inherited;
+mod link;
+mod notes;
+mod ops;
+mod pool;
+mod server;
+mod staleness;
+
+pub use config::Config;
+pub use host::{Host, Tuning};
--- /dev/null
+++ b/crates/gateway/src/notes.rs
@@ -0,0 +1,36 @@
+//! What two processes of one gateway tell each other. The words alone: who says and hears them is in
+//! `driver.rs`, `server.rs` and `handover.rs`.
+
+use granitehub::{Name, Share, Snapshot};
+use granitehub_protocol::list::Target;
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+pub enum Note {
+    /// The successor's first word.
+    Hello,
+    /// The predecessor's answer.
+    State(Box<State>),
+    /// The successor serves from now on.
+    Ready,
+    Share(Share),
+    Disable {
+        server: Name,
+    },
+    Enable {
+        server: Name,
+    },
+    /// Operators have clients sent away, or no more.
+    Away {
+        on: bool,
+    },
+}
+
+/// All that a successor needs to go on as one with its predecessor.
+#[derive(Serialize, Deserialize)]
+pub struct State {
+    pub rev: u64,
+    pub targets: Vec<Target>,
+    pub snapshot: Snapshot,
+    pub away: bool,
+}
--- a/src/bin/granitethread/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -4,8 +4,9 @@
 //! delays nobody else's.
 
 use crate::backends::Backends;
+use crate::config::MOST_CALLS;
 use crate::driver::Driver;
-use crate::handover::Note;
+use crate::notes::Note;
 use crate::server::Server;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,8 +24,6 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
-/// Calls open at once. When there are more, the oldest, which is half a call, makes room.
-pub const MOST_CALLS: usize = 16;
 /// A whole call is answered at once, so only half a call ever meets this.
 const CALL_TIME: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(5);
--- a/src/bin/granitethread/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,8 +9,8 @@
 //! when the server wants nothing new. Nothing of a past era is handed out, kept or written to.
 
 use crate::staleness::Staleness;
-use granitehub::list::{State, Target};
 use granitehub::{Name, Scope};
+use granitehub_protocol::list::{State, Target};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
--- a/src/bin/granitethread/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,9 +2,9 @@
 
 use crate::backends::{Backends, Download, Outgoing, ServedBody};
 use crate::bodies::{self, Content, Fault};
+use crate::client::{Client, Tap};
 use crate::driver::{Answer, Driver, Incoming};
 use crate::figures::{End, Taken};
-use crate::tap::Tap;
 use bytes::Bytes;
 use granitehub::Effect;
 use hyper::body::{Body, Frame, Incoming as IncomingBody, SizeHint};
@@ -13,19 +13,17 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
@@ -46,8 +44,6 @@
 const FIRST_TIME: Duration = Duration::from_millis(2600);
 /// A client that has sent one, and then nothing or half a request's head for this long, is let go.
 const HEAD_TIME: Duration = Duration::from_secs(30);
-/// A client that takes nothing of its answer for so long is let go.
-const UNREAD_TIME: Duration = Duration::from_secs(15);
 /// Customers are numbered below this.
 const ACCOUNTS: u64 = 1 << 33;
 const HEAD_BYTES: usize = 16 << 10;
@@ -121,23 +117,6 @@
 /// Then all idle ones close, well before the 2 s from which on no request may come in on one.
 const AWAY_LAST: Duration = Duration::from_millis(1500);
 
-/// A client's connection.
-pub struct Client {
-    pub stream: TcpStream,
-    /// Whether bytes have come since its last request: a next one, of which the head is not whole.
-    pub begun: Cell<bool>,
-    /// Since when it has taken nothing of what is to be written to it.
-    pub unread: Cell<Option<Instant>>,
-    /// Its next answer is to be the last.
-    closing: Cell<bool>,
-    connected: Instant,
-    /// Whether a request of it has been read and answered, be it with an error.
-    known: Cell<bool>,
-    /// Since when it has had no request in hand.
-    idle: Cell<Option<Instant>>,
-    close: Notify,
-}
-
 pub struct Server {
     driver: Rc<Driver>,
     backends: Rc<Backends>,
@@ -318,10 +297,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let connected = Instant::now();
-                let idle = Cell::new(Some(connected));
-                let (known, begun, unread, closing, close) = Default::default();
-                let client =
-                    Rc::new(Client { stream, begun, unread, closing, connected, known, idle, close });
+                let client = Rc::new(Client::new(stream, connected));
                 *next += 1;
                 self.clients.borrow_mut().insert(*next, client.clone());
                 let place = Place { server: self.clone(), number: *next };
@@ -577,19 +553,6 @@
     }
 }
 
-impl Client {
-    /// Whether it has left its answer unread for too long.
-    fn takes_nothing(&self, now: Instant) -> bool {
-        self.unread.get().is_some_and(|at| now.saturating_duration_since(at) >= UNREAD_TIME)
-    }
-
-    /// Whether bytes wait in the socket, also those that the event loop has not been told of yet.
-    fn has_unread(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_ok_and(|n| n > 0)
-    }
-}
-
 /// A client's place in the budget.
 struct Place {
     server: Rc<Server>,
--- a/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,9 +1,5 @@
 //! The gateway on loopback sockets: what its clients, backends and discovery see of it.
 
-// Each test program uses a part of it.
-#[allow(dead_code)]
-mod support;
-
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::Command;
@@ -11,7 +7,7 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{ask, config_file, list, ok, say, Backend, Discovery, Gateway, Setup, LIMIT};
+use testkit::{ask, config_file, list, ok, say, Backend, Discovery, Gateway, Setup, LIMIT};
 
 fn one(backend: &Backend) -> Discovery {
     Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]))
@@ -24,7 +20,7 @@
 }
 
 /// A refusal: 429 or 503, with advice.
-fn refused(answer: &support::Message) -> bool {
+fn refused(answer: &testkit::Message) -> bool {
     let advice = answer.header("retry-after").and_then(|v| v.parse::<f64>().ok());
     matches!(answer.status(), 429 | 503) && advice.is_some_and(|a| a > 0.0 && a <= 2.0)
 }
--- a/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -1,15 +1,11 @@
 //! A new version under load: two processes of one gateway, on the clients' socket that the platform holds.
 
-// Each test program uses a part of it.
-#[allow(dead_code)]
-mod support;
-
 use std::net::TcpListener;
 use std::os::unix::net::UnixListener;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
-use support::{ask, config_file, folder, list, Backend, Discovery, Gateway, Setup};
+use testkit::{ask, config_file, folder, list, Backend, Discovery, Gateway, Setup};
 
 const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -56,7 +52,7 @@
     assert_eq!(old.call("POST", "/-/roll-servers/s-2/disable").status(), 200);
     let started = Instant::now();
     while new.figure("/ejected") != 2 {
-        assert!(started.elapsed() < support::LIMIT, "the successor never hears of the ban");
+        assert!(started.elapsed() < testkit::LIMIT, "the successor never hears of the ban");
     }
     assert_eq!(new.call("POST", "/-/roll-servers/s-2/enable").status(), 200);
 
@@ -91,7 +87,7 @@
 fn a_request_in_hand_is_answered_by_the_old_process_after_sigterm() {
     let (go, wait) = std::sync::mpsc::channel::<()>();
     let wait = std::sync::Mutex::new(wait);
-    let backend = Backend::new(move |_, s| wait.lock().expect("kept").recv().is_ok() && support::ok(s, "x"));
+    let backend = Backend::new(move |_, s| wait.lock().expect("kept").recv().is_ok() && testkit::ok(s, "x"));
     let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
     let (held, folder) = (socket(), folder());
     let mut old = start(&discovery, &held, &folder);
--- a/src/bin/granitehub-registry/disk.rs
+++ b/crates/registry/src/disk.rs
@@ -7,7 +7,7 @@
 //! passed over, so that a crash between the two steps of a snapshot does no harm.
 
 use crate::store::Change;
-use granitehub::list::Target;
+use granitehub_protocol::list::Target;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
--- a/src/bin/granitehub-registry/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows another registry's list by its watch, as a gateway does.
 
 use crate::service::Registry;
-use granitehub::watch::{Client, Told};
+use granitehub_protocol::watch::{Client, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/bin/granitehub-registry/http.rs
+++ b/crates/registry/src/http.rs
@@ -3,8 +3,8 @@
 use crate::service::{Failure, Registry};
 use crate::store::Refusal;
 use bytes::Bytes;
-use granitehub::list::{List, State, Target};
-use granitehub::watch::PATH;
+use granitehub_protocol::list::{List, State, Target};
+use granitehub_protocol::watch::PATH;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
--- a/src/bin/granitehub-registry/main.rs
+++ b/crates/registry/src/main.rs
@@ -1,6 +1,5 @@
 //! granitehub-registry: the list of roll servers as a service of its own. Servers announce themselves under a
 //! lease; gateways read the list and watch it.
-#![deny(unsafe_code)]
 
 /// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
 macro_rules! log {
--- a/src/bin/granitehub-registry/service.rs
+++ b/crates/registry/src/service.rs
@@ -3,7 +3,7 @@
 use crate::disk::{Disk, Kept};
 use crate::store::{Change, News, Refusal, Store};
 use bytes::Bytes;
-use granitehub::list::List;
+use granitehub_protocol::list::List;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -270,13 +270,13 @@
         #[derive(Serialize)]
         struct Entry<'a> {
             #[serde(flatten)]
-            target: &'a granitehub::list::Target,
+            target: &'a granitehub_protocol::list::Target,
             lease_ms: u64,
             lease_left_ms: u64,
         }
         let (store, now) = (self.store.borrow(), Instant::now());
         let entries = store.entries();
-        let entry = |(target, lease_ms): &'_ (granitehub::list::Target, u64)| {
+        let entry = |(target, lease_ms): &'_ (granitehub_protocol::list::Target, u64)| {
             let left = store.remaining(&target.uid, now).unwrap_or_default();
             serde_json::to_value(Entry {
                 target,
--- a/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -1,10 +1,6 @@
 //! The registry as a program on loopback, with a gateway, servers and readers around it.
 
-// Each test program uses a part of it.
-#[allow(dead_code)]
-mod support;
-
-use granitehub::list::{List, State};
+use granitehub_protocol::list::{List, State};
 use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
@@ -12,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
-use support::{ask, folder, Backend, Client, Gateway, Message, Setup, LIMIT};
+use testkit::{ask, folder, Backend, Client, Gateway, Message, Setup, LIMIT};
 
 struct Registry {
     child: Child,
--- a/tests/support/mod.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,16 @@
 use std::thread;
 use std::time::Duration;
 
+/// A program of this workspace, as the build of the running tests made it.
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a running test has a file");
+    // Tests lie in `deps`, beside which the programs are.
+    let dir = test.parent().and_then(|deps| deps.parent()).expect("a folder of the build");
+    let program = dir.join(name);
+    assert!(program.exists(), "{} is not there: `cargo test` from the root builds it", program.display());
+    program
+}
+
 pub const LIMIT: Duration = Duration::from_secs(20);
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
@@ -312,17 +322,17 @@
             .replace("CONNECT", &(setup.connect_ms * 1_000_000).to_string())
             .replace("KEEPALIVE", &(setup.keepalive_ms * 1_000_000).to_string());
         let config = config_file(&text);
-        let program = env!("CARGO_BIN_EXE_granitethread");
+        let program = program("granitethread");
         let mut command = match setup.ulimit {
             None if setup.inherited.is_some() => {
                 let mut shell = Command::new("/bin/sh");
-                shell.args(["-c", "exec \"$0\" 4<&0 </dev/null", program]).env("LB_INHERITED_FD", "4");
+                shell.args(["-c", "exec \"$0\" 4<&0 </dev/null"]).arg(program).env("LB_INHERITED_FD", "4");
                 shell
             }
             None => Command::new(program),
             Some(n) => {
                 let mut shell = Command::new("/bin/sh");
-                shell.args(["-c", &format!("ulimit -n {n}; exec \"$0\""), program]);
+                shell.args(["-c", &format!("ulimit -n {n}; exec \"$0\"")]).arg(program);
                 shell
             }
         };
