--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,22 +2,72 @@
 
 mod wire;
 
+use clap::{Parser, Subcommand};
 use granitehub::{Action, Event, Gateway};
+use schemars::JsonSchema;
+use serde::Deserialize;
 use serde_json::Value;
+use shell::config::Wrong;
+use shell::log;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The gateway's decisions on the simulator's wire: batches of events on standard input, replies on standard output.
+///
+/// Exit codes: 0 the input has ended, 1 failed, 2 wrong arguments.
+#[derive(Parser)]
+#[command(name = "granitehub-adapter", version)]
+struct Arguments {
+    /// A TOML file with `log`, the options of the log
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves the wire until the input ends
+    Run,
+    /// Checks the configuration, tells all that is wrong with it and starts nothing
+    CheckConfig,
+}
+
+#[derive(Deserialize, JsonSchema, Default)]
+#[serde(default, deny_unknown_fields)]
+struct File {
+    log: log::Options,
+}
+
 fn main() -> ExitCode {
-    let stdin = io::stdin().lock();
-    let stdout = io::stdout().lock();
-    match run(stdin, stdout) {
+    let Arguments { config, command } = Arguments::parse();
+    let file = match config {
+        Some(path) => shell::config::load::<File>(&path, "").map(|loaded| loaded.read),
+        None => Ok(File::default()),
+    };
+    let done = file.and_then(|file| match command.unwrap_or(Command::Run) {
+        Command::Run => {
+            log::start(&file.log).map_err(Wrong::one)?;
+            run(io::stdin().lock(), io::stdout().lock()).map_err(Wrong::one)
+        }
+        Command::CheckConfig => {
+            io::stdout().write_all(b"ok\n").map_err(|e| Wrong::one(format!("standard output: {e}")))
+        }
+    });
+    let code = match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("granitehub-adapter: {what}");
+        Err(wrong) => {
+            for what in wrong.0 {
+                // Whoever reads errors may be gone.
+                let _ = writeln!(io::stderr(), "granitehub-adapter: {what}");
+            }
             ExitCode::FAILURE
         }
-    }
+    };
+    log::get().inspect(|log| log.last());
+    code
 }
 
 /// One independent module for each instance, and the events it has in this batch.
@@ -67,6 +117,7 @@
                     .map_err(|e| at(format!("Begin: env: {e}")))?;
                 let gateway =
                     Gateway::new(settings, seed, now).map_err(|e| at(format!("Begin: env: {e}")))?;
+                tracing::debug!(line = message.name, "an instance begins");
                 instances.insert(
                     message.whole(1, "gateway_id").map_err(at)?,
                     Instance { gateway, events: Vec::new() },
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -1,179 +1,279 @@
 //! The settings as the wire and the configuration word them.
 
 use crate::interface::{Class, Effect, Group, Plan, Settings};
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde_json::Value;
 
-#[derive(Deserialize)]
-struct Env {
+/// The settings as the platform words them. Times are whole nanoseconds, of a day at most.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct Wire {
+    /// The gateway's zone, as its place in `dcs`.
     #[serde(default)]
     az: u32,
+    /// The names of the zones.
+    #[serde(default)]
+    pub dcs: Vec<String>,
+    /// The gateway's number among all gateways, from 0.
     me: u32,
+    /// How many gateways there are.
+    #[schemars(range(min = 1, max = 100_000))]
     siblings: u32,
-    discovery: String,
+    /// How the list of roll servers is had: an agent tells it (`automatic`) or it is asked for (`subscribe`).
+    discovery: Discovery,
+    /// The least time between two rounds of decisions, in nanoseconds.
+    #[schemars(range(max = 1_000_000_000))]
     tick: u64,
     #[serde(default)]
     clients: Clients,
     #[serde(default)]
     extra: Extra,
-    limits: Limits,
+    pub limits: Limits,
     obligations: Obligations,
+    /// The customers' plans.
+    #[schemars(length(min = 1, max = 1000))]
     plans: Vec<WirePlan>,
     #[serde(default)]
     prices: Prices,
+    /// The classes of requests.
+    #[schemars(length(min = 1, max = 1000))]
     services: Vec<Service>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Debug, Deserialize, Default, JsonSchema)]
 struct Clients {
+    /// Whether clients mark a request that they send again.
     #[serde(default)]
     marks_retry: bool,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Default, JsonSchema)]
 #[serde(default)]
 struct Extra {
+    /// Whether a request's true units are told with its answer.
     cost_after: bool,
+    /// How often a customer's metered use is told anew, in nanoseconds; 0 without a meter.
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     meter_period: u64,
+    /// The most units of one request; 0 for no limit.
+    #[schemars(range(min = 0.0, max = 1e9))]
     most_units: f64,
 }
 
-#[derive(Deserialize)]
-struct Limits {
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct Limits {
+    /// Whether an attempt may be given up while it is out.
     #[serde(default)]
     cancelling: bool,
+    /// How long a connection to a roll server may take to come up, in nanoseconds.
+    #[serde(default)]
+    #[schemars(range(min = 1_000_000, max = 86_400_000_000_000_u64))]
+    pub connect_timeout: Option<u64>,
+    /// Idle time after which a roll server closes a connection, in nanoseconds.
     #[serde(default)]
+    #[schemars(range(max = 86_400_000_000_000_u64))]
+    pub keepalive: Option<u64>,
+    /// The longest advice to a client when to come back, in nanoseconds.
+    #[serde(default)]
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     max_retry_after: u64,
+    /// Whether refusals carry advice when to come back.
     #[serde(default)]
     retry_after: bool,
+    /// Whether two attempts of one request may be out at once.
     #[serde(default)]
     second_copies: bool,
+    /// The most attempts of one request.
+    #[schemars(range(min = 1, max = 100))]
     try_limit: u32,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Obligations {
+    /// How long past its deadline an answer still counts, in nanoseconds.
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     answer_slack: u64,
+    /// Where the list is asked for: how old what a gateway knows may be, in nanoseconds.
     #[serde(default)]
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     ask_within: u64,
+    /// How long a roll server takes at most to be warm after its start, in nanoseconds.
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     cold: u64,
+    /// The part of its capacity that a roll server starts with.
+    #[schemars(range(min = 0.0, max = 1.0))]
     cold_from: f64,
+    /// So long above `fall_multiple` and a cold roll server falls over, in nanoseconds.
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     fall: u64,
+    /// The multiple of its capacity that a cold roll server bears.
+    #[schemars(range(min = 0.0, max = 1000.0))]
     fall_multiple: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Default, JsonSchema)]
 #[serde(default)]
 struct Prices {
+    /// Of attempts that cross zones, as a share of first ones.
+    #[schemars(range(min = 0.0, max = 1e6))]
     cross_zone: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct WirePlan {
+    #[schemars(length(min = 1, max = 256))]
     name: String,
+    /// Units a second that a customer's quota fills by; 0 without a quota.
+    #[schemars(range(min = 0.0, max = 1e9))]
     quota_rate: f64,
+    /// The most units that it holds.
+    #[schemars(range(min = 0.0, max = 1e9))]
     depth: f64,
+    /// Attempts of a customer out at once within its quota; 0 without such a limit.
     #[serde(default)]
     parallel: u32,
+    /// Units a second that the ceiling fills by; 0 without a ceiling.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e9))]
     never_over_rate: f64,
+    /// The most units that it holds.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e9))]
     ceiling_burst: f64,
+    /// What a unit of the plan is worth.
+    #[schemars(range(min = 0.0, max = 1e6))]
     value_factor: f64,
+    /// The part of its worth that a request earns beyond the quota.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e6))]
     over_worth: f64,
+    /// The part of its worth that a request costs beyond the quota.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e6))]
     excess_cost: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Service {
+    #[schemars(length(min = 1, max = 256))]
     name: String,
+    /// Answered within this time a request earns its whole worth, in nanoseconds.
+    #[schemars(range(min = 1, max = 86_400_000_000_000_u64))]
     on_time: u64,
+    /// The longest that a client waits, in nanoseconds.
+    #[schemars(range(min = 1, max = 86_400_000_000_000_u64))]
     deadline: u64,
-    effect: String,
+    /// Whether it may run twice: always, under one key, or never.
+    effect: WireEffect,
+    /// Which roll servers know a key's repeats.
     #[serde(default)]
-    group: Option<String>,
+    group: Option<WireGroup>,
+    /// How long they do, in nanoseconds.
     #[serde(default)]
+    #[schemars(range(max = 86_400_000_000_000_u64))]
     key_ttl: u64,
+    /// The part of its worth that it earns late.
     #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1e6))]
     late_worth: f64,
+    /// What a request of the class is worth.
+    #[schemars(range(min = 0.0, max = 1e6))]
     points: f64,
     #[serde(default)]
     stream: bool,
 }
 
-pub fn read(env: &Value) -> Result<Settings, String> {
-    let env = Env::deserialize(env).map_err(|e| e.to_string())?;
-    let classes = env.services.into_iter().map(class).collect::<Result<_, String>>()?;
-    let plans = env.plans.into_iter().map(|p| Plan {
-        name: p.name,
-        rate: p.quota_rate,
-        depth: p.depth,
-        parallel: p.parallel,
-        ceiling_rate: p.never_over_rate,
-        ceiling_burst: p.ceiling_burst,
-        value_factor: p.value_factor,
-        over_worth: p.over_worth,
-        over_cost: p.excess_cost,
-    });
-    let subscribe = match env.discovery.as_str() {
-        "automatic" => false,
-        "subscribe" => true,
-        other => return Err(format!("discovery is {other:?}: automatic or subscribe is wanted")),
-    };
-    Ok(Settings {
-        zone: env.az,
-        me: env.me,
-        gateways: env.siblings,
-        classes,
-        plans: plans.collect(),
-        subscribe,
-        ask_within: env.obligations.ask_within,
-        marks_retry: env.clients.marks_retry,
-        cancelling: env.limits.cancelling,
-        second_copies: env.limits.second_copies,
-        retry_after: env.limits.retry_after,
-        max_retry_after: env.limits.max_retry_after,
-        try_limit: env.limits.try_limit,
-        cost_after: env.extra.cost_after,
-        most_units: env.extra.most_units,
-        meter_period: env.extra.meter_period,
-        cold: env.obligations.cold,
-        cold_from: env.obligations.cold_from,
-        fall: env.obligations.fall,
-        fall_multiple: env.obligations.fall_multiple,
-        answer_slack: env.obligations.answer_slack,
-        cross_zone_price: env.prices.cross_zone,
-        tick: env.tick,
-        ..Settings::default()
-    })
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+enum WireEffect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+enum WireGroup {
+    All,
+    Zone,
+    Cell,
 }
 
-fn class(s: Service) -> Result<Class, String> {
-    let effect = match s.effect.as_str() {
-        "safe" => Effect::Safe,
-        "keyed" => Effect::Keyed,
-        "unsafe" => Effect::Unsafe,
-        other => return Err(format!("services: effect is {other:?}: safe, keyed or unsafe is wanted")),
-    };
-    let group = match s.group.as_deref() {
-        None | Some("all") => Group::All,
-        Some("zone") => Group::Zone,
-        Some("cell") => Group::Cell,
-        Some(other) => return Err(format!("services: group is {other:?}: all, zone or cell is wanted")),
-    };
-    Ok(Class {
-        name: s.name,
-        aim: s.on_time,
-        deadline: s.deadline,
-        effect,
-        group,
-        key_ttl: s.key_ttl,
-        late_worth: s.late_worth,
-        points: s.points,
-        stream: s.stream,
-    })
+pub fn read(settings: &Value) -> Result<Settings, String> {
+    Wire::deserialize(settings).map(Settings::from).map_err(|e| e.to_string())
+}
+
+impl From<Wire> for Settings {
+    fn from(env: Wire) -> Self {
+        let plans = env.plans.into_iter().map(|p| Plan {
+            name: p.name,
+            rate: p.quota_rate,
+            depth: p.depth,
+            parallel: p.parallel,
+            ceiling_rate: p.never_over_rate,
+            ceiling_burst: p.ceiling_burst,
+            value_factor: p.value_factor,
+            over_worth: p.over_worth,
+            over_cost: p.excess_cost,
+        });
+        Settings {
+            zone: env.az,
+            me: env.me,
+            gateways: env.siblings,
+            classes: env.services.into_iter().map(Class::from).collect(),
+            plans: plans.collect(),
+            subscribe: matches!(env.discovery, Discovery::Subscribe),
+            ask_within: env.obligations.ask_within,
+            marks_retry: env.clients.marks_retry,
+            cancelling: env.limits.cancelling,
+            second_copies: env.limits.second_copies,
+            retry_after: env.limits.retry_after,
+            max_retry_after: env.limits.max_retry_after,
+            try_limit: env.limits.try_limit,
+            cost_after: env.extra.cost_after,
+            most_units: env.extra.most_units,
+            meter_period: env.extra.meter_period,
+            cold: env.obligations.cold,
+            cold_from: env.obligations.cold_from,
+            fall: env.obligations.fall,
+            fall_multiple: env.obligations.fall_multiple,
+            answer_slack: env.obligations.answer_slack,
+            cross_zone_price: env.prices.cross_zone,
+            tick: env.tick,
+            ..Settings::default()
+        }
+    }
+}
+
+impl From<Service> for Class {
+    fn from(s: Service) -> Self {
+        Class {
+            name: s.name,
+            aim: s.on_time,
+            deadline: s.deadline,
+            effect: match s.effect {
+                WireEffect::Safe => Effect::Safe,
+                WireEffect::Keyed => Effect::Keyed,
+                WireEffect::Unsafe => Effect::Unsafe,
+            },
+            group: match s.group {
+                None | Some(WireGroup::All) => Group::All,
+                Some(WireGroup::Zone) => Group::Zone,
+                Some(WireGroup::Cell) => Group::Cell,
+            },
+            key_ttl: s.key_ttl,
+            late_worth: s.late_worth,
+            points: s.points,
+            stream: s.stream,
+        }
+    }
 }
 
 /// Whether all figures are within their sensible range.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,12 +1,16 @@
-//! What a gateway is told at its start: the file that `LB_CONFIG` names.
+//! What a gateway is told at its start: the platform's JSON file that `LB_CONFIG` names, or a TOML file of the same keys
+//! that staff write. The keys of the latter that are left out have the values of `defaults.toml`.
 
-use granitehub::{settings, Settings};
+use granitehub::settings::{self, Wire};
+use granitehub::Settings;
 use granitehub_protocol::list::List;
+use schemars::JsonSchema;
 use serde::Deserialize;
-use serde_json::{Map, Value};
-use std::env;
+use serde_json::Value;
+use shell::config::{self, Form, Wrong};
+use shell::log;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
+use std::path::Path;
 use std::time::Duration;
 
 /// Descriptors that are neither clients nor backends: standard streams, the event loop, signals, the
@@ -18,6 +22,7 @@
 
 const MOST_FALLBACKS: usize = 15;
 
+#[derive(Clone)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -38,144 +43,225 @@
     /// The two halves of the descriptor budget.
     pub client_sockets: usize,
     pub backend_sockets: usize,
+    pub log: log::Options,
+    /// The whole of it as it was told, to compare.
+    pub told: Value,
 }
 
-#[derive(Deserialize)]
+/// The configuration of a gateway.
+#[derive(Deserialize, JsonSchema)]
 struct File {
+    /// Its name, the same after a restart.
     #[serde(default)]
     name: String,
+    /// The address and port where clients connect.
     listen: String,
+    /// The address and port where the list of roll servers is read.
     discovery: String,
+    /// More such addresses, called in turn when the one in use fails. All have to serve one history of the list.
     #[serde(default)]
+    #[schemars(length(max = 15))]
     discovery_fallbacks: Vec<String>,
+    /// The address and port where operators call. Without it nobody does.
     #[serde(default)]
     ops: Option<String>,
-    seed: String,
+    /// For random numbers: up to 16 hex digits. Without it they differ from start to start.
+    #[serde(default)]
+    seed: Option<String>,
     limits: Limits,
+    /// The list as this gateway last had it.
     #[serde(default)]
     known: Option<List>,
     #[serde(default)]
-    pool: Value,
-    settings: Value,
+    pool: Option<Pool>,
+    #[serde(default)]
+    log: Option<log::Options>,
+    settings: Wire,
 }
 
-#[derive(Deserialize)]
+/// What the machine bears.
+#[derive(Deserialize, JsonSchema)]
 struct Limits {
+    /// Memory of the process, in MiB. A fifth of it holds bodies.
     #[serde(default = "usual_memory")]
+    #[schemars(range(min = 16, max = 1_048_576))]
     memory_mb: usize,
+    /// File descriptors of the process.
+    #[schemars(range(min = 80, max = 1_048_576))]
     sockets: usize,
+    /// Processor cores. Told by the platform; the gateway uses one.
+    #[serde(default)]
+    #[schemars(with = "Option<f64>")]
+    #[allow(dead_code)]
+    cores: Option<Value>,
 }
 
-/// The options under `pool`: the most connections to one roll server, and how long one may idle at most, in
-/// milliseconds. Without them the module and the settings decide.
-const POOL: [(&str, RangeInclusive<u64>); 2] = [("per_server", 1..=100_000), ("idle_ms", 1..=3_600_000)];
-
-fn pool(told: &Value) -> Result<[Option<u64>; 2], String> {
-    let none = Map::new();
-    let file = match told {
-        Value::Null => &none,
-        Value::Object(options) => options,
-        other => return Err(format!("pool is {other}: an object with per_server and idle_ms is wanted")),
-    };
-    if let Some(key) = file.keys().find(|key| POOL.iter().all(|(known, _)| known != key)) {
-        return Err(format!("pool.{key} is no option: per_server and idle_ms are"));
-    }
-    let mut told = [None; 2];
-    for ((key, range), told) in POOL.iter().zip(&mut told) {
-        let Some(value) = file.get(*key) else { continue };
-        *told = value.as_u64().filter(|v| range.contains(v));
-        if told.is_none() {
-            let (least, most) = (range.start(), range.end());
-            return Err(format!("pool.{key} is {value}: a whole number from {least} to {most} is wanted"));
-        }
-    }
-    Ok(told)
+/// Bounds on connections to roll servers, beside those that the gateway finds itself.
+#[derive(Clone, Deserialize, Default, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+struct Pool {
+    /// The most connections to one roll server. Without it the gateway decides.
+    #[schemars(range(min = 1, max = 100_000))]
+    per_server: Option<u32>,
+    /// How long a connection may idle at most, in milliseconds. Without it half of the settings' time.
+    #[schemars(range(min = 1, max = 3_600_000))]
+    idle_ms: Option<u64>,
 }
 
 fn usual_memory() -> usize {
     64
 }
 
-/// The settings that only a gateway with real connections needs.
-#[derive(Deserialize)]
-struct Extra {
-    #[serde(default)]
-    dcs: Vec<String>,
-    limits: ConnectionLimits,
-}
+/// What a TOML file leaves out.
+pub const DEFAULTS: &str = include_str!("defaults.toml");
 
-#[derive(Deserialize)]
-struct ConnectionLimits {
-    connect_timeout: u64,
-    keepalive: u64,
+/// The JSON schema of the configuration.
+pub fn schema() -> Value {
+    config::schema::<File>().to_value()
 }
 
-pub fn load() -> Result<Config, String> {
-    from_file(|variable| env::var(variable).ok())
+/// Reads and checks a configuration. `environment` goes before the file for the keys that it names.
+pub fn load(path: &Path, environment: impl Fn(&str) -> Option<String>) -> Result<Config, Wrong> {
+    let text = config::read(path)?;
+    read(&text, Form::of(path), environment).map_err(|wrong| wrong.of(path))
 }
 
-/// The configuration as the file has it now. The environment is of the start and may be outdated.
-pub fn reload() -> Result<Config, String> {
-    from_file(|_| None)
+fn read(text: &[u8], form: Form, environment: impl Fn(&str) -> Option<String>) -> Result<Config, Wrong> {
+    match form {
+        Form::Toml => {
+            let loaded = config::from_text::<File>(text, form, DEFAULTS)?;
+            build(loaded.read, loaded.value, environment)
+        }
+        Form::Json => {
+            let value = form.parse(text)?;
+            // The platform's keys may be more than are known here, and their ranges are the platform's. This
+            // program's own options are checked whole.
+            let file = File::deserialize(&value).map_err(|e| {
+                let schema = config::schema::<File>();
+                config::check(&schema, &value, false).err().unwrap_or_else(|| Wrong::one(e.to_string()))
+            });
+            let mut wrong = Vec::new();
+            for (key, schema) in
+                [("pool", config::schema::<Pool>()), ("log", config::schema::<log::Options>())]
+            {
+                let told = value.get(key).filter(|v| !v.is_null());
+                wrong.extend(
+                    told.and_then(|v| config::check_at(&schema, v, key, true).err())
+                        .into_iter()
+                        .flat_map(|w| w.0),
+                );
+            }
+            match file {
+                Ok(file) if file.seed.is_none() => wrong.push(format!("seed is missing: {SEED} are wanted")),
+                Ok(file) if wrong.is_empty() => return build(file, value, environment),
+                Ok(_) => {}
+                Err(more) => {
+                    wrong.extend(more.0.into_iter().filter(|w| !wrong.contains(w)).collect::<Vec<_>>())
+                }
+            }
+            Err(Wrong(wrong))
+        }
+    }
 }
 
-fn from_file(environment: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set: it names the configuration file")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    read(&text, environment).map_err(|e| format!("{path}: {e}"))
-}
+const SEED: &str = "up to 16 hex digits";
 
-fn read(text: &[u8], environment: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let mut settings = settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
-    let extra = Extra::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
-    let sockets = file.limits.sockets;
-    let ops = match (environment("LB_OPS"), file.ops) {
-        (None, None) => None,
-        (told, in_file) => Some(address(told, "ops", in_file.unwrap_or_default())?),
+fn build(file: File, told: Value, environment: impl Fn(&str) -> Option<String>) -> Result<Config, Wrong> {
+    let mut wrong = Vec::new();
+    let mut address = |variable: &str, key: &str, in_file: &str| {
+        // The environment's word goes before the file's.
+        let (text, key) = match environment(variable) {
+            Some(text) => (text, variable),
+            None => (in_file.to_string(), key),
+        };
+        let parsed = text.parse::<SocketAddr>();
+        if parsed.is_err() {
+            wrong.push(format!("{key} is {text:?}: an address and port are wanted"));
+        }
+        parsed.ok()
     };
+    let listen = address("LB_LISTEN", "listen", &file.listen);
+    let ops_told = file.ops.is_some() || environment("LB_OPS").is_some();
+    let ops = if ops_told { address("LB_OPS", "ops", file.ops.as_deref().unwrap_or_default()) } else { None };
+    let mut discovery = vec![address("LB_DISCOVERY", "discovery", &file.discovery)];
+    for (n, told) in file.discovery_fallbacks.iter().enumerate() {
+        // No variable has this name.
+        discovery.push(address("", &format!("discovery_fallbacks[{n}]"), told));
+    }
+    let discovery: Vec<SocketAddr> = discovery.into_iter().flatten().collect();
+    let many = file.discovery_fallbacks.len();
+    if many > MOST_FALLBACKS {
+        wrong.push(format!("discovery_fallbacks has {many} addresses: 0 to {MOST_FALLBACKS} are wanted"));
+    }
+    let sockets = file.limits.sockets;
     let reserved = RESERVED + ops.map_or(0, |_| MOST_CALLS);
     if sockets < 2 * reserved {
-        return Err(format!("limits: sockets is {sockets}: at least {} are wanted", 2 * reserved));
+        wrong.push(format!("limits.sockets is {sockets}: at least {} are wanted", 2 * reserved));
     }
+    let seed = match &file.seed {
+        Some(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| {
+            wrong.push(format!("seed is {text:?}: {SEED} are wanted"));
+            0
+        }),
+        None => fastrand::u64(..),
+    };
+    let Wire { dcs, limits, .. } = &file.settings;
+    let zones = dcs.clone();
+    let mut time = |key: &str, told: Option<u64>| {
+        if told.is_none() {
+            wrong.push(format!("settings.limits.{key} is missing: a time in nanoseconds is wanted"));
+        }
+        Duration::from_nanos(told.unwrap_or_default())
+    };
+    let connect_timeout = time("connect_timeout", limits.connect_timeout);
+    let keepalive = time("keepalive", limits.keepalive);
+    let mut settings = Settings::from(file.settings);
+    if let Err(what) = settings::check(&settings) {
+        wrong.push(format!("settings: {what}"));
+    }
+    let (Some(listen), true) = (listen, wrong.is_empty()) else {
+        return Err(Wrong(wrong));
+    };
     // A held request needs a client's connection for as long as it waits and a backend's only while an
     // attempt is out, and clients keep idle ones.
     let backend_sockets = (sockets - reserved) * 2 / 5;
+    let pool = file.pool.unwrap_or_default();
     settings.connections = backend_sockets.try_into().unwrap_or(u32::MAX);
-    let [each, idle_ms] = pool(&file.pool)?;
-    settings.connections_each = each.map_or(u32::MAX, |n| n as u32);
+    settings.connections_each = pool.per_server.unwrap_or(u32::MAX);
     // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
     // latest: half of it keeps clear of requests written to a connection on its way out.
-    let idle_time = Duration::from_nanos(extra.limits.keepalive) / 2;
-    let mut discovery = vec![address(environment("LB_DISCOVERY"), "discovery", file.discovery)?];
-    if file.discovery_fallbacks.len() > MOST_FALLBACKS {
-        let many = file.discovery_fallbacks.len();
-        return Err(format!("discovery_fallbacks has {many} addresses: 0 to {MOST_FALLBACKS} are wanted"));
-    }
-    for (n, told) in file.discovery_fallbacks.into_iter().enumerate() {
-        discovery.push(address(None, &format!("discovery_fallbacks[{n}]"), told)?);
-    }
+    let idle_time = keepalive / 2;
     Ok(Config {
         name: environment("LB_NAME").unwrap_or(file.name),
-        listen: address(environment("LB_LISTEN"), "listen", file.listen)?,
+        listen,
         discovery,
         ops,
-        seed: u64::from_str_radix(&file.seed, 16)
-            .map_err(|_| format!("seed is {:?}: up to 16 hex digits are wanted", file.seed))?,
+        seed,
         known: file.known,
         settings,
-        zones: extra.dcs,
+        zones,
         // Twice over a start beside the old process, and with what sockets and heap need, within the limit.
         body_memory: (file.limits.memory_mb << 20) / 5,
-        connect_timeout: Duration::from_nanos(extra.limits.connect_timeout),
-        idle_time: idle_ms.map_or(idle_time, |ms| idle_time.min(Duration::from_millis(ms))),
+        connect_timeout,
+        idle_time: pool.idle_ms.map_or(idle_time, |ms| idle_time.min(Duration::from_millis(ms))),
         client_sockets: sockets - reserved - backend_sockets,
         backend_sockets,
+        log: file.log.unwrap_or_default(),
+        told,
     })
 }
 
-/// The environment's word goes before the file's.
-fn address(environment: Option<String>, key: &str, in_file: String) -> Result<SocketAddr, String> {
-    let text = environment.unwrap_or(in_file);
-    text.parse().map_err(|_| format!("{key} is {text:?}: an address and port are wanted"))
+/// What a configuration read again changes, by key: what is taken at once, and what holds from a restart on. The list
+/// as a gateway last had it and its random seed are of the start alone.
+pub fn changes(before: &Config, after: &Config) -> (Vec<String>, Vec<String>) {
+    let keys = config::differences(&before.told, &after.told);
+    let of = |key: &str, part: &str| {
+        key.strip_prefix(part).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    };
+    let meant = |key: &String| !["known", "seed"].iter().any(|part| of(key, part));
+    let taken = |key: &String| TAKEN.iter().any(|part| of(key, part));
+    keys.into_iter().filter(meant).partition(taken)
 }
+
+/// The keys that hold as soon as they are read.
+const TAKEN: [&str; 4] = ["discovery", "discovery_fallbacks", "log.level", "log.modules"];
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -17,6 +17,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::convert::Infallible;
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -59,6 +60,15 @@
     pub outgoing: Outgoing,
 }
 
+/// A request's id as clients and roll servers write it.
+pub struct RequestName(pub RequestId);
+
+impl fmt::Display for RequestName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A request with a body that goes on as it comes has no deadline until that is whole. What bounds it till
 /// then is the client's pace.
 const OPEN: Duration = Duration::from_secs(3600);
@@ -221,13 +231,13 @@
     pub fn ban(&self, server: Name) {
         // Before the module hears of it: an attempt on its way checks with the backends.
         self.backends.pool.ban(&server);
-        crate::log!("{server} is out by hand");
+        tracing::info!(server = &*server, "out by hand");
         self.event(Event::Disable { server });
     }
 
     pub fn unban(&self, server: Name) {
         self.backends.pool.unban(&server);
-        crate::log!("{server} is back by hand");
+        tracing::info!(server = &*server, "back by hand");
         self.event(Event::Enable { server });
     }
 
@@ -293,7 +303,7 @@
     pub fn fleet(&self, scope: Scope, list: List) {
         self.list_told.set(Instant::now());
         if self.discovery_down.replace(false) {
-            crate::log!("discovery: back, version {}", list.rev);
+            tracing::info!(version = list.rev, "discovery: back");
         }
         self.list(scope, list);
     }
@@ -330,7 +340,7 @@
 
     pub fn discovery_failed(&self, what: &str) {
         if !self.discovery_down.replace(true) {
-            crate::log!("discovery: {what}; the old list stands");
+            tracing::warn!("discovery: {what}; the old list stands");
         }
         self.event(Event::Fleet { seq: 0, scope: Scope::Failed, nodes: Vec::new() });
     }
@@ -399,6 +409,7 @@
             state.live.remove(&id);
         }
         add(&self.counts.failed);
+        tracing::debug!(request = %RequestName(id), "left by its client");
         state.events.push(Event::ClientGone { id });
         self.wake.notify_one();
     }
@@ -565,6 +576,13 @@
             0 => live.deadline,
             at => self.clock.instant(at).min(live.deadline),
         };
+        tracing::debug!(
+            request = %RequestName(id),
+            attempt,
+            server = &*server,
+            left_ms = not_past.saturating_duration_since(now).as_millis() as u64,
+            "attempt"
+        );
         let run = Attempt {
             driver: self.clone(),
             id,
@@ -586,6 +604,14 @@
     fn ended(&self, run: &mut Attempt, mut outcome: Outcome) {
         let mut state = self.state.borrow_mut();
         let (mut last, mut spent, mut elapsed) = (true, false, run.sent.elapsed());
+        tracing::debug!(
+            request = %RequestName(run.id),
+            attempt = run.number,
+            server = &*run.server,
+            ending = ?outcome.ending,
+            took_ms = elapsed.as_millis() as u64,
+            "attempt ended"
+        );
         if let Some(live) = state.live.get_mut(&run.id) {
             live.out = None;
             if let Some(upload) = live.outgoing.body.relay() {
@@ -643,15 +669,15 @@
         let latest = c.latest.replace(Duration::ZERO).as_millis();
         if served + refused + failed > 0 {
             let held = self.state.borrow().live.len();
-            crate::log!(
+            tracing::info!(
                 "served {served}, refused {refused}, failed {failed} ({overdue} overdue), held {held}; \
                  batches {batches}, loop late by {latest} ms at most"
             );
             if self.discovery_down.get() {
                 let ListAge { version, age_ms } = self.list_age();
-                crate::log!("discovery: away; version {version}, last confirmed {age_ms} ms ago, stands");
+                tracing::warn!("discovery: away; version {version}, last confirmed {age_ms} ms ago, stands");
             }
-            crate::log!("connections since the start: {}", self.backends.pool.figures());
+            tracing::info!("connections since the start: {}", self.backends.pool.figures());
         }
     }
 }
@@ -742,6 +768,8 @@
             idle_time: Duration::from_millis(500),
             client_sockets: 10,
             backend_sockets: 10,
+            log: Default::default(),
+            told: Default::default(),
         };
         Driver::new(&config, Backends::new(&config)).unwrap()
     }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -78,11 +78,11 @@
                 None
             }
             Ok(Err(e)) => {
-                crate::log!("handover: {e}; starting without it");
+                tracing::warn!("handover: {e}; starting without it");
                 None
             }
             Err(_) => {
-                crate::log!("handover: the predecessor is silent; starting without it");
+                tracing::warn!("handover: the predecessor is silent; starting without it");
                 None
             }
         }
@@ -140,7 +140,7 @@
                     let link = Link::new(stream);
                     spawn_local(self.clone().hand_over(link));
                 }
-                Ok(_) => crate::log!("handover: a successor is there already"),
+                Ok(_) => tracing::info!("handover: a successor is there already"),
                 Err(_) => sleep(PAUSE).await,
             }
         }
@@ -154,7 +154,7 @@
         let (notes, told) = mpsc::channel(BACKLOG);
         let (rev, targets, snapshot) = self.driver.hand_over(notes);
         let state = State { rev, targets, snapshot, away: self.server.sends_away() };
-        crate::log!("handover: a successor starts");
+        tracing::info!("handover: a successor starts");
         if link.write(&Note::State(Box::new(state))).await.is_ok() {
             self.talk(link, told).await;
         } else {
@@ -187,8 +187,8 @@
         };
         let end = tokio::select! { end = hears => end, end = tells => end };
         match end {
-            Ok(()) => crate::log!("handover: the other process has ended"),
-            Err(e) => crate::log!("handover: the other process is lost: {e}"),
+            Ok(()) => tracing::info!("handover: the other process has ended"),
+            Err(e) => tracing::warn!("handover: the other process is lost: {e}"),
         }
         self.ended();
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::Instant;
 
 /// A gateway that listens and takes nothing yet. To be used on a local runtime.
 pub struct Host {
@@ -59,17 +60,24 @@
             None => server::listen(config.listen)?,
         };
         if let Ok(address) = clients.local_addr() {
-            crate::log!("listening on {address}");
+            tracing::info!("listening on {address}");
         }
         let server = Rc::new(Server::new(driver.clone(), backends.clone(), config.client_sockets));
         let mut operators = None;
         if let Some(address) = config.ops {
             let listener = server::listen(address).map_err(|e| format!("ops: {e}"))?;
             if let Ok(address) = listener.local_addr() {
-                crate::log!("operators call at {address}");
+                tracing::info!("operators call at {address}");
                 operators = Some(address);
             }
-            let ops = Ops { driver: driver.clone(), backends: backends.clone(), server: server.clone() };
+            let (name, started) = (config.name.clone(), Instant::now());
+            let ops = Ops {
+                name,
+                started,
+                driver: driver.clone(),
+                backends: backends.clone(),
+                server: server.clone(),
+            };
             spawn_local(Rc::new(ops).accept(listener));
         }
         spawn_local(server.clone().keep_away());
@@ -77,12 +85,12 @@
         if let Some(place) = &place {
             let handover = Handover { driver: driver.clone(), server: server.clone() };
             if let Some((link, state)) = place.join().await {
-                crate::log!("handover: goes on from a predecessor");
+                tracing::info!("handover: goes on from a predecessor");
                 handover.clone().take_over(link, state);
             }
             match place.listen() {
                 Ok(listener) => drop(spawn_local(handover.serve(listener))),
-                Err(e) => crate::log!("handover: no successor can take over from this process: {e}"),
+                Err(e) => tracing::warn!("handover: no successor can take over from this process: {e}"),
             }
         }
         let (discovery, address) = watch::channel(config.discovery);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,15 +1,6 @@
 //! The gateway on real sockets, around the decisions in `granitehub`. The program in `main.rs` is thin: tests and
 //! tools host a gateway the same way, on a local runtime.
 
-/// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
-macro_rules! log {
-    ($($part:tt)*) => {{
-        use std::io::Write;
-        let _ = writeln!(std::io::stderr(), $($part)*);
-    }};
-}
-pub(crate) use log;
-
 mod backends;
 mod bodies;
 mod client;
@@ -22,6 +13,7 @@
 pub mod inherited;
 mod link;
 mod notes;
+mod openmetrics;
 mod ops;
 mod pool;
 mod server;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,72 +1,153 @@
 //! granitethread: one gateway in a process of its own.
 
-use granitethread::{config, inherited, Config, Host, Tuning};
+use clap::{Parser, Subcommand};
+use granitethread::{config, inherited, Config, Host};
+use shell::config::{one_of, Wrong};
+use shell::log;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
 
-/// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
-macro_rules! log {
-    ($($part:tt)*) => {{
-        use std::io::Write;
-        let _ = writeln!(std::io::stderr(), $($part)*);
-    }};
+/// The gateway in front of the roll servers.
+///
+/// Without a command it runs. The configuration is the file that --config or LB_CONFIG names: TOML if its name ends in
+/// .toml, else the platform's JSON. LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_OPS go before the file; LB_INHERITED_FD
+/// names the descriptor of the clients' listening socket, and TMPDIR the folder where two processes of one gateway meet.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong arguments.
+#[derive(Parser)]
+#[command(name = "granitethread", version)]
+struct Arguments {
+    /// The configuration file.
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the gateway until SIGTERM; SIGHUP has the configuration read again
+    Run,
+    /// Checks the configuration, tells all that is wrong with it and starts nothing
+    CheckConfig,
+    /// Prints the TOML configuration with the values that are used for what a file leaves out
+    PrintDefaults,
+    /// Prints the JSON schema of the configuration
+    PrintSchema,
 }
 
 fn main() -> ExitCode {
-    match start() {
+    let Arguments { config, command } = Arguments::parse();
+    let done = match command.unwrap_or(Command::Run) {
+        Command::Run => run(config),
+        Command::CheckConfig => checked(config),
+        Command::PrintDefaults => print(config::DEFAULTS),
+        Command::PrintSchema => print(&format!("{:#}\n", config::schema())),
+    };
+    let code = match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            log!("granitethread: {what}");
+        Err(wrong) => {
+            for what in wrong.0 {
+                // Whoever reads errors may be gone.
+                let _ = writeln!(io::stderr(), "granitethread: {what}");
+            }
             ExitCode::FAILURE
         }
-    }
+    };
+    log::get().inspect(|log| log.last());
+    code
+}
+
+fn print(text: &str) -> Result<(), Wrong> {
+    io::stdout().write_all(text.as_bytes()).map_err(|e| Wrong::one(format!("standard output: {e}")))
+}
+
+fn file(argument: Option<PathBuf>) -> Result<PathBuf, Wrong> {
+    let none = || Wrong::one("LB_CONFIG is not set: it or --config names the configuration file");
+    one_of(argument, "LB_CONFIG")?.ok_or_else(none)
 }
 
-fn start() -> Result<(), String> {
+fn environment(variable: &str) -> Option<String> {
+    std::env::var(variable).ok()
+}
+
+fn checked(argument: Option<PathBuf>) -> Result<(), Wrong> {
+    let path = file(argument)?;
+    config::load(&path, environment)?;
+    print(&format!("{}: ok\n", path.display()))
+}
+
+fn run(argument: Option<PathBuf>) -> Result<(), Wrong> {
     // First of all: the number must not stand for a descriptor of this program's own.
     let inherited = match std::env::var_os("LB_INHERITED_FD") {
         Some(fd) => {
             let listener = inherited::listener(&fd.to_string_lossy());
-            Some(listener.map_err(|e| format!("LB_INHERITED_FD: {e}"))?)
+            Some(listener.map_err(|e| Wrong::one(format!("LB_INHERITED_FD: {e}")))?)
         }
         None => None,
     };
-    let config = config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(Default::default())
-        .map_err(|e| format!("cannot start the event loop: {e}"))?;
+        .map_err(|e| Wrong::one(format!("cannot start the event loop: {e}")))?;
     // As a task: what wakes the future of `block_on` itself costs a write to an eventfd each time.
-    runtime.block_on(async { spawn_local(run(config, inherited)).await }).map_err(|e| format!("lost: {e}"))?
+    runtime
+        .block_on(async { spawn_local(serve(argument, inherited)).await })
+        .unwrap_or_else(|e| Err(Wrong::one(format!("lost: {e}"))))
 }
 
-async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
-    let signals = |kind| signal(kind).map_err(|e| format!("cannot listen for signals: {e}"));
-    let (mut term, mut int) = (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
-    let mut hangup = signals(SignalKind::hangup())?;
-    let host = Host::start(config, inherited).await?;
+fn on(kind: SignalKind) -> Result<Signal, Wrong> {
+    signal(kind).map_err(|e| Wrong::one(format!("cannot listen for signals: {e}")))
+}
+
+async fn serve(argument: Option<PathBuf>, inherited: Option<std::net::TcpListener>) -> Result<(), Wrong> {
+    // Before anything that takes time: no SIGHUP may end the program.
+    let mut hangup = on(SignalKind::hangup())?;
+    let (mut term, mut int) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let path = file(argument)?;
+    let config = config::load(&path, environment)?;
+    log::start(&config.log).map_err(Wrong::one)?;
+    let mut before = config.clone();
+    let host = Host::start(config, inherited).await.map_err(Wrong::one)?;
     let tuning = host.tuning();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            reload(&tuning);
+            if let Some(config) = reload(&path, &before) {
+                tuning.take(&config);
+                before = config;
+            }
         }
     });
-    host.serve(async {
+    let stop = async {
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
-    })
-    .await
+    };
+    host.serve(stop).await.map_err(Wrong::one)
 }
 
-/// Takes the addresses of discovery from the file as it is now. A file that cannot be used changes nothing:
-/// whoever replaced it reads why in the log.
-fn reload(tuning: &Tuning) {
-    match config::reload() {
-        Ok(config) => {
-            let told: Vec<String> = config.discovery.iter().map(ToString::to_string).collect();
-            log!("configuration read again: discovery at {}", told.join(", "));
-            tuning.take(&config);
+/// Takes what may change from the file as it is now; the environment is of the start and may be outdated. A file that
+/// cannot be used changes nothing: whoever replaced it reads why in the log.
+fn reload(path: &Path, before: &Config) -> Option<Config> {
+    let config = match config::load(path, |_| None) {
+        Ok(config) => config,
+        Err(wrong) => {
+            for what in wrong.0 {
+                tracing::error!("configuration not taken, the old one stands: {what}");
+            }
+            return None;
         }
-        Err(what) => log!("configuration not taken, the old one stands: {what}"),
+    };
+    let (taken, kept) = config::changes(before, &config);
+    let listed = |keys: &[String]| if keys.is_empty() { "none".to_string() } else { keys.join(", ") };
+    tracing::info!(
+        taken = listed(&taken),
+        from_a_restart_on = listed(&kept),
+        "configuration read again: changed keys"
+    );
+    if let Some(Err(what)) = log::get().map(|log| log.set(config.log.clone())) {
+        tracing::error!("{what}");
     }
+    Some(config)
 }
--- /dev/null
+++ b/crates/gateway/src/openmetrics.rs
@@ -0,0 +1,183 @@
+//! The figures as OpenMetrics text, worded by the client library of that format.
+
+use crate::figures::{End, Rest, Times, ENDS};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{text, DescriptorEncoder, EncodeLabelSet, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::registry::{Registry, Unit};
+use std::fmt;
+use std::time::Duration;
+
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Upper ends of the buckets of times, in milliseconds.
+const BUCKETS_MS: [u64; 12] = [1, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000];
+
+/// All figures at one moment.
+#[derive(Debug)]
+pub struct Moment {
+    /// For each outcome, the counts by class.
+    pub ends: Vec<(End, Vec<(String, u64)>)>,
+    pub times: Vec<(String, End, Times)>,
+    pub outstanding: u64,
+    pub rest: Rest,
+    pub lines: Option<shell::log::Lines>,
+}
+
+impl Moment {
+    pub fn text(self) -> Result<String, fmt::Error> {
+        let mut registry = Registry::with_prefix("granitethread");
+        registry.register_collector(Box::new(self));
+        let mut text = String::new();
+        text::encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
+
+/// Writes metrics one after another.
+struct Metrics<'a> {
+    to: DescriptorEncoder<'a>,
+}
+
+impl Metrics<'_> {
+    fn one(&mut self, name: &str, help: &str, metric: &impl EncodeMetric) -> fmt::Result {
+        metric.encode(self.to.encode_descriptor(name, help, None, metric.metric_type())?)
+    }
+
+    fn count(&mut self, name: &str, help: &str, count: u64) -> fmt::Result {
+        self.one(name, help, &ConstCounter::new(count))
+    }
+
+    fn now(&mut self, name: &str, help: &str, value: usize) -> fmt::Result {
+        self.one(name, help, &ConstGauge::new(value as i64))
+    }
+
+    /// A count for each set of labels.
+    fn counts<L: EncodeLabelSet>(&mut self, name: &str, help: &str, each: &[(L, u64)]) -> fmt::Result {
+        let mut family = self.to.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for (labels, count) in each {
+            ConstCounter::new(*count).encode(family.encode_family(labels)?)?;
+        }
+        Ok(())
+    }
+}
+
+impl Collector for Moment {
+    fn encode(&self, encoder: DescriptorEncoder) -> fmt::Result {
+        let mut m = Metrics { to: encoder };
+        let word = |end: &End| ENDS.iter().find(|(e, _)| e == end).map_or("", |(_, word)| *word);
+        let labels =
+            |class: &str, end: &End| [("class", class.to_string()), ("outcome", word(end).to_string())];
+        let ends: Vec<_> = self
+            .ends
+            .iter()
+            .flat_map(|(end, classes)| classes.iter().map(move |(class, count)| (labels(class, end), *count)))
+            .collect();
+        m.counts("requests", "Requests that ended, by class and outcome", &ends)?;
+        let name = "request_duration";
+        let help = "Time from a request's last byte to the last of its answer";
+        let mut family = m.to.encode_descriptor(name, help, Some(&Unit::Seconds), MetricType::Histogram)?;
+        for (class, end, times) in &self.times {
+            let mut least = Duration::ZERO;
+            let mut buckets: Vec<(f64, u64)> = Vec::new();
+            for ms in BUCKETS_MS {
+                let most = Duration::from_millis(ms);
+                buckets.push((most.as_secs_f64(), times.between(least, most)));
+                least = most;
+            }
+            let below: u64 = buckets.iter().map(|(_, count)| count).sum();
+            buckets.push((f64::INFINITY, times.count() - below));
+            let labels = labels(class, end);
+            let mut one = family.encode_family(&labels)?;
+            one.encode_histogram::<[(&str, &str); 0]>(
+                times.sum.as_secs_f64(),
+                times.count(),
+                &buckets,
+                None,
+            )?;
+        }
+        let Rest { forwards, discovered, ejected, connections: c, list } = &self.rest;
+        m.count("forwards", "Attempts written whole to roll servers", *forwards)?;
+        m.now("requests_outstanding", "Requests taken but not ended", self.outstanding as usize)?;
+        m.now("roll_servers_discovered", "Roll servers in the list", *discovered)?;
+        m.now("roll_servers_ejected", "Listed roll servers that are avoided", *ejected)?;
+        m.one("list_version", "Version of the list in use", &ConstGauge::new(list.version as i64))?;
+        let age = ConstGauge::new(list.age_ms as f64 / 1000.0);
+        let help = "Time since discovery last told the list or had nothing newer";
+        let age_of = m.to.encode_descriptor("list_age", help, Some(&Unit::Seconds), MetricType::Gauge)?;
+        age.encode(age_of)?;
+        m.now("connections_open", "Connections to roll servers, idle ones among them", c.open)?;
+        m.now("connections_idle", "Idle connections to roll servers", c.idle)?;
+        m.now("connections_opening", "Connections to roll servers that are being opened", c.opening)?;
+        m.now("connections_peak", "The most that were open or being opened at once", c.peak)?;
+        m.count("connections_opened", "Connections to roll servers that came up", c.opened)?;
+        m.count("connections_failed", "Connections to roll servers that did not come up", c.failed)?;
+        m.count("connections_reused", "Requests on a connection that had carried others", c.reused)?;
+        m.count("connection_waits", "Requests that found no idle connection", c.waits)?;
+        let waited = ConstCounter::new(c.waited_us as f64 / 1e6);
+        let help = "Time that requests waited for a connection which they got";
+        let of =
+            m.to.encode_descriptor("connection_wait", help, Some(&Unit::Seconds), MetricType::Counter)?;
+        waited.encode(of)?;
+        let closed: Vec<_> = c.closed.iter().map(|(cause, n)| ([("cause", cause.word())], *n)).collect();
+        m.counts("connections_closed", "Connections to roll servers that were closed, by cause", &closed)?;
+        if let Some(lines) = self.lines {
+            let fates = [("written", lines.written), ("lost", lines.lost), ("left_out", lines.left_out)];
+            let each = fates.map(|(fate, n)| ([("fate", fate)], n));
+            m.counts("log_lines", "Lines of the log, by what became of them", &each)?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::figures::Figures;
+
+    /// By the format's own rules: each sample under its family, counters end in `_total`, histograms add up, labels are
+    /// escaped, and the text ends with its mark.
+    #[tokio::test(start_paused = true)]
+    async fn the_text_is_well_formed_and_its_histograms_add_up() {
+        let odd = "a \"quoted\"\\ name\nof two lines";
+        let figures = Figures::new(["look", odd].into_iter());
+        for (class, ms) in [(0, 3), (0, 30), (0, 30_000), (1, 700)] {
+            let mut taken = figures.taken(class);
+            tokio::time::advance(Duration::from_millis(ms)).await;
+            taken.ends(End::Succeeded);
+        }
+        let counts = |end| figures.counts(end).into_iter().map(|(c, n)| (c.to_string(), n)).collect();
+        let moment = Moment {
+            ends: ENDS.iter().map(|(end, _)| (*end, counts(*end))).collect(),
+            times: figures.times(),
+            outstanding: 0,
+            rest: Rest { forwards: 7, ..Rest::default() },
+            lines: Some(shell::log::Lines { lost: 2, ..Default::default() }),
+        };
+        let text = moment.text().unwrap();
+        assert!(text.ends_with("# EOF\n"), "{text}");
+        let has = |line: &str| assert!(text.lines().any(|l| l == line), "{line} in {text}");
+        has("granitethread_requests_total{class=\"look\",outcome=\"succeeded\"} 3");
+        has("granitethread_requests_total{class=\"look\",outcome=\"declined\"} 0");
+        has("# TYPE granitethread_request_duration_seconds histogram");
+        let of = "class=\"look\",outcome=\"succeeded\"";
+        for (le, count) in [("0.001", 0), ("0.005", 1), ("0.025", 1), ("0.05", 2), ("10.0", 2), ("+Inf", 3)] {
+            has(&format!("granitethread_request_duration_seconds_bucket{{le=\"{le}\",{of}}} {count}"));
+        }
+        has(&format!("granitethread_request_duration_seconds_count{{{of}}} 3"));
+        has("granitethread_forwards_total 7");
+        has("granitethread_log_lines_total{fate=\"lost\"} 2");
+        assert!(text.contains(r#"class="a \"quoted\"\\ name\nof two lines""#), "{text}");
+        let mut family = "";
+        for line in text.lines().filter(|l| *l != "# EOF") {
+            if let Some(about) = line.strip_prefix("# ") {
+                family = about.split(' ').nth(1).unwrap();
+            } else {
+                assert!(line.starts_with(family), "{line} under {family}");
+                assert!(line.rsplit(' ').next().unwrap().parse::<f64>().is_ok(), "{line}");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -6,9 +6,12 @@
 use crate::backends::Backends;
 use crate::config::MOST_CALLS;
 use crate::driver::Driver;
+use crate::figures::{End, ListAge, Rest, ENDS};
 use crate::notes::Note;
+use crate::openmetrics::{self, Moment};
 use crate::server::Server;
 use bytes::Bytes;
+use granitehub::Name;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
@@ -16,25 +19,117 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use percent_encoding::percent_decode_str;
-use std::collections::VecDeque;
+use serde::Serialize;
+use shell::log::{self, Lines};
+use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// A whole call is answered at once, so only half a call ever meets this.
 const CALL_TIME: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(5);
+/// Modules with a level of their own.
+const MOST_MODULES: usize = 32;
+const LONGEST_MODULE: usize = 128;
 const SERVERS: &str = "/-/roll-servers/";
 
 pub struct Ops {
+    pub name: String,
+    pub started: Instant,
     pub driver: Rc<Driver>,
     pub backends: Rc<Backends>,
     pub server: Rc<Server>,
 }
 
+/// What `/-/status` tells, for people and their tools.
+#[derive(Serialize)]
+struct Status {
+    name: String,
+    version: &'static str,
+    uptime_ms: u64,
+    /// Whether requests can be served.
+    ready: bool,
+    /// Whether operators have clients sent away.
+    draining: bool,
+    /// Whether a new process has taken over.
+    successor: bool,
+    outstanding: u64,
+    discovered: usize,
+    ejected: usize,
+    out_by_hand: Vec<Name>,
+    list: ListAge,
+    latency: Vec<Latency>,
+    log: Option<LogStatus>,
+}
+
+/// How long requests of a class took that ended so, from their last byte to the last of their answer.
+#[derive(Serialize)]
+struct Latency {
+    class: String,
+    outcome: End,
+    count: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+    most_ms: f64,
+}
+
+#[derive(Serialize)]
+struct LogStatus {
+    #[serde(flatten)]
+    options: log::Options,
+    lines: Lines,
+}
+
+impl LogStatus {
+    fn of(log: &log::Log) -> Self {
+        LogStatus { options: log.options(), lines: log.lines() }
+    }
+}
+
+/// Sets the level of the log, or of the module that the query names.
+fn set_level(log: &log::Log, query: &str) -> Response<Full<Bytes>> {
+    let Some(level) = field(query, "level") else {
+        return plain(StatusCode::BAD_REQUEST, "level: off, error, warn, info, debug or trace is wanted\n");
+    };
+    let set = level.parse().and_then(|level| {
+        let mut options = log.options();
+        match field(query, "module") {
+            None => options.level = level,
+            Some(module) => {
+                let known = options.modules.contains_key(module) || options.modules.len() < MOST_MODULES;
+                let plain = module.bytes().all(|b| b.is_ascii_alphanumeric() || b"_:".contains(&b));
+                if !known || !plain || module.len() > LONGEST_MODULE {
+                    return Err(format!(
+                        "module: a path as the lines show it is wanted, {MOST_MODULES} at most"
+                    ));
+                }
+                options.modules.insert(module.to_string(), level);
+            }
+        }
+        log.set(options)
+    });
+    match set {
+        Ok(()) => {
+            tracing::warn!(level, module = field(query, "module"), "the level of the log was changed");
+            plain(StatusCode::OK, "changed\n")
+        }
+        Err(what) => worded(StatusCode::BAD_REQUEST, what + "\n"),
+    }
+}
+
+/// A field of a query.
+fn field<'a>(query: &'a str, key: &str) -> Option<&'a str> {
+    query.split('&').find_map(|part| part.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn ms(time: Duration) -> f64 {
+    time.as_micros() as f64 / 1000.0
+}
+
 impl Ops {
     pub async fn accept(self: Rc<Self>, listener: TcpListener) -> Infallible {
         let mut calls: VecDeque<AbortHandle> = VecDeque::new();
@@ -66,8 +161,10 @@
 
     async fn answer<B>(&self, request: Request<B>) -> Response<Full<Bytes>> {
         let path = request.uri().path();
+        let query = request.uri().query().unwrap_or_default();
         let wanted = match path {
-            "/-/ready" | "/-/metrics" => Method::GET,
+            "/-/log" if request.method() == Method::POST => Method::POST,
+            "/-/ready" | "/-/metrics" | "/-/status" | "/-/log" => Method::GET,
             "/-/drain" | "/-/resume" => Method::POST,
             _ if action(path).is_some() => Method::POST,
             _ => return plain(StatusCode::NOT_FOUND, "no such call\n"),
@@ -81,7 +178,17 @@
         match path {
             "/-/ready" if self.server.can_serve() => plain(StatusCode::OK, "ready\n"),
             "/-/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            "/-/metrics" => self.metrics(),
+            "/-/metrics" => match field(query, "format") {
+                None | Some("json") => json(self.driver.figures.json(&self.rest())),
+                Some("openmetrics") => self.openmetrics(),
+                Some(_) => plain(StatusCode::BAD_REQUEST, "format: json or openmetrics is wanted\n"),
+            },
+            "/-/status" => json(serde_json::to_vec(&self.status())),
+            "/-/log" => match log::get() {
+                None => plain(StatusCode::NOT_FOUND, "this process has no log of its own\n"),
+                Some(log) if wanted == Method::GET => json(serde_json::to_vec(&LogStatus::of(log))),
+                Some(log) => set_level(log, query),
+            },
             "/-/drain" => {
                 self.driver.tell(Note::Away { on: true });
                 self.server.send_away(true);
@@ -96,22 +203,64 @@
         }
     }
 
-    fn metrics(&self) -> Response<Full<Bytes>> {
-        let (forwards, listed) = (self.backends.forwards(), self.backends.pool.listed());
-        let connections = self.backends.pool.figures();
-        match self.driver.figures.json(
-            forwards,
-            listed,
-            self.driver.ejected(),
-            &connections,
-            self.driver.list_age(),
-        ) {
-            Ok(json) => {
-                let mut answer = Response::new(Full::new(json.into()));
-                answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    /// What the figures tell beside the counts of requests.
+    fn rest(&self) -> Rest {
+        Rest {
+            forwards: self.backends.forwards(),
+            discovered: self.backends.pool.listed(),
+            ejected: self.driver.ejected(),
+            connections: self.backends.pool.figures(),
+            list: self.driver.list_age(),
+        }
+    }
+
+    fn openmetrics(&self) -> Response<Full<Bytes>> {
+        let figures = &self.driver.figures;
+        let named =
+            |counts: BTreeMap<&str, u64>| counts.into_iter().map(|(c, n)| (c.to_string(), n)).collect();
+        let moment = Moment {
+            ends: ENDS.iter().map(|(end, _)| (*end, named(figures.counts(*end)))).collect(),
+            times: figures.times(),
+            outstanding: figures.outstanding(),
+            rest: self.rest(),
+            lines: log::get().map(log::Log::lines),
+        };
+        match moment.text() {
+            Ok(text) => {
+                let mut answer = Response::new(Full::new(text.into()));
+                answer
+                    .headers_mut()
+                    .insert(CONTENT_TYPE, HeaderValue::from_static(openmetrics::CONTENT_TYPE));
                 answer
             }
-            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the figures cannot be worded\n"),
+            Err(_) => unworded(),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let figures = &self.driver.figures;
+        let latency = figures.times().into_iter().map(|(class, outcome, times)| Latency {
+            class,
+            outcome,
+            count: times.count(),
+            p50_ms: ms(times.quantile(0.5)),
+            p99_ms: ms(times.quantile(0.99)),
+            most_ms: ms(times.quantile(1.0)),
+        });
+        Status {
+            name: self.name.clone(),
+            version: env!("CARGO_PKG_VERSION"),
+            uptime_ms: self.started.elapsed().as_millis() as u64,
+            ready: self.server.can_serve(),
+            draining: self.server.sends_away(),
+            successor: self.server.has_successor(),
+            outstanding: figures.outstanding(),
+            discovered: self.backends.pool.listed(),
+            ejected: self.driver.ejected(),
+            out_by_hand: self.backends.pool.banned(),
+            list: self.driver.list_age(),
+            latency: latency.collect(),
+            log: log::get().map(LogStatus::of),
         }
     }
 
@@ -146,7 +295,22 @@
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    worded(status, Bytes::from_static(text.as_bytes()))
+}
+
+fn worded(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(text.into()));
     *answer.status_mut() = status;
     answer
 }
+
+fn json(text: serde_json::Result<Vec<u8>>) -> Response<Full<Bytes>> {
+    let Ok(text) = text else { return unworded() };
+    let mut answer = worded(StatusCode::OK, text);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn unworded() -> Response<Full<Bytes>> {
+    plain(StatusCode::INTERNAL_SERVER_ERROR, "the figures cannot be worded\n")
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -74,6 +74,23 @@
     Room,
 }
 
+impl Cause {
+    /// As the figures name it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Cause::GivenUp => "given_up",
+            Cause::Expired => "expired",
+            Cause::Closed => "closed",
+            Cause::Stale => "stale",
+            Cause::Broken => "broken",
+            Cause::Ended => "ended",
+            Cause::Listed => "listed",
+            Cause::Silent => "silent",
+            Cause::Room => "room",
+        }
+    }
+}
+
 /// Why an attempt got no connection. None of these wrote anything.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Missing {
@@ -301,6 +318,13 @@
         self.servers.borrow().get(name).is_some_and(|s| s.listed) || self.banned.borrow().contains(name)
     }
 
+    /// Those out by hand, in order.
+    pub fn banned(&self) -> Vec<Name> {
+        let mut banned: Vec<Name> = self.banned.borrow().iter().cloned().collect();
+        banned.sort();
+        banned
+    }
+
     /// Out by hand: nothing new is written to it, and its idle connections go.
     pub fn ban(&self, name: &Name) {
         self.banned.borrow_mut().insert(name.clone());
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,7 @@
 use crate::backends::{Backends, Download, Outgoing, ServedBody};
 use crate::bodies::{self, Content, Fault};
 use crate::client::{Client, Tap};
-use crate::driver::{Answer, Driver, Incoming};
+use crate::driver::{Answer, Driver, Incoming, RequestName};
 use crate::figures::{End, Taken};
 use bytes::Bytes;
 use granitehub::Effect;
@@ -172,7 +172,7 @@
     /// A successor serves now, or is gone.
     pub fn hand_over(&self, on: bool) {
         if self.successor.replace(on) != on {
-            crate::log!("{}", if on { "a successor serves" } else { "no successor serves any more" });
+            tracing::info!("{}", if on { "a successor serves" } else { "no successor serves any more" });
             self.successor_changed.notify_one();
         }
     }
@@ -181,6 +181,11 @@
         self.away.get().is_some()
     }
 
+    /// Whether a successor serves.
+    pub fn has_successor(&self) -> bool {
+        self.successor.get()
+    }
+
     /// Whether requests can be served here, be clients sent away or not.
     pub fn can_serve(&self) -> bool {
         !self.draining.get() && self.driver.can_serve()
@@ -189,7 +194,7 @@
     /// Begins or ends an operator's drain.
     pub fn send_away(&self, on: bool) {
         if on != self.away.get().is_some() {
-            crate::log!("{}", if on { "sending clients away" } else { "clients may come again" });
+            tracing::info!("{}", if on { "sending clients away" } else { "clients may come again" });
             self.away.set(on.then(Instant::now));
         }
     }
@@ -225,12 +230,12 @@
         self.draining.set(true);
         let started = Instant::now();
         if self.successor.get() {
-            crate::log!("leaving to the successor");
+            tracing::info!("leaving to the successor");
             self.leave(started + self.longest_drain).await;
-            crate::log!("left in {} ms", started.elapsed().as_millis());
+            tracing::info!("left in {} ms", started.elapsed().as_millis());
             return;
         }
-        crate::log!("draining");
+        tracing::info!("draining");
         // At once, not at the end of the window: a request that crosses the close comes again on a new
         // connection, and must find the listener open.
         self.close_all();
@@ -252,7 +257,7 @@
                 () = &mut last => break,
             }
         }
-        crate::log!("drained in {} ms", started.elapsed().as_millis());
+        tracing::info!("drained in {} ms", started.elapsed().as_millis());
     }
 
     /// Serves the connections that are open until clients are done with them, or the time is over. What waits
@@ -405,6 +410,7 @@
         let (head, body) = request.into_parts();
         let expects = head.headers.contains_key(EXPECT);
         let Some(mut incoming) = self.parse(head, body.is_end_stream()) else {
+            tracing::debug!("a request that is missing or misusing a header is turned away");
             // To one that waits to be told to go on, the answer says not to.
             if !expects && !body.is_end_stream() {
                 spawn_local(bodies::discard(body));
@@ -415,8 +421,17 @@
         incoming.outgoing.body = bodies::take(body, self.backends.memory(), waited).await.map_err(status)?;
         incoming.arrived = Instant::now();
         let (id, class, wait) = (incoming.id, incoming.class, incoming.timeout);
+        tracing::debug!(
+            request = %RequestName(id),
+            class = self.driver.classes[class].0,
+            plan = self.driver.plans[incoming.plan],
+            customer = &*incoming.customer,
+            units = incoming.units,
+            wait_ms = wait.as_millis() as u64,
+            "taken"
+        );
         let upload = incoming.outgoing.body.relay().cloned();
-        let taken = || self.driver.figures.taken(&self.driver.classes[class].0);
+        let taken = || self.driver.figures.taken(class);
         let mut ticket = self.driver.submit(incoming).ok_or(StatusCode::BAD_REQUEST)?;
         let (answer, mut taken) = match &upload {
             None => {
@@ -478,6 +493,12 @@
             Answer::Failed { late: true } => plain(StatusCode::GATEWAY_TIMEOUT, ""),
             Answer::Failed { late: false } => plain(StatusCode::BAD_GATEWAY, ""),
         };
+        tracing::debug!(
+            request = %RequestName(id),
+            status = reply.status().as_u16(),
+            took_ms = begun.elapsed().as_millis() as u64,
+            "answered"
+        );
         if upload.is_some_and(|u| u.ended().is_none()) {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- /dev/null
+++ b/crates/gateway/tests/shell.rs
@@ -0,0 +1,343 @@
+//! Command line, configuration files, log and figures of the gateway as staff meet them.
+
+use std::collections::BTreeMap;
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+use std::path::Path;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+use testkit::{ask, file, list, program, Backend, Discovery, Gateway, Setup, LIMIT};
+
+/// The least that a TOML file has to say.
+const TOML: &str = r#"
+listen = "127.0.0.1:0"
+discovery = "DISCOVERY"
+ops = "127.0.0.1:0"
+[log]
+format = "json"
+[settings]
+dcs = ["hall"]
+[[settings.plans]]
+name = "basic"
+quota_rate = 1000
+depth = 1000
+value_factor = 1
+[[settings.services]]
+name = "quote"
+on_time = 600_000_000
+deadline = 2_500_000_000
+effect = "safe"
+points = 3
+"#;
+
+fn run(arguments: &[&str], configuration: Option<&Path>) -> Output {
+    let mut command = Command::new(program("granitethread"));
+    for variable in ["LB_CONFIG", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS", "LB_NAME", "LB_INHERITED_FD"] {
+        command.env_remove(variable);
+    }
+    if let Some(path) = configuration {
+        command.env("LB_CONFIG", path);
+    }
+    command.args(arguments).output().expect("it runs")
+}
+
+fn check(text: &str) -> (Option<i32>, String) {
+    let path = file("toml", &text.replace("DISCOVERY", "127.0.0.1:1"));
+    let out = run(&["check-config", "--config", path.to_str().expect("text")], None);
+    fs::remove_file(path).expect("it is there");
+    (out.status.code(), String::from_utf8([out.stdout, out.stderr].concat()).expect("text"))
+}
+
+fn one(backend: &Backend) -> Discovery {
+    Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]))
+}
+
+// ---- Command line ----
+
+#[test]
+fn each_command_says_what_it_does_and_ends_with_its_code() {
+    let text =
+        |out: &Output| String::from_utf8([out.stdout.clone(), out.stderr.clone()].concat()).expect("text");
+    let help = run(&["--help"], None);
+    for word in ["check-config", "print-defaults", "print-schema", "LB_CONFIG", "Exit codes"] {
+        assert!(text(&help).contains(word), "{word} in {}", text(&help));
+    }
+    let version = run(&["--version"], None);
+    assert_eq!(
+        (version.status.code(), text(&version)),
+        (Some(0), format!("granitethread {}\n", env!("CARGO_PKG_VERSION")))
+    );
+    for wrong in
+        [&["fly"][..], &["--fast"], &["check-config", "--config"], &["--config", "a", "--config", "b"]]
+    {
+        let out = run(wrong, None);
+        assert_eq!((out.status.code(), out.stdout.len()), (Some(2), 0), "{wrong:?}: {}", text(&out));
+    }
+    let none = run(&["check-config"], None);
+    assert_eq!(none.status.code(), Some(1));
+    assert!(text(&none).contains("LB_CONFIG is not set"), "{}", text(&none));
+}
+
+#[test]
+fn two_configurations_are_one_too_many_unless_they_are_the_same() {
+    let (a, b) = (file("toml", TOML), file("toml", TOML));
+    let a_text = a.to_str().expect("text");
+    let out = run(&["--config", a_text], Some(&b));
+    let text = String::from_utf8(out.stderr).expect("text");
+    assert!(out.status.code() == Some(1) && text.contains("two configurations are given"), "{text}");
+    let same = run(&["check-config", "--config", a_text], Some(&a));
+    let text = String::from_utf8(same.stderr).expect("text");
+    assert!(text.contains("discovery is \"DISCOVERY\""), "it is read: {text}");
+    [a, b].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
+}
+
+// ---- Configuration ----
+
+#[test]
+fn all_that_is_wrong_with_a_file_is_told_at_once_and_nothing_starts() {
+    assert_eq!(check(TOML).0, Some(0), "{}", check(TOML).1);
+    let bad = TOML
+        .replace("format = \"json\"", "format = \"xml\"\nlevel = 5\ncolour = true")
+        .replace("quota_rate = 1000", "quota_rate = -1")
+        .replace("effect = \"safe\"", "effect = \"quick\"")
+        .replace("[log]", "[limits]\nsockets = 3\n[pool]\nidle_ms = 0\n[log]");
+    let (code, text) = check(&bad);
+    assert_eq!((code, text.lines().count()), (Some(1), 7), "{text}");
+    for told in [
+        "log.format is \"xml\": \"text\" or \"json\" is wanted",
+        "log.level is 5: \"off\" or \"error\"",
+        "log.colour is no key here: format, level, modules are",
+        "settings.plans[0].quota_rate is -1: a number from 0.0 to 1000000000.0 is wanted",
+        "settings.services[0].effect is \"quick\": \"safe\" or \"keyed\" or \"unsafe\" is wanted",
+        "limits.sockets is 3: a whole number from 80 to 1048576 is wanted",
+        "pool.idle_ms is 0: a whole number from 1 to 3600000 is wanted",
+    ] {
+        let line = text.lines().find(|l| l.contains(told)).unwrap_or_else(|| panic!("{told} in {text}"));
+        assert!(line.starts_with("granitethread: ") && line.contains(".toml: "), "{line}");
+    }
+    let (code, text) = check("listen = \"nowhere\"\nseed = \"xyz\"\n");
+    assert_eq!(code, Some(1));
+    for told in ["settings.plans is missing: a list", "settings.services is missing: a list"] {
+        assert!(text.contains(told), "{told} in {text}");
+    }
+    let (_, text) = check(
+        &TOML.replace("DISCOVERY", "x").replace("listen = \"127.0.0.1:0\"", "listen = \"y\"\nseed = \"z\""),
+    );
+    for told in ["discovery is \"x\"", "listen is \"y\"", "seed is \"z\": up to 16 hex digits"] {
+        assert!(text.contains(told), "{told} in {text}");
+    }
+}
+
+/// The printed defaults are a configuration but for plans and classes, which stand in them as examples.
+#[test]
+fn the_printed_defaults_are_those_that_are_used_and_the_schema_names_every_key() {
+    let printed = |command: &str| String::from_utf8(run(&[command], None).stdout).expect("text");
+    let defaults = printed("print-defaults");
+    let examples: String =
+        defaults.lines().map(|l| format!("{}\n", l.strip_prefix("# ").unwrap_or(l))).collect();
+    let examples =
+        examples.split_once("What a gateway").map(|(_, rest)| format!("# {rest}")).expect("a head");
+    let first = examples.find("`settings.plans`").expect("the head goes on");
+    let body = examples[first..].split_once('\n').expect("lines").1;
+    let (code, text) = check(body);
+    assert_eq!(code, Some(0), "the examples hold too: {text}");
+    let schema: serde_json::Value = serde_json::from_str(&printed("print-schema")).expect("JSON");
+    for key in ["listen", "discovery", "ops", "limits", "pool", "log", "settings", "known", "seed"] {
+        assert!(schema["properties"][key].is_object(), "{key}");
+        assert!(key == "known" || defaults.contains(key), "{key}");
+    }
+    assert_eq!(schema.pointer("/properties/limits/properties/sockets/minimum"), Some(&80.into()));
+}
+
+#[test]
+fn a_gateway_of_a_toml_file_serves() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let setup = Setup { toml: Some(TOML.to_string()), ops: true, ..Setup::default() };
+    let gateway = Gateway::with(&discovery, setup);
+    discovery.called(2);
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+}
+
+#[test]
+fn a_hangup_tells_which_keys_changed_were_taken_or_wait_for_a_restart() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let setup = Setup { toml: Some(TOML.to_string()), ops: true, ..Setup::default() };
+    let gateway = Gateway::with(&discovery, setup);
+    let text = gateway.configuration();
+    let told = |change: &dyn Fn(&str) -> String| {
+        gateway.reconfigure(&change(&text));
+        let line = gateway.logs("configuration");
+        let line: serde_json::Value = serde_json::from_str(&line).expect("a line of JSON");
+        let field = |name: &str| line[name].as_str().unwrap_or_default().to_string();
+        (field("taken"), field("from_a_restart_on"), field("message"))
+    };
+    let again = "configuration read again: changed keys".to_string();
+    let (none, all) = ("none".to_string(), |t: &str| t.to_string());
+    assert_eq!(told(&all), (none.clone(), none.clone(), again.clone()));
+    let level = |t: &str| t.replace("[log]", "[pool]\nidle_ms = 9\n[log]\nlevel = \"debug\"");
+    assert_eq!(told(&level), ("log.level".to_string(), "pool.idle_ms".to_string(), again.clone()));
+    // What the file says next is compared with what it said last, and a bad one is not what it said.
+    let (_, _, message) = told(&|t| t.replace("points = 3", "points = \"many\""));
+    assert!(message.contains("not taken") && message.contains("points is \"many\""), "{message}");
+    let quiet = told(&all);
+    assert_eq!(quiet, ("log.level".to_string(), "pool.idle_ms".to_string(), again));
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+}
+
+/// A file that is written in place, piece by piece, while it is read again and again.
+#[test]
+fn a_file_that_is_replaced_while_it_is_read_is_taken_whole_or_not_at_all() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let setup = Setup { toml: Some(TOML.to_string()), ops: true, ..Setup::default() };
+    let gateway = Gateway::with(&discovery, setup);
+    discovery.called(2);
+    let text = gateway.configuration();
+    for cut in (0..text.len()).step_by(97) {
+        gateway.reconfigure(&text[..cut]);
+        gateway.logs("configuration");
+    }
+    gateway.reconfigure(&text);
+    gateway.logs("configuration read again");
+    assert_eq!(gateway.client().ask(&ask("quote").text()).status(), 200);
+}
+
+// ---- Log ----
+
+fn json_lines(level: &str) -> Setup {
+    let log = match level {
+        "info" => r#"{"format":"json"}"#,
+        _ => r#"{"format":"json","level":"debug"}"#,
+    };
+    Setup { ops: true, log: Some(log), ..Setup::default() }
+}
+
+#[test]
+fn a_requests_id_runs_through_its_lines_and_the_level_changes_at_the_operators_address() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let gateway = Gateway::with(&discovery, json_lines("info"));
+    discovery.called(2);
+    let mut client = gateway.client();
+    let quiet = ask("quote");
+    assert_eq!(client.ask(&quiet.text()).status(), 200);
+    for bad in ["/-/log", "/-/log?level=loud", "/-/log?level=debug&module=a%20b"] {
+        assert_eq!(gateway.call("POST", bad).status(), 400, "{bad}");
+    }
+    assert_eq!(gateway.call("POST", "/-/log?level=debug").status(), 200);
+    let told = ask("quote");
+    assert_eq!(client.ask(&told.text()).status(), 200);
+    let mut seen = BTreeMap::new();
+    while !seen.contains_key("answered") {
+        let line = gateway.logs("\"request\"");
+        let line: serde_json::Value = serde_json::from_str(&line).expect("a line of JSON");
+        assert_eq!(line["request"], told.id.as_str(), "of the one before nothing was written: {}", quiet.id);
+        seen.insert(line["message"].as_str().expect("a message").to_string(), line);
+    }
+    let names: Vec<&str> = seen.keys().map(String::as_str).collect();
+    assert_eq!(names, ["answered", "attempt", "attempt ended", "taken"]);
+    assert_eq!(
+        (&seen["attempt"]["server"], &seen["attempt ended"]["ending"]),
+        (&"s-1".into(), &"Pass".into())
+    );
+    assert_eq!((&seen["answered"]["status"], &seen["taken"]["class"]), (&200.into(), &"quote".into()));
+    let log: serde_json::Value = serde_json::from_slice(&gateway.call("GET", "/-/log").body).expect("JSON");
+    assert_eq!((&log["level"], &log["lines"]["lost"]), (&"debug".into(), &0.into()));
+    assert_eq!(gateway.call("POST", "/-/log?level=info").status(), 200);
+}
+
+/// Nobody reads: the pipe fills, then the queue, and requests go on.
+#[test]
+fn a_reader_of_the_log_that_is_stuck_or_gone_holds_up_nobody_and_lost_lines_are_counted() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let setup = Setup { unread: true, ..json_lines("debug") };
+    let mut gateway = Gateway::with(&discovery, setup);
+    discovery.called(2);
+    let mut client = gateway.client();
+    let lost = |gateway: &Gateway| {
+        let log: serde_json::Value =
+            serde_json::from_slice(&gateway.call("GET", "/-/log").body).expect("JSON");
+        log["lines"]["lost"].as_u64().expect("a count")
+    };
+    let started = Instant::now();
+    while lost(&gateway) == 0 {
+        for _ in 0..100 {
+            let asked = Instant::now();
+            assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+            assert!(asked.elapsed() < Duration::from_secs(2), "the log holds it up");
+        }
+        assert!(started.elapsed() < 3 * LIMIT, "the queue has an end");
+    }
+    let before = lost(&gateway);
+    gateway.close_log();
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    let started = Instant::now();
+    while lost(&gateway) < before + 1000 {
+        assert!(started.elapsed() < LIMIT, "what waited for the reader is lost with it");
+    }
+    gateway.signal("-TERM");
+    let ended = Instant::now();
+    assert!(gateway.child.wait().expect("it ends").success());
+    assert!(ended.elapsed() < Duration::from_secs(10));
+}
+
+#[test]
+fn a_closed_standard_error_ends_nothing() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let port = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let text = TOML.replace("listen = \"127.0.0.1:0\"", &format!("listen = \"{port}\""));
+    let path = file("toml", &text.replace("DISCOVERY", &discovery.address.to_string()));
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", "exec \"$0\" --config \"$1\" 2>&-"]).arg(program("granitethread")).arg(&path);
+    let mut child = command.env_remove("LB_CONFIG").stdin(Stdio::null()).spawn().expect("it starts");
+    discovery.called(2);
+    let answer = testkit::Client::to(port).ask(&ask("quote").text());
+    assert_eq!(answer.status(), 200);
+    assert!(child.try_wait().expect("a child").is_none());
+    child.kill().and_then(|()| child.wait()).expect("it ends");
+    fs::remove_file(path).expect("it is there");
+}
+
+// ---- Figures ----
+
+#[test]
+fn the_figures_come_as_openmetrics_and_the_status_tells_latencies() {
+    let backend = Backend::good();
+    let discovery = one(&backend);
+    let gateway = Gateway::with(&discovery, json_lines("info"));
+    discovery.called(2);
+    let mut client = gateway.client();
+    for _ in 0..3 {
+        assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    }
+    let answer = gateway.call("GET", "/-/metrics?format=openmetrics");
+    let kind = answer.header("content-type").expect("a type").to_string();
+    assert!(kind.starts_with("application/openmetrics-text"), "{kind}");
+    let text = String::from_utf8(answer.body).expect("text");
+    let line = "granitethread_request_duration_seconds_count{class=\"quote\",outcome=\"succeeded\"} 3";
+    assert!(text.lines().any(|l| l == line) && text.ends_with("# EOF\n"), "{text}");
+    assert_eq!(gateway.call("GET", "/-/metrics?format=xml").status(), 400);
+    let status: serde_json::Value =
+        serde_json::from_slice(&gateway.call("GET", "/-/status").body).expect("JSON");
+    assert_eq!((&status["name"], &status["ready"]), (&"n0".into(), &true.into()));
+    let latency = &status["latency"][0];
+    assert_eq!((&latency["class"], &latency["count"]), (&"quote".into(), &3.into()));
+    assert!(latency["p99_ms"].as_f64() >= latency["p50_ms"].as_f64(), "{latency}");
+}
+
+/// A file that grows while its reader reads it is the writer's whole file or none: appending ends in errors that name it.
+#[test]
+fn a_configuration_that_is_still_being_written_is_not_half_taken() {
+    let path = file("toml", TOML);
+    let mut growing = OpenOptions::new().append(true).open(&path).expect("it is there");
+    growing.write_all(b"[[settings.services]]\nname = \"late\"\n").expect("written");
+    let out = run(&["check-config", "--config", path.to_str().expect("text")], None);
+    let text = String::from_utf8(out.stderr).expect("text");
+    assert_eq!(out.status.code(), Some(1));
+    assert_eq!(text.matches("settings.services[1].").count(), 4, "{text}");
+    fs::remove_file(path).expect("it is there");
+}
--- a/crates/protocol/src/list.rs
+++ b/crates/protocol/src/list.rs
@@ -1,6 +1,7 @@
 //! The list of roll servers as discovery words it: its types, how it is read, and how changes merge into it.
 //! Shared by the gateway, which reads it, and the registry, which serves it.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,14 +10,14 @@
 pub const LONGEST: usize = 4 << 20;
 
 /// The whole list, or what changed in it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct List {
     pub rev: u64,
     pub all: bool,
     pub targets: Vec<Target>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Target {
     pub uid: String,
     /// Not an address yet: an entry that says `Gone` counts, whatever stands here.
@@ -26,17 +27,19 @@
     pub az: String,
     /// Told to staff alone: whatever stands here makes no list a bad one.
     #[serde(default, deserialize_with = "any_text")]
+    #[schemars(with = "Value")]
     pub model: String,
     #[serde(default)]
     pub pod_group: u32,
     pub state: State,
     #[serde(default = "one")]
+    #[schemars(range(min = 0.0, max = 1e9))]
     pub capacity_hint: f64,
     #[serde(default)]
     pub boot_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub enum State {
     Ready,
     /// Wants nothing new, finishes what it has.
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -23,7 +23,7 @@
             Ok(now) => {
                 pause = FIRST_PAUSE;
                 if std::mem::take(&mut away) {
-                    crate::log!("{address} is back, version {now}");
+                    tracing::info!("{address} is back, version {now}");
                 }
                 // One that answers at once with nothing new must not keep the loop busy.
                 if rev.replace(now) == Some(now) {
@@ -32,7 +32,7 @@
             }
             Err(why) => {
                 if !std::mem::replace(&mut away, true) {
-                    crate::log!("{address}: {why}; the last list stands");
+                    tracing::warn!("{address}: {why}; the last list stands");
                 }
                 client.disconnect();
                 // The whole list tells what a broken watch left unclear.
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -1,26 +1,21 @@
 //! granitehub-registry: the list of roll servers as a service of its own. Servers announce themselves under a
 //! lease; gateways read the list and watch it.
 
-/// A line of the log. Unlike `eprintln!` it survives whoever reads the log.
-macro_rules! log {
-    ($($part:tt)*) => {{
-        use std::io::Write;
-        let _ = writeln!(std::io::stderr(), $($part)*);
-    }};
-}
-pub(crate) use log;
-
 mod disk;
 mod follow;
 mod http;
 mod service;
 mod store;
 
+use clap::{Parser, Subcommand};
 use disk::Disk;
 use http::Side;
-use lexopt::{Arg, Parser, ValueExt};
+use schemars::JsonSchema;
+use serde::Deserialize;
 use service::Registry;
-use std::ffi::OsString;
+use shell::config::{self, Wrong};
+use shell::log;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,22 +29,85 @@
 /// What those may take who are answered at the end.
 const LEAVE: Duration = Duration::from_secs(2);
 const MOST_GRACE: u64 = 600_000;
-const HELP: &str = "\
-granitehub-registry --dir FOLDER [--readers ADDRESS] [--registrars ADDRESS] [--operators ADDRESS] [--grace-ms N]
-granitehub-registry --follow ADDRESS [--readers ADDRESS] [--operators ADDRESS]
+const READERS: &str = "127.0.0.1:8500";
+const REGISTRARS: &str = "127.0.0.1:8501";
+const GRACE: u64 = 30_000;
+
+/// The list of roll servers as a service: servers announce themselves under a lease, gateways read and watch the list.
+///
+/// Options go before the keys of the same names in the file that --config names.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong arguments.
+#[derive(Parser)]
+#[command(name = "granitehub-registry", version)]
+struct Arguments {
+    /// A TOML file with the options below as its keys, and `log`
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    #[command(flatten)]
+    told: Told,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
 
-  --follow ADDRESS      serve the list of the registry whose readers call there; nobody registers here
-  --dir FOLDER          where the list is kept; made if it is not there
-  --readers ADDRESS     where gateways read the list (127.0.0.1:8500)
-  --registrars ADDRESS  where servers announce themselves (127.0.0.1:8501)
-  --operators ADDRESS   where staff read figures; without it nobody does
-  --grace-ms N          no lease ends so soon after a start: 0 to 600000 (30000)
-";
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the registry until SIGTERM
+    Run,
+    /// Checks options and configuration, tells all that is wrong with them and starts nothing
+    CheckConfig,
+    /// Prints the JSON schema of the configuration
+    PrintSchema,
+}
+
+/// What the command line or the configuration says.
+#[derive(clap::Args, Deserialize, JsonSchema, Default)]
+#[serde(default, deny_unknown_fields)]
+struct Told {
+    /// Where the list is kept; made if it is not there
+    #[arg(long, global = true, value_name = "FOLDER")]
+    dir: Option<PathBuf>,
+    /// Serve the list of the registry whose readers call there; nobody registers here
+    #[arg(long, global = true, value_name = "ADDRESS")]
+    follow: Option<String>,
+    /// Where gateways read the list [default: 127.0.0.1:8500]
+    #[arg(long, global = true, value_name = "ADDRESS")]
+    readers: Option<String>,
+    /// Where servers announce themselves [default: 127.0.0.1:8501]
+    #[arg(long, global = true, value_name = "ADDRESS")]
+    registrars: Option<String>,
+    /// Where staff read figures; without it nobody does
+    #[arg(long, global = true, value_name = "ADDRESS")]
+    operators: Option<String>,
+    /// No lease ends so soon after a start, in milliseconds [default: 30000]
+    #[arg(long, global = true, value_name = "N", value_parser = clap::value_parser!(u64).range(0..=MOST_GRACE))]
+    #[schemars(range(max = 600_000))]
+    grace_ms: Option<u64>,
+    /// The log
+    #[arg(skip)]
+    log: Option<log::Options>,
+}
+
+impl Told {
+    /// What both say, of which this one counts where both say something.
+    fn over(self, file: Told) -> Told {
+        Told {
+            dir: self.dir.or(file.dir),
+            follow: self.follow.or(file.follow),
+            readers: self.readers.or(file.readers),
+            registrars: self.registrars.or(file.registrars),
+            operators: self.operators.or(file.operators),
+            grace_ms: self.grace_ms.or(file.grace_ms),
+            log: file.log,
+        }
+    }
+}
 
 struct Options {
     list: Source,
     readers: SocketAddr,
     operators: Option<SocketAddr>,
+    log: log::Options,
 }
 
 /// Where the list comes from.
@@ -59,80 +117,80 @@
 }
 
 fn main() -> ExitCode {
-    let options = match options(std::env::args_os()) {
-        Ok(Some(options)) => options,
-        Ok(None) => {
-            print!("{HELP}");
-            return ExitCode::SUCCESS;
-        }
-        Err(why) => {
-            log!("granitehub-registry: {why}");
-            return ExitCode::from(2);
-        }
+    let Arguments { config, told, command } = Arguments::parse();
+    let done = match command.unwrap_or(Command::Run) {
+        Command::Run => options(config, told).and_then(start),
+        Command::CheckConfig => options(config, told).and_then(|_| print("ok\n")),
+        Command::PrintSchema => print(&format!("{:#}\n", config::schema::<Told>().to_value())),
     };
-    match start(options) {
+    let code = match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            log!("granitehub-registry: {why}");
+        Err(wrong) => {
+            for what in wrong.0 {
+                // Whoever reads errors may be gone.
+                let _ = writeln!(io::stderr(), "granitehub-registry: {what}");
+            }
             ExitCode::FAILURE
         }
-    }
+    };
+    log::get().inspect(|log| log.last());
+    code
 }
 
-/// None if help is asked for.
-fn options(args: impl IntoIterator<Item = OsString>) -> Result<Option<Options>, String> {
-    let mut parser = Parser::from_iter(args);
-    let mut readers = ([127, 0, 0, 1], 8500).into();
-    let (mut operators, mut follow) = (None, None);
-    let (mut dir, mut registrars, mut grace) = (None, None, None);
-    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
-        let name = match arg {
-            Arg::Long("help") | Arg::Short('h') => return Ok(None),
-            Arg::Long(name) => name.to_string(),
-            other => return Err(other.unexpected().to_string()),
-        };
-        let value = |parser: &mut Parser| parser.value().map_err(|e| e.to_string());
-        let address = |parser: &mut Parser| {
-            let told = value(parser)?;
-            let parsed = told.to_str().and_then(|text| text.parse::<SocketAddr>().ok());
-            parsed.ok_or_else(|| format!("--{name} is {told:?}: an address and port are wanted"))
-        };
-        match name.as_str() {
-            "dir" => dir = Some(PathBuf::from(value(&mut parser)?)),
-            "readers" => readers = address(&mut parser)?,
-            "registrars" => registrars = Some(address(&mut parser)?),
-            "follow" => follow = Some(address(&mut parser)?),
-            "operators" => operators = Some(address(&mut parser)?),
-            "grace-ms" => {
-                let told = value(&mut parser)?;
-                let number = told.parse::<u64>().ok().filter(|n| *n <= MOST_GRACE);
-                let wrong = || format!("--grace-ms is {told:?}: 0 to {MOST_GRACE} is wanted");
-                grace = Some(number.ok_or_else(wrong)?);
-            }
-            _ => return Err(format!("--{name} is no option")),
+fn print(text: &str) -> Result<(), Wrong> {
+    io::stdout().write_all(text.as_bytes()).map_err(|e| Wrong::one(format!("standard output: {e}")))
+}
+
+fn options(file: Option<PathBuf>, told: Told) -> Result<Options, Wrong> {
+    let file = match file {
+        Some(path) => config::load::<Told>(&path, "")?.read,
+        None => Told::default(),
+    };
+    let told = told.over(file);
+    let mut wrong = Vec::new();
+    let mut address = |key: &str, text: &str| {
+        let parsed = text.parse::<SocketAddr>();
+        if parsed.is_err() {
+            wrong.push(format!("{key} is {text:?}: an address and port are wanted"));
         }
-    }
-    let list = match (follow, dir) {
-        (Some(address), None) if registrars.is_none() && grace.is_none() => Source::Another(address),
-        (Some(_), _) => return Err("--follow goes without --dir, --registrars and --grace-ms".to_string()),
-        (None, Some(dir)) => Source::Own {
+        parsed.unwrap_or(([127, 0, 0, 1], 0).into())
+    };
+    let readers = address("readers", told.readers.as_deref().unwrap_or(READERS));
+    let operators = told.operators.as_deref().map(|text| address("operators", text));
+    let list = match (&told.follow, told.dir) {
+        (Some(another), None) if told.registrars.is_none() && told.grace_ms.is_none() => {
+            Some(Source::Another(address("follow", another)))
+        }
+        (Some(_), _) => {
+            wrong.push("follow goes without dir, registrars and grace_ms".to_string());
+            None
+        }
+        (None, Some(dir)) => Some(Source::Own {
             dir,
-            registrars: registrars.unwrap_or(([127, 0, 0, 1], 8501).into()),
-            grace: Duration::from_millis(grace.unwrap_or(30_000)),
-        },
+            registrars: address("registrars", told.registrars.as_deref().unwrap_or(REGISTRARS)),
+            grace: Duration::from_millis(told.grace_ms.unwrap_or(GRACE)),
+        }),
         (None, None) => {
-            return Err("--dir, the folder that keeps the list, or --follow is wanted".to_string())
+            wrong
+                .push("dir, the folder that keeps the list, or follow is missing: one is wanted".to_string());
+            None
         }
     };
-    Ok(Some(Options { list, readers, operators }))
+    match list {
+        Some(list) if wrong.is_empty() => {
+            Ok(Options { list, readers, operators, log: told.log.unwrap_or_default() })
+        }
+        _ => Err(Wrong(wrong)),
+    }
 }
 
-fn start(options: Options) -> Result<(), String> {
+fn start(options: Options) -> Result<(), Wrong> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(Default::default())
-        .map_err(|e| format!("cannot start the event loop: {e}"))?;
-    runtime.block_on(run(options))
+        .map_err(|e| Wrong::one(format!("cannot start the event loop: {e}")))?;
+    log::start(&options.log).map_err(Wrong::one)?;
+    runtime.block_on(run(options)).map_err(Wrong::one)
 }
 
 async fn run(options: Options) -> Result<(), String> {
@@ -146,7 +204,7 @@
         Source::Own { dir, registrars, grace } => {
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let (disk, kept) = Disk::open(&dir, disk::first_version(now.as_millis() as u64))?;
-            log!("version {}, {} entries", kept.rev, kept.entries.len());
+            tracing::info!("version {}, {} entries", kept.rev, kept.entries.len());
             sides.push((registrars, Side::Registrars));
             (Registry::new(disk, kept, grace, id), None)
         }
@@ -158,7 +216,7 @@
         let named = |e: std::io::Error| format!("{address}: {e}");
         let listener = TcpListener::bind(address).await.map_err(named)?;
         let at = listener.local_addr().map_err(named)?;
-        log!("{side:?} call at {at}");
+        tracing::info!("{side:?} call at {at}");
         serving.push(spawn_local(http::serve(listener, registry.clone(), side, closing.clone())));
     }
     spawn_local(registry.clone().tell());
@@ -167,7 +225,7 @@
         None => drop(spawn_local(registry.clone().expire())),
     }
     tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
-    log!("ends: watchers are let go");
+    tracing::info!("ends: watchers are let go");
     close.send_replace(true);
     registry.close();
     let ended = async {
@@ -176,7 +234,7 @@
         }
     };
     if timeout(LEAVE, ended).await.is_err() {
-        log!("some callers did not take their answer");
+        tracing::warn!("some callers did not take their answer");
     }
     Ok(())
 }
--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -129,22 +129,28 @@
         let rev = store.rev() + 1;
         if let Err(e) = disk.append(rev, change) {
             add(&self.counts.disk_failures);
-            crate::log!("not on disk, the list stands at version {}: {e}", store.rev());
+            tracing::error!("not on disk, the list stands at version {}: {e}", store.rev());
             return Err(e);
         }
         let now = Instant::now();
         store.apply(change, now);
         match change {
             Change::Put { target, .. } => {
-                crate::log!("version {rev}: {} at {} is {:?}", target.uid, target.endpoint, target.state);
+                tracing::info!(
+                    version = rev,
+                    server = target.uid,
+                    endpoint = target.endpoint,
+                    state = ?target.state,
+                    "listed"
+                );
             }
-            Change::Remove { uid } => crate::log!("version {rev}: {uid} is gone"),
+            Change::Remove { uid } => tracing::info!(version = rev, server = uid, "gone"),
         }
         if disk.long() {
             let kept = Kept { rev, entries: store.entries() };
             if let Err(e) = disk.snapshot(&kept) {
                 add(&self.counts.disk_failures);
-                crate::log!("no snapshot, the log goes on: {e}");
+                tracing::error!("no snapshot, the log goes on: {e}");
             }
         }
         self.last_change.set(now);
@@ -167,7 +173,7 @@
         }
         let now = Instant::now();
         if store.follow(list) {
-            crate::log!("version {} by {path}", list.rev);
+            tracing::info!(version = list.rev, path, "followed");
             self.last_change.set(now);
         }
         let own = if path.is_empty() { self.id.clone() } else { format!("{path},{}", self.id) };
@@ -198,7 +204,10 @@
             let mut store = self.store.borrow_mut();
             let expiry = store.expired(now);
             if self.counts.held.replace(expiry.held) == 0 && expiry.held > 0 {
-                crate::log!("{} leases ended together: the list is kept until most are heard", expiry.held);
+                tracing::warn!(
+                    "{} leases ended together: the list is kept until most are heard",
+                    expiry.held
+                );
             }
             for change in expiry.due {
                 if self.confirm(&mut store, &change).is_err() {
