Add sprucehatch, the operators' command line for gateways and registries

Need: staff steered each gateway with hand-written HTTP calls, one at a time, and saw only counts.

Change: `sprucehatch` shows and steers several gateways at once (status, watch, metrics, drain, resume, disable, enable, log) and a registry's list (list, register, drain, remove), as tables or JSON. Each call has one time limit; those that fail stand beside those that do not, and the exit code tells all, some or none. What a gateway tells of itself and what a registry is told are types of the protocol library now, shared by both sides. A module's name at `/-/log` is percent-decoded like any other name.

Result: six black-box tests against real gateways and a real registry, among them a gateway that accepts and says nothing (the others are shown within the limit) and names with odd bytes.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::backends::{Backends, Outcome, Outgoing, Served};
 use crate::config::Config;
-use crate::figures::{Figures, ListAge};
+use crate::figures::Figures;
 use crate::link::Progress;
 use crate::notes::Note;
 use granitehub::{
@@ -13,6 +13,7 @@
     Snapshot, Time,
 };
 use granitehub_protocol::list::{List, Roster, State, Target};
+use granitehub_protocol::status::ListAge;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -1,6 +1,7 @@
 //! The figures that operators read: what became of requests since the start of the process, and how long they took.
 
 use crate::pool::PoolFigures;
+use granitehub_protocol::status::{End, ListAge};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -9,15 +10,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How a request ended for its client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum End {
-    Succeeded,
-    Declined,
-    Aborted,
-}
-
 pub const ENDS: [(End, &str); 3] =
     [(End::Succeeded, "succeeded"), (End::Declined, "declined"), (End::Aborted, "aborted")];
 
@@ -95,14 +87,6 @@
     pub list: ListAge,
 }
 
-/// The list in use.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct ListAge {
-    pub version: u64,
-    /// Since discovery last told it or had nothing newer.
-    pub age_ms: u64,
-}
-
 impl Figures {
     /// Every class is there from the start, at 0.
     pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Rc<Self> {
--- a/crates/gateway/src/openmetrics.rs
+++ b/crates/gateway/src/openmetrics.rs
@@ -1,6 +1,7 @@
 //! The figures as OpenMetrics text, worded by the client library of that format.
 
-use crate::figures::{End, Rest, Times, ENDS};
+use crate::figures::{Rest, Times, ENDS};
+use granitehub_protocol::status::End;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{text, DescriptorEncoder, EncodeLabelSet, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -6,12 +6,12 @@
 use crate::backends::Backends;
 use crate::config::MOST_CALLS;
 use crate::driver::Driver;
-use crate::figures::{End, ListAge, Rest, ENDS};
+use crate::figures::{Rest, ENDS};
 use crate::notes::Note;
 use crate::openmetrics::{self, Moment};
 use crate::server::Server;
 use bytes::Bytes;
-use granitehub::Name;
+use granitehub_protocol::status::{Latency, Status};
 use http_body_util::Full;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
@@ -21,6 +21,7 @@
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use shell::log::{self, Lines};
+use std::borrow::Cow;
 use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -45,38 +46,6 @@
     pub server: Rc<Server>,
 }
 
-/// What `/-/status` tells, for people and their tools.
-#[derive(Serialize)]
-struct Status {
-    name: String,
-    version: &'static str,
-    uptime_ms: u64,
-    /// Whether requests can be served.
-    ready: bool,
-    /// Whether operators have clients sent away.
-    draining: bool,
-    /// Whether a new process has taken over.
-    successor: bool,
-    outstanding: u64,
-    discovered: usize,
-    ejected: usize,
-    out_by_hand: Vec<Name>,
-    list: ListAge,
-    latency: Vec<Latency>,
-    log: Option<LogStatus>,
-}
-
-/// How long requests of a class took that ended so, from their last byte to the last of their answer.
-#[derive(Serialize)]
-struct Latency {
-    class: String,
-    outcome: End,
-    count: u64,
-    p50_ms: f64,
-    p99_ms: f64,
-    most_ms: f64,
-}
-
 #[derive(Serialize)]
 struct LogStatus {
     #[serde(flatten)]
@@ -97,7 +66,7 @@
     };
     let set = level.parse().and_then(|level| {
         let mut options = log.options();
-        match field(query, "module") {
+        match field(query, "module").as_deref() {
             None => options.level = level,
             Some(module) => {
                 let known = options.modules.contains_key(module) || options.modules.len() < MOST_MODULES;
@@ -114,16 +83,17 @@
     });
     match set {
         Ok(()) => {
-            tracing::warn!(level, module = field(query, "module"), "the level of the log was changed");
+            tracing::warn!(%level, module = field(query, "module").as_deref(), "the level of the log was changed");
             plain(StatusCode::OK, "changed\n")
         }
         Err(what) => worded(StatusCode::BAD_REQUEST, what + "\n"),
     }
 }
 
-/// A field of a query.
-fn field<'a>(query: &'a str, key: &str) -> Option<&'a str> {
-    query.split('&').find_map(|part| part.strip_prefix(key)?.strip_prefix('='))
+/// A field of a query. One whose bytes are no text is none.
+fn field<'a>(query: &'a str, key: &str) -> Option<Cow<'a, str>> {
+    let told = query.split('&').find_map(|part| part.strip_prefix(key)?.strip_prefix('='))?;
+    percent_decode_str(told).decode_utf8().ok()
 }
 
 fn ms(time: Duration) -> f64 {
@@ -178,7 +148,7 @@
         match path {
             "/-/ready" if self.server.can_serve() => plain(StatusCode::OK, "ready\n"),
             "/-/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            "/-/metrics" => match field(query, "format") {
+            "/-/metrics" => match field(query, "format").as_deref() {
                 None | Some("json") => json(self.driver.figures.json(&self.rest())),
                 Some("openmetrics") => self.openmetrics(),
                 Some(_) => plain(StatusCode::BAD_REQUEST, "format: json or openmetrics is wanted\n"),
@@ -249,7 +219,7 @@
         });
         Status {
             name: self.name.clone(),
-            version: env!("CARGO_PKG_VERSION"),
+            version: env!("CARGO_PKG_VERSION").to_string(),
             uptime_ms: self.started.elapsed().as_millis() as u64,
             ready: self.server.can_serve(),
             draining: self.server.sends_away(),
@@ -257,10 +227,10 @@
             outstanding: figures.outstanding(),
             discovered: self.backends.pool.listed(),
             ejected: self.driver.ejected(),
-            out_by_hand: self.backends.pool.banned(),
+            out_by_hand: self.backends.pool.banned().iter().map(|name| name.to_string()).collect(),
             list: self.driver.list_age(),
             latency: latency.collect(),
-            log: log::get().map(LogStatus::of),
+            log_lost: log::get().map_or(0, |log| log.lines().lost),
         }
     }
 
--- /dev/null
+++ b/crates/operator/src/registry.rs
@@ -0,0 +1,110 @@
+//! Commands to a registry, as an operator: without the start of a server, what it says counts for any.
+
+use crate::call::{self, Answer, Call};
+use crate::gateways::encoded;
+use crate::table::{plain, span, table};
+use crate::{print, Outcome, Setup};
+use clap::{Args, Subcommand};
+use granitehub_protocol::registration::{Announcement, Registrations, ENTRIES};
+use hyper::Method;
+use shell::config::Wrong;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Shows all registrations, with what is left of each lease
+    List,
+    /// Lists a roll server under a lease, which somebody has to renew
+    Register(Register),
+    /// Has a roll server get nothing new; what it has, it finishes
+    Drain { server: String },
+    /// Takes a roll server off the list
+    Remove { server: String },
+}
+
+#[derive(Args)]
+pub struct Register {
+    /// Its name
+    server: String,
+    /// Where it listens
+    #[arg(long, value_name = "ADDRESS")]
+    endpoint: SocketAddr,
+    /// Its start, as Unix time in milliseconds [default: now]
+    #[arg(long, value_name = "N")]
+    boot_ms: Option<u64>,
+    /// How long it is listed without a renewal, in milliseconds
+    #[arg(long, value_name = "N", default_value_t = 60_000, value_parser = clap::value_parser!(u64).range(100..=3_600_000))]
+    lease_ms: u64,
+    /// Its zone
+    #[arg(long, value_name = "NAME", default_value = "")]
+    zone: String,
+    /// Its kind of machine
+    #[arg(long, value_name = "NAME", default_value = "")]
+    model: String,
+    /// Its cell
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    cell: u32,
+    /// Its size beside others
+    #[arg(long, value_name = "X", default_value_t = 1.0)]
+    capacity: f64,
+}
+
+pub async fn run(setup: &Setup, command: Command) -> Result<Outcome, Wrong> {
+    let Some(registrars) = setup.registrars else {
+        return Err(Wrong::one(
+            "no registry is named: --registrars, or registrars in the configuration, is wanted",
+        ));
+    };
+    let path = |server: &str, verb: &str| format!("{ENTRIES}/{}{verb}", encoded(server));
+    let (list, call) = match command {
+        Command::List => (true, Call::get(ENTRIES)),
+        Command::Drain { server } => (false, Call::post(&path(&server, "/drain"))),
+        Command::Remove { server } => {
+            (false, Call { method: Method::DELETE, ..Call::get(&path(&server, "")) })
+        }
+        Command::Register(r) => {
+            let now = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+            let announcement = Announcement {
+                endpoint: r.endpoint.to_string(),
+                az: r.zone,
+                model: r.model,
+                pod_group: r.cell,
+                capacity_hint: r.capacity,
+                boot_ms: r.boot_ms.unwrap_or_else(now),
+                lease_ms: r.lease_ms,
+            };
+            let body = serde_json::to_vec(&announcement).map_err(|e| Wrong::one(e.to_string()))?;
+            (false, Call { method: Method::PUT, body: body.into(), ..Call::get(&path(&r.server, "")) })
+        }
+    };
+    let failed = |why: String| Wrong::one(format!("registry {registrars}: {why}"));
+    let answer = call::make(registrars, call, setup.limit).await.map_err(failed)?;
+    if !answer.yes() {
+        return Err(failed(format!("{}: {}", answer.status, answer.text())));
+    }
+    if list && !setup.json {
+        print(page(&answer).map_err(failed)?.as_bytes())?;
+    } else {
+        print(&[&answer.body[..], if answer.body.ends_with(b"\n") { b"" } else { b"\n" }].concat())?;
+    }
+    Ok(Outcome::All)
+}
+
+fn page(answer: &Answer) -> Result<String, String> {
+    let all: Registrations = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+    let head = ["roll server", "endpoint", "zone", "state", "capacity", "lease", "lease left"];
+    let rows = all.registrations.into_iter().map(|r| {
+        let t = r.target;
+        vec![
+            plain(&t.uid),
+            plain(&t.endpoint),
+            plain(&t.az),
+            format!("{:?}", t.state),
+            t.capacity_hint.to_string(),
+            span(Duration::from_millis(r.lease_ms)),
+            span(Duration::from_millis(r.lease_left_ms)),
+        ]
+    });
+    Ok(format!("version {}\n{}", all.rev, table(&head, rows.collect())))
+}
--- /dev/null
+++ b/crates/operator/tests/operator.rs
@@ -0,0 +1,215 @@
+//! The operators' command line against real gateways and a real registry.
+
+use serde_json::Value;
+use std::fs;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+use testkit::{ask, file, folder, list, logged, program, Backend, Discovery, Gateway, Setup};
+
+fn sprucehatch(arguments: &[&str]) -> Output {
+    let mut command = Command::new(program("sprucehatch"));
+    command.env_remove("SPRUCEHATCH_CONFIG").args(arguments).output().expect("it runs")
+}
+
+fn text(out: &Output) -> String {
+    String::from_utf8([out.stdout.clone(), out.stderr.clone()].concat()).expect("text")
+}
+
+/// The words of its output, and its code.
+fn run(arguments: &[&str]) -> (Option<i32>, String) {
+    let out = sprucehatch(arguments);
+    (out.status.code(), text(&out))
+}
+
+fn json(arguments: &[&str]) -> (Option<i32>, Value) {
+    let out = sprucehatch(&[&["--json"], arguments].concat());
+    (out.status.code(), serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", text(&out))))
+}
+
+const ODD: &str = "s 1/ü?%&";
+
+fn gateway(backend: &Backend) -> (Discovery, Gateway) {
+    let targets = [("s-1", backend.address, "Ready"), (ODD, backend.address, "Ready")];
+    let discovery = Discovery::new(list(1, true, &targets));
+    let gateway = Gateway::with(&discovery, Setup { ops: true, ..Setup::default() });
+    discovery.called(2);
+    (discovery, gateway)
+}
+
+/// An address where nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+#[test]
+fn gateways_are_shown_side_by_side_and_one_that_fails_hides_no_other() {
+    let backend = Backend::good();
+    let (_first, a) = gateway(&backend);
+    let (_second, b) = gateway(&backend);
+    assert_eq!(a.client().ask(&ask("quote").text()).status(), 200);
+    let (a, b, gone) = (a.operators().to_string(), b.operators().to_string(), nobody().to_string());
+    let (code, all) = run(&["status", "--gateway", &a, "-g", &b]);
+    assert_eq!(code, Some(0), "{all}");
+    assert_eq!(all.matches(" ready ").count(), 2, "{all}");
+    assert!(all.contains("quote") && all.contains("p99 ms"), "{all}");
+    let (code, some) = run(&["status", "--gateway", &[a.as_str(), &gone].join(",")]);
+    assert!(
+        code == Some(3) && some.contains(" ready ") && some.contains("failed: Connection refused"),
+        "{some}"
+    );
+    assert_eq!(run(&["status", "-g", &gone]).0, Some(1));
+    let (code, told) = json(&["status", "-g", &gone, "-g", &a]);
+    assert_eq!((code, &told[0]["ok"], &told[1]["ok"]), (Some(3), &false.into(), &true.into()));
+    assert_eq!((&told[1]["gateway"], &told[1]["answer"]["name"]), (&a.as_str().into(), &"n0".into()));
+    assert_eq!(told[1]["answer"]["latency"][0]["count"], 1);
+    let (code, looks) = run(&["watch", "-g", &a, "--every-ms", "100", "--count", "2"]);
+    assert_eq!((code, looks.matches("gateway").count()), (Some(0), 2), "{looks}");
+    assert!(looks.contains("served/s"), "{looks}");
+}
+
+#[test]
+fn drains_bans_and_levels_take_effect_and_a_no_is_told() {
+    let backend = Backend::good();
+    let (_discovery, gateway) = gateway(&backend);
+    let at = gateway.operators().to_string();
+    let call = |arguments: &[&str]| run(&[arguments, &["-g", &at]].concat());
+    let status = || json(&["status", "-g", &at]).1[0]["answer"].clone();
+    assert_eq!(call(&["drain"]).0, Some(0));
+    assert_eq!(status()["draining"], true);
+    assert!(call(&["status"]).1.contains("draining"));
+    assert_eq!(call(&["resume"]).0, Some(0));
+    assert_eq!(status()["draining"], false);
+    for name in ["s-1", ODD] {
+        let (code, said) = call(&["disable", name]);
+        assert!(code == Some(0) && said.contains("disabled"), "{said}");
+        assert_eq!(status()["out_by_hand"], Value::from(vec![name]));
+        assert_eq!(call(&["enable", name]).0, Some(0));
+    }
+    let (code, said) = call(&["disable", "nobody"]);
+    assert!(code == Some(1) && said.contains("404: no such roll server"), "{said}");
+    assert_eq!(call(&["log", "--level", "debug", "--module", "granitethread::pool"]).0, Some(0));
+    let (code, said) = call(&["log"]);
+    assert!(code == Some(0) && said.contains(r#""granitethread::pool": "debug""#), "{said}");
+    let (code, figures) = call(&["metrics", "--format", "openmetrics"]);
+    assert!(code == Some(0) && figures.ends_with("# EOF\n"), "{figures}");
+    assert_eq!(json(&["metrics", "-g", &at]).1[0]["answer"]["discovered"], 2);
+}
+
+/// It accepts, in the queue of its listener, and says nothing.
+#[test]
+fn a_gateway_that_says_nothing_holds_up_neither_the_command_nor_the_others() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let silent_at = silent.local_addr().expect("an address").to_string();
+    let backend = Backend::good();
+    let (_discovery, gateway) = gateway(&backend);
+    let at = gateway.operators().to_string();
+    let started = Instant::now();
+    let (code, said) = run(&["status", "-g", &silent_at, "-g", &at, "--timeout-ms", "300"]);
+    assert!(
+        code == Some(3) && said.contains("failed: no answer within 300 ms") && said.contains(" ready "),
+        "{said}"
+    );
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+struct Registry(Child);
+
+impl Drop for Registry {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_registrys_list_is_read_and_changed() {
+    let dir = folder();
+    let mut command = Command::new(program("granitehub-registry"));
+    command.arg("--dir").arg(&dir).args(["--readers", "127.0.0.1:0", "--registrars", "127.0.0.1:0"]);
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the registry starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let _registry = Registry(child);
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).expect("its version");
+    logged(&mut log, "Readers call at ");
+    let at = logged(&mut log, "Registrars call at ").to_string();
+    let call = |arguments: &[&str]| run(&[&["registry"], arguments, &["--registrars", &at]].concat());
+    let register = [
+        "register",
+        ODD,
+        "--endpoint",
+        "127.0.0.1:7",
+        "--zone",
+        "hall",
+        "--boot-ms",
+        "5",
+        "--lease-ms",
+        "600000",
+    ];
+    let (code, said) = call(&register);
+    assert!(code == Some(0) && said.contains("\"rev\""), "{said}");
+    let (code, page) = call(&["list"]);
+    assert!(
+        code == Some(0) && page.contains("Ready") && page.contains("s 1/ü?%&") && page.contains("10 min"),
+        "{page}"
+    );
+    assert_eq!(call(&["drain", ODD]).0, Some(0));
+    let all = json(&["registry", "list", "--registrars", &at]).1;
+    let entry = &all["registrations"][0];
+    assert_eq!(
+        (&entry["state"], &entry["az"], &entry["uid"]),
+        (&"Terminating".into(), &"hall".into(), &ODD.into())
+    );
+    assert_eq!(call(&["remove", ODD]).0, Some(0));
+    let (code, said) = call(&["remove", ODD]);
+    assert!(code == Some(1) && said.contains("404: no such registration"), "{said}");
+    let (code, said) = run(&["registry", "list"]);
+    assert!(code == Some(1) && said.contains("no registry is named"), "{said}");
+    fs::remove_dir_all(dir).expect("it is there");
+}
+
+#[test]
+fn the_configuration_names_gateways_and_all_that_is_wrong_with_it_is_told() {
+    let backend = Backend::good();
+    let (_discovery, gateway) = gateway(&backend);
+    let good = file("toml", &format!("gateways = [\"{}\"]\ntimeout_ms = 5000\n", gateway.operators()));
+    let path = good.to_str().expect("text");
+    assert_eq!(run(&["status", "--config", path]).0, Some(0));
+    let bad = file("toml", "gateways = [\"x\", 5]\ntimeout_ms = 0\nspeed = 1\n");
+    let (code, said) = run(&["check-config", "--config", bad.to_str().expect("text")]);
+    assert_eq!((code, said.lines().count()), (Some(1), 3), "{said}");
+    for told in [
+        "gateways[1] is 5: a text",
+        "timeout_ms is 0: a whole number from 1 to 600000",
+        "speed is no key here",
+    ] {
+        assert!(said.contains(told), "{told} in {said}");
+    }
+    let address = file("toml", "gateways = [\"x\"]\n");
+    let (code, said) = run(&["status", "--config", address.to_str().expect("text")]);
+    assert!(
+        code == Some(1) && said.contains("gateways[0] is \"x\": an address and port are wanted"),
+        "{said}"
+    );
+    [good, bad, address].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
+}
+
+#[test]
+fn wrong_arguments_are_told_apart_from_failures_and_shells_complete_the_rest() {
+    for wrong in
+        [&["fly"][..], &["status", "-g", "nowhere"], &["disable"], &["watch", "--every-ms", "5"], &[]]
+    {
+        let (code, said) = run(wrong);
+        assert_eq!(code, Some(2), "{wrong:?}: {said}");
+    }
+    let (code, said) = run(&["status"]);
+    assert!(code == Some(1) && said.contains("no gateway is named"), "{said}");
+    for shell in ["bash", "zsh", "fish"] {
+        let (code, said) = run(&["completions", shell]);
+        assert!(code == Some(0) && said.contains("check-config") && said.contains("registry"), "{shell}");
+    }
+    assert_eq!(run(&["--help"]).0, Some(0));
+    assert!(run(&["--version"]).1.starts_with("sprucehatch "));
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,8 @@
-//! What the programs say to each other about roll servers: the list, how it is read and merged, and a caller's
-//! side of the protocol.
+//! What the programs say to each other: the list of roll servers, how it is read and merged, and a caller's side of
+//! its protocol; registrations; a gateway's status.
 #![forbid(unsafe_code)]
 
 pub mod list;
+pub mod registration;
+pub mod status;
 pub mod watch;
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -4,6 +4,7 @@
 use crate::store::Refusal;
 use bytes::Bytes;
 use granitehub_protocol::list::{List, State, Target};
+use granitehub_protocol::registration::{Announcement, ENTRIES};
 use granitehub_protocol::watch::PATH;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -38,7 +39,6 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// Connections at one address; more wait in its queue.
 const MOST_CALLERS: usize = 8192;
-const ENTRIES: &str = "/v1/registrations";
 /// The lengths of a lease that a server may ask for.
 const LEASES: std::ops::RangeInclusive<u64> = 100..=3_600_000;
 
@@ -178,25 +178,6 @@
 
 // ---- Registrars ----
 
-#[derive(Deserialize)]
-struct Announcement {
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u32,
-    #[serde(default = "one")]
-    capacity_hint: f64,
-    boot_ms: u64,
-    lease_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
 #[derive(Deserialize)]
 struct Start {
     boot_ms: u64,
--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -3,7 +3,8 @@
 use crate::disk::{Disk, Kept};
 use crate::store::{Change, News, Refusal, Store};
 use bytes::Bytes;
-use granitehub_protocol::list::List;
+use granitehub_protocol::list::{List, Target};
+use granitehub_protocol::registration::{Registration, Registrations};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -276,26 +277,15 @@
 
     /// The entries, each with what is left of its lease.
     pub fn registrations(&self) -> Vec<u8> {
-        #[derive(Serialize)]
-        struct Entry<'a> {
-            #[serde(flatten)]
-            target: &'a granitehub_protocol::list::Target,
-            lease_ms: u64,
-            lease_left_ms: u64,
-        }
         let (store, now) = (self.store.borrow(), Instant::now());
-        let entries = store.entries();
-        let entry = |(target, lease_ms): &'_ (granitehub_protocol::list::Target, u64)| {
+        let entry = |(target, lease_ms): (Target, u64)| {
             let left = store.remaining(&target.uid, now).unwrap_or_default();
-            serde_json::to_value(Entry {
-                target,
-                lease_ms: *lease_ms,
-                lease_left_ms: left.as_millis() as u64,
-            })
-            .unwrap_or_default()
+            Registration { target, lease_ms, lease_left_ms: left.as_millis() as u64 }
         };
-        let entries: Vec<_> = entries.iter().map(entry).collect();
-        serde_json::json!({"rev": store.rev(), "registrations": entries}).to_string().into_bytes()
+        let registrations = store.entries().into_iter().map(entry).collect();
+        let all = Registrations { rev: store.rev(), registrations };
+        // Texts and numbers are always worded.
+        serde_json::to_vec(&all).unwrap_or_default()
     }
 
     pub fn figures(&self) -> Figures {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -429,9 +429,14 @@
         Client::to(self.address)
     }
 
+    /// The operators' address.
+    pub fn operators(&self) -> SocketAddr {
+        self.ops.expect("the setup asks for it")
+    }
+
     /// A new connection to the operators' address.
     pub fn operator(&self) -> Client {
-        Client::to(self.ops.expect("the setup asks for it"))
+        Client::to(self.operators())
     }
 
     /// One call of an operator's.
