Test that whatever TOML passes the check starts a gateway and whatever fails changes nothing

Need: a check that passes what the start then refuses, or a SIGHUP that half takes a bad file, would be found by staff at night.

Change: two property tests. 400 files near a good one, with values within, at the ends of and beyond each range: what passes has to start, a part of them through a whole life. 40 such files by SIGHUP at a gateway that serves, and eight changes of the platform's JSON: taken or refused as the check says, and it serves on. A bad file is told in one line of the log, since many lines of one kind are limited. The schemas of the program's own options are built only where the platform's file has such options.

Result: both hold.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,7 +4,7 @@
 use granitehub::settings::{self, Wire};
 use granitehub::Settings;
 use granitehub_protocol::list::List;
-use schemars::JsonSchema;
+use schemars::{JsonSchema, Schema};
 use serde::Deserialize;
 use serde_json::Value;
 use shell::config::{self, Form, Wrong};
@@ -141,16 +141,13 @@
                 config::check(&schema, &value, false).err().unwrap_or_else(|| Wrong::one(e.to_string()))
             });
             let mut wrong = Vec::new();
-            for (key, schema) in
-                [("pool", config::schema::<Pool>()), ("log", config::schema::<log::Options>())]
-            {
+            let mut own = |key: &str, schema: fn() -> Schema| {
                 let told = value.get(key).filter(|v| !v.is_null());
-                wrong.extend(
-                    told.and_then(|v| config::check_at(&schema, v, key, true).err())
-                        .into_iter()
-                        .flat_map(|w| w.0),
-                );
-            }
+                let checked = told.map_or(Ok(()), |told| config::check_at(&schema(), told, key, true));
+                wrong.extend(checked.err().into_iter().flat_map(|w| w.0));
+            };
+            own("pool", config::schema::<Pool>);
+            own("log", config::schema::<log::Options>);
             match file {
                 Ok(file) if file.seed.is_none() => wrong.push(format!("seed is missing: {SEED} are wanted")),
                 Ok(file) if wrong.is_empty() => return build(file, value, environment),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -133,9 +133,7 @@
     let config = match config::load(path, |_| None) {
         Ok(config) => config,
         Err(wrong) => {
-            for what in wrong.0 {
-                tracing::error!("configuration not taken, the old one stands: {what}");
-            }
+            tracing::error!("configuration not taken, the old one stands: {}", wrong.0.join("; "));
             return None;
         }
     };
--- /dev/null
+++ b/crates/gateway/tests/configuration.rs
@@ -0,0 +1,171 @@
+//! Whatever TOML passes the check starts a gateway; whatever does not changes nothing at one that runs.
+
+use granitethread::{config, Config, Host};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use std::cell::Cell;
+use std::fs;
+use std::time::Duration;
+use testkit::{ask, file, list, Backend, Discovery, Gateway, Setup};
+
+/// Values of a key: some within its range, some at its ends, some beyond or of another kind.
+fn value(good: &'static [&'static str], bad: &'static [&'static str]) -> impl Strategy<Value = &'static str> {
+    prop_oneof![24 => prop::sample::select(good), 1 => prop::sample::select(bad)]
+}
+
+const TIME: &[&str] = &["0", "1", "2_000_000", "86_400_000_000_000"];
+const NO_TIME: &[&str] = &["-1", "86_400_000_000_001", "0.5", "\"soon\"", "nan"];
+const RATE: &[&str] = &["0", "0.01", "1000", "1e9"];
+const NO_RATE: &[&str] = &["-0.1", "inf", "nan", "true", "1e10"];
+
+/// A file, of lines for each of its tables.
+fn files() -> impl Strategy<Value = String> {
+    let head = (
+        value(&["\"127.0.0.1:0\""], &["\"nowhere\"", "5", "\"127.0.0.1\""]),
+        value(&["[]", "[\"127.0.0.1:1\"]"], &["[5]", "[\"x\"]", "\"127.0.0.1:1\""]),
+        value(&["\"0\"", "\"ffffffffffffffff\""], &["\"\"", "\"g\"", "\"10000000000000000\"", "7"]),
+        value(&["\"\"", "\"n 1/ü\\n\"", "\"n\""], &["1979-05-27", "{}"]),
+        value(&["80", "1024", "1_048_576"], &["79", "1_048_577", "-1"]),
+        value(&["16", "64"], &["0", "1.5"]),
+        value(&["\"debug\"", "\"info\""], &["\"loud\"", "1"]),
+        value(&["idle_ms = 1", "per_server = 100_000", ""], &["idle_ms = 0", "idle = 5", "per_server = []"]),
+    );
+    let settings = (
+        value(&["0", "4294967295"], &["-1", "4294967296"]),
+        value(&["1", "100_000"], &["0", "100_001"]),
+        value(&["\"automatic\"", "\"subscribe\""], &["\"asked\""]),
+        value(&["0", "1_000_000_000"], &["1_000_000_001"]),
+        value(TIME, NO_TIME),
+        value(&["1_000_000", "86_400_000_000_000"], &["999_999", "[]"]),
+        value(&["1", "100"], &["0", "101"]),
+        value(TIME, NO_TIME),
+        value(&["0", "0.2", "1"], &["1.1", "-1"]),
+        value(&["0", "3.0"], &["1001"]),
+    );
+    let rest = (
+        value(RATE, NO_RATE),
+        value(RATE, NO_RATE),
+        value(&["1", "86_400_000_000_000"], &["0", "-5"]),
+        value(&["\"safe\"", "\"keyed\"", "\"unsafe\""], &["\"Safe\""]),
+        value(&["\"quote\"", "\"ü\\t\""], &["\"\""]),
+    );
+    (head, settings, rest).prop_map(|(h, s, r)| {
+        format!(
+            "listen = {}\ndiscovery = \"DISCOVERY\"\ndiscovery_fallbacks = {}\nseed = {}\nname = {}\n\
+             [limits]\nsockets = {}\nmemory_mb = {}\n[log]\nlevel = {}\n[pool]\n{}\n\
+             [settings]\nme = {}\nsiblings = {}\ndiscovery = {}\ntick = {}\n\
+             [settings.limits]\nkeepalive = {}\nconnect_timeout = {}\ntry_limit = {}\n\
+             [settings.obligations]\ncold = {}\ncold_from = {}\nfall_multiple = {}\n\
+             [[settings.plans]]\nname = \"basic\"\nquota_rate = {}\ndepth = {}\nvalue_factor = 1\n\
+             [[settings.services]]\nname = {}\non_time = {}\ndeadline = 2_500_000_000\neffect = {}\npoints = 1\n",
+            h.0, h.1, h.2, h.3, h.4, h.5, h.6, h.7, s.0, s.1, s.2, s.3, s.4, s.5, s.6, s.7, s.8, s.9, r.0, r.1, r.4, r.2, r.3
+        )
+    })
+}
+
+fn run(cases: u32, test: impl Fn(String)) {
+    // A case that fails waits for a line of the log: to look for smaller ones would take too long.
+    let config = Cases { cases, max_shrink_iters: 0, failure_persistence: None, ..Cases::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+    let result = runner.run(&files(), |text| {
+        test(text);
+        Ok(())
+    });
+    result.unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn load(text: &str) -> Result<Config, String> {
+    let path = file("toml", &text.replace("DISCOVERY", "127.0.0.1:1"));
+    let config = config::load(&path, |_| None).map_err(|wrong| wrong.to_string());
+    fs::remove_file(path).expect("it is there");
+    config
+}
+
+/// Starts, takes a connection and ends.
+async fn live(config: Config) {
+    let host = Host::start(config, None).await.expect("what was checked starts");
+    let address = host.clients().expect("an address");
+    let asks = async move {
+        let stream = tokio::net::TcpStream::connect(address).await.expect("it accepts");
+        stream.writable().await.expect("it is up");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    host.serve(asks).await.expect("it ends as it should");
+}
+
+#[test]
+fn what_passes_the_check_starts_a_gateway() {
+    let (good, bad) = (Cell::new(0), Cell::new(0));
+    run(400, |text| match load(&text) {
+        Err(_) => bad.set(bad.get() + 1),
+        Ok(config) => {
+            good.set(good.get() + 1);
+            // The drain takes its half second: a few live whole, the others begin.
+            let whole = good.get() % 20 == 0;
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default());
+            runtime.expect("an event loop").block_on(async {
+                match whole {
+                    true => live(config).await,
+                    false => drop(Host::start(config, None).await.expect("what was checked starts")),
+                }
+            });
+        }
+    });
+    assert!(good.get() > 50 && bad.get() > 50, "{good:?} started, {bad:?} refused");
+}
+
+#[test]
+fn what_fails_the_check_changes_nothing_at_a_hangup() {
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
+    let gateway = Gateway::with(&discovery, Setup::default());
+    discovery.called(2);
+    let whole = gateway.configuration();
+    let (good, bad) = (Cell::new(0), Cell::new(0));
+    let mut client = gateway.client();
+    // The gateway's file is the platform's, of which the same checks tell bad values; its name ends in .json.
+    let at = format!("\"{}\"", discovery.address);
+    for (from, to) in [
+        ("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"x\""),
+        ("\"memory_mb\":192", "\"memory_mb\":\"x\""),
+        ("\"tick\":2000000", "\"tick\":-1"),
+        ("\"pool\":{}", "\"pool\":{\"idle_ms\":0}"),
+        ("\"log\":{}", "\"log\":{\"level\":\"loud\"}"),
+        ("\"effect\":\"keyed\"", "\"effect\":\"kept\""),
+        (at.as_str(), "\"nowhere\""),
+        ("}]}}", "}]}"),
+    ] {
+        let changed = whole.replace(from, to);
+        assert_ne!(changed, whole, "{from}");
+        gateway.reconfigure(&changed);
+        gateway.logs("the old one stands");
+    }
+    let toml = Gateway::with(&discovery, Setup { toml: Some(TOML.to_string()), ..Setup::default() });
+    run(40, |text| {
+        let passes = load(&text).is_ok();
+        let count = if passes { &good } else { &bad };
+        count.set(count.get() + 1);
+        toml.reconfigure(&text.replace("DISCOVERY", &discovery.address.to_string()));
+        toml.logs(if passes { "configuration read again" } else { "the old one stands" });
+    });
+    assert!(good.get() > 5 && bad.get() > 5, "{good:?} taken, {bad:?} refused");
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    assert_eq!(toml.client().ask(&ask("quote").text()).status(), 200);
+}
+
+const TOML: &str = r#"
+listen = "127.0.0.1:0"
+discovery = "DISCOVERY"
+[[settings.plans]]
+name = "basic"
+quota_rate = 1000
+depth = 1000
+value_factor = 1
+[[settings.services]]
+name = "quote"
+on_time = 600_000_000
+deadline = 2_500_000_000
+effect = "safe"
+points = 3
+"#;
