--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use shell::config::Wrong;
 use shell::log;
+use shell::program::{end, print};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::path::PathBuf;
@@ -52,22 +53,9 @@
             log::start(&file.log).map_err(Wrong::one)?;
             run(io::stdin().lock(), io::stdout().lock()).map_err(Wrong::one)
         }
-        Command::CheckConfig => {
-            io::stdout().write_all(b"ok\n").map_err(|e| Wrong::one(format!("standard output: {e}")))
-        }
+        Command::CheckConfig => print("ok\n"),
     });
-    let code = match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(wrong) => {
-            for what in wrong.0 {
-                // Whoever reads errors may be gone.
-                let _ = writeln!(io::stderr(), "granitehub-adapter: {what}");
-            }
-            ExitCode::FAILURE
-        }
-    };
-    log::get().inspect(|log| log.last());
-    code
+    end("granitehub-adapter", done.map(|()| ExitCode::SUCCESS))
 }
 
 /// One independent module for each instance, and the events it has in this batch.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
 use granitethread::{config, inherited, Config, Host};
 use shell::config::{one_of, Wrong};
 use shell::log;
-use std::io::{self, Write};
+use shell::program::{end, print};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -45,24 +45,9 @@
         Command::Run => run(config),
         Command::CheckConfig => checked(config),
         Command::PrintDefaults => print(config::DEFAULTS),
-        Command::PrintSchema => print(&format!("{:#}\n", config::schema())),
+        Command::PrintSchema => print(format!("{:#}\n", config::schema())),
     };
-    let code = match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(wrong) => {
-            for what in wrong.0 {
-                // Whoever reads errors may be gone.
-                let _ = writeln!(io::stderr(), "granitethread: {what}");
-            }
-            ExitCode::FAILURE
-        }
-    };
-    log::get().inspect(|log| log.last());
-    code
-}
-
-fn print(text: &str) -> Result<(), Wrong> {
-    io::stdout().write_all(text.as_bytes()).map_err(|e| Wrong::one(format!("standard output: {e}")))
+    end("granitethread", done.map(|()| ExitCode::SUCCESS))
 }
 
 fn file(argument: Option<PathBuf>) -> Result<PathBuf, Wrong> {
@@ -77,7 +62,7 @@
 fn checked(argument: Option<PathBuf>) -> Result<(), Wrong> {
     let path = file(argument)?;
     config::load(&path, environment)?;
-    print(&format!("{}: ok\n", path.display()))
+    print(format!("{}: ok\n", path.display()))
 }
 
 fn run(argument: Option<PathBuf>) -> Result<(), Wrong> {
--- a/crates/operator/src/gateways.rs
+++ b/crates/operator/src/gateways.rs
@@ -2,11 +2,12 @@
 
 use crate::call::{self, Answer, Call};
 use crate::table::{plain, span, table};
-use crate::{print, Outcome, Setup};
+use crate::{Outcome, Setup};
 use granitehub_protocol::status::{End, Status};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde_json::{json, Value};
 use shell::config::Wrong;
+use shell::program::print;
 use std::collections::BTreeMap;
 use std::io::{self, IsTerminal};
 use std::net::SocketAddr;
@@ -79,13 +80,13 @@
 pub async fn tell(setup: &Setup, path: &str) -> Result<Outcome, Wrong> {
     let answers = ask(setup, &Call::post(path)).await?;
     if setup.json {
-        print(&told(&answers, value))?;
+        print(told(&answers, value))?;
     } else {
         let row = |(gateway, said): &(SocketAddr, Said)| match said {
             Ok(answer) => vec![gateway.to_string(), answer.text()],
             Err(why) => vec![gateway.to_string(), format!("failed: {why}")],
         };
-        print(table(&["gateway", "answer"], answers.iter().map(row).collect()).as_bytes())?;
+        print(table(&["gateway", "answer"], answers.iter().map(row).collect()))?;
     }
     Ok(outcome(&answers))
 }
@@ -93,7 +94,7 @@
 /// Shows what all gateways tell as JSON.
 pub async fn shown(setup: &Setup, path: &str) -> Result<Outcome, Wrong> {
     let answers = ask(setup, &Call::get(path)).await?;
-    print(&told(&answers, value))?;
+    print(told(&answers, value))?;
     Ok(outcome(&answers))
 }
 
@@ -103,14 +104,14 @@
     }
     let answers = ask(setup, &Call::get("/-/metrics?format=openmetrics")).await?;
     if setup.json {
-        print(&told(&answers, |answer| String::from_utf8_lossy(&answer.body).into()))?;
+        print(told(&answers, |answer| String::from_utf8_lossy(&answer.body).into()))?;
     } else {
         for (gateway, said) in &answers {
             match said {
                 // One text as it came can be read by whatever reads the format.
                 Ok(answer) if answers.len() == 1 => print(&answer.body)?,
-                Ok(answer) => print(&[format!("# gateway {gateway}\n").as_bytes(), &answer.body].concat())?,
-                Err(why) => print(format!("# gateway {gateway} failed: {why}\n").as_bytes())?,
+                Ok(answer) => print([format!("# gateway {gateway}\n").as_bytes(), &answer.body].concat())?,
+                Err(why) => print(format!("# gateway {gateway} failed: {why}\n"))?,
             }
         }
     }
@@ -128,10 +129,10 @@
 pub async fn status(setup: &Setup) -> Result<Outcome, Wrong> {
     let answers = statuses(setup).await?;
     if setup.json {
-        print(&told(&answers, |status| serde_json::to_value(status).unwrap_or_default()))?;
+        print(told(&answers, |status| serde_json::to_value(status).unwrap_or_default()))?;
     } else {
-        print(page(&answers, &BTreeMap::new()).as_bytes())?;
-        print(latencies(&answers).as_bytes())?;
+        print(page(&answers, &BTreeMap::new()))?;
+        print(latencies(&answers))?;
     }
     Ok(outcome(&answers))
 }
@@ -154,11 +155,11 @@
         let answers = statuses(setup).await?;
         let now = Instant::now();
         if setup.json {
-            print(&told(&answers, |status| serde_json::to_value(status).unwrap_or_default()))?;
+            print(told(&answers, |status| serde_json::to_value(status).unwrap_or_default()))?;
         } else {
             // On a terminal each look takes the place of the last one.
             let before = if io::stdout().is_terminal() { "\x1b[H\x1b[2J" } else { "" };
-            print(format!("{before}{}\n", page(&answers, &seen)).as_bytes())?;
+            print(format!("{before}{}\n", page(&answers, &seen)))?;
         }
         // One that did not answer starts anew: rates over a gap would mislead.
         seen = answers.iter().filter_map(|(a, s)| Some((*a, (ends(s.as_ref().ok()?), now)))).collect();
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -9,7 +9,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use shell::config::{self, Wrong};
-use std::io::{self, Write};
+use shell::program::{end, print};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -151,23 +151,14 @@
 }
 
 fn main() -> ExitCode {
-    match run(Arguments::parse()) {
-        Ok(outcome) => outcome.into(),
-        Err(wrong) => {
-            for what in wrong.0 {
-                // Whoever reads errors may be gone.
-                let _ = writeln!(io::stderr(), "sprucehatch: {what}");
-            }
-            ExitCode::FAILURE
-        }
-    }
+    end("sprucehatch", run(Arguments::parse()).map(ExitCode::from))
 }
 
 fn run(arguments: Arguments) -> Result<Outcome, Wrong> {
     if let Command::Completions { shell } = arguments.command {
         let mut text = Vec::new();
         clap_complete::generate(shell, &mut Arguments::command(), "sprucehatch", &mut text);
-        return print(&text).map(|()| Outcome::All);
+        return print(text).map(|()| Outcome::All);
     }
     let setup = setup(&arguments)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -195,7 +186,7 @@
                 gateways::tell(&setup, &format!("/-/log?level={level}{module}")).await
             }
             Command::Registry(command) => registry::run(&setup, command).await,
-            Command::CheckConfig => print(b"ok\n").map(|()| Outcome::All),
+            Command::CheckConfig => print("ok\n").map(|()| Outcome::All),
             Command::Completions { .. } => Ok(Outcome::All),
         }
     })
@@ -229,9 +220,3 @@
         json: arguments.json,
     })
 }
-
-/// Writes to standard output. A reader that left ends the command.
-pub fn print(text: &[u8]) -> Result<(), Wrong> {
-    let mut out = io::stdout().lock();
-    out.write_all(text).and_then(|()| out.flush()).map_err(|e| Wrong::one(format!("standard output: {e}")))
-}
--- a/crates/operator/src/registry.rs
+++ b/crates/operator/src/registry.rs
@@ -3,11 +3,12 @@
 use crate::call::{self, Answer, Call};
 use crate::gateways::encoded;
 use crate::table::{plain, span, table};
-use crate::{print, Outcome, Setup};
+use crate::{Outcome, Setup};
 use clap::{Args, Subcommand};
 use granitehub_protocol::registration::{Announcement, Registrations, ENTRIES};
 use hyper::Method;
 use shell::config::Wrong;
+use shell::program::print;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -84,9 +85,9 @@
         return Err(failed(format!("{}: {}", answer.status, answer.text())));
     }
     if list && !setup.json {
-        print(page(&answer).map_err(failed)?.as_bytes())?;
+        print(page(&answer).map_err(failed)?)?;
     } else {
-        print(&[&answer.body[..], if answer.body.ends_with(b"\n") { b"" } else { b"\n" }].concat())?;
+        print([&answer.body[..], if answer.body.ends_with(b"\n") { b"" } else { b"\n" }].concat())?;
     }
     Ok(Outcome::All)
 }
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -15,7 +15,7 @@
 use service::Registry;
 use shell::config::{self, Wrong};
 use shell::log;
-use std::io::{self, Write};
+use shell::program::{end, print};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -121,24 +121,9 @@
     let done = match command.unwrap_or(Command::Run) {
         Command::Run => options(config, told).and_then(start),
         Command::CheckConfig => options(config, told).and_then(|_| print("ok\n")),
-        Command::PrintSchema => print(&format!("{:#}\n", config::schema::<Told>().to_value())),
+        Command::PrintSchema => print(format!("{:#}\n", config::schema::<Told>().to_value())),
     };
-    let code = match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(wrong) => {
-            for what in wrong.0 {
-                // Whoever reads errors may be gone.
-                let _ = writeln!(io::stderr(), "granitehub-registry: {what}");
-            }
-            ExitCode::FAILURE
-        }
-    };
-    log::get().inspect(|log| log.last());
-    code
-}
-
-fn print(text: &str) -> Result<(), Wrong> {
-    io::stdout().write_all(text.as_bytes()).map_err(|e| Wrong::one(format!("standard output: {e}")))
+    end("granitehub-registry", done.map(|()| ExitCode::SUCCESS))
 }
 
 fn options(file: Option<PathBuf>, told: Told) -> Result<Options, Wrong> {
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod config;
 pub mod log;
+pub mod program;
