Add a lab: models of servers, network, list, meter and clients around the real decisions

Change: `crates/lab` plays a TOML scenario in simulated time with 1 to 2,000 gateways of the real module: servers with cores, waiting room, cold start and falling over, connections, zones and cuts, a late list, a meter, clients that ask again, heed advice or leave; faults as a timed script. An oracle checks eight rules of the protocol as the play goes and stops with the trace that shows a breach. Eight scenarios, each with its claim.

The gateway's binary does not use any of it.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,37 @@
+//! The systems that a gateway meets, as models in simulated time, around the real decisions.
+//!
+//! A [`Scenario`] says what is played; [`play`] plays it once with a seed and gives a [`Report`], or the first
+//! [`Breach`] of a rule with what led to it. One seed gives the same report, bit for bit: a play runs on one thread, all
+//! that happens at one instant happens in the order in which it was planned, and nothing depends on the order of a
+//! hash table. Many plays run beside each other.
+#![forbid(unsafe_code)]
+
+mod oracle;
+mod report;
+pub mod scenario;
+pub mod server;
+mod world;
+
+pub use oracle::{Breach, Rule};
+pub use report::Report;
+pub use scenario::Scenario;
+pub use world::{play, play_with, Decider};
+
+use rayon::prelude::*;
+
+/// Plays each seed, as many at once as there are processors; the results in the order of the seeds.
+pub fn play_all(scenario: &Scenario, seeds: &[u64]) -> Vec<Result<Report, Box<Breach>>> {
+    seeds.par_iter().map(|seed| play(scenario, *seed)).collect()
+}
+
+/// The scenarios that come with the lab, by name.
+pub const CATALOGUE: &[(&str, &str)] = &[
+    ("calm", include_str!("../scenarios/calm.toml")),
+    ("release", include_str!("../scenarios/release.toml")),
+    ("zone-loss", include_str!("../scenarios/zone-loss.toml")),
+    ("split", include_str!("../scenarios/split.toml")),
+    ("herd", include_str!("../scenarios/herd.toml")),
+    ("overload", include_str!("../scenarios/overload.toml")),
+    ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
+    ("thin", include_str!("../scenarios/thin.toml")),
+];
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,1100 @@
+//! One play: events in the order of their time, and of their planning where that is the same.
+
+use crate::oracle::{Allowed, Breach, Oracle};
+use crate::report::{times, Report};
+use crate::scenario::{ns, Fault, Scenario, Spread, Trouble, METER, MS, SECOND, SLACK, START};
+use crate::server::{Build, Server, Taken};
+use granitehub::{
+    Action, AttemptEnd, Ending, Event, Gateway, Health, Name, Node, Request, Scope, Settings, Time, Via,
+};
+use hdrhistogram::Histogram;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// A killed gateway starts again after this.
+const GATEWAY_DOWN: Time = 500_000_000;
+/// How long a drained server goes on before it stops.
+const DRAIN: Time = 2_000_000_000;
+/// How long a stopped server is away in a release.
+const AWAY: Time = 1_000_000_000;
+/// What a customer's ceiling may fall below 0: two units, and what the rate gives in the time that the rules allow.
+const CEILING_S: f64 = 0.15;
+const CEILING_UNITS: f64 = 2.0;
+
+/// What decides at a gateway.
+pub trait Decider {
+    fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>);
+}
+
+impl Decider for Gateway {
+    fn handle(&mut self, now: Time, events: Vec<Event>, out: &mut Vec<Action>) {
+        Gateway::handle(self, now, events, out);
+    }
+}
+
+/// Plays a scenario once with the real decisions.
+pub fn play(scenario: &Scenario, seed: u64) -> Result<Report, Box<Breach>> {
+    play_with(scenario, seed, |settings, seed, now| {
+        // The scenario was checked, and the module's own check asks for less.
+        Box::new(Gateway::new(settings, seed, now).unwrap_or_else(|e| unreachable!("{e}")))
+    })
+}
+
+/// As [`play`], with deciders of the caller's.
+pub fn play_with<'a>(
+    scenario: &'a Scenario,
+    seed: u64,
+    decider: impl Fn(Settings, u64, Time) -> Box<dyn Decider> + 'a,
+) -> Result<Report, Box<Breach>> {
+    World::new(scenario, seed, Box::new(decider)).play()
+}
+
+type Maker<'a> = Box<dyn Fn(Settings, u64, Time) -> Box<dyn Decider> + 'a>;
+
+enum Due {
+    /// The next request of a plan's customers.
+    Arrival {
+        plan: usize,
+    },
+    /// A client asks again.
+    Again {
+        asked: Asked,
+    },
+    /// A gateway's round of decisions.
+    Round {
+        gateway: usize,
+        life: u32,
+    },
+    Timer {
+        gateway: usize,
+        life: u32,
+        token: u64,
+    },
+    /// An attempt comes to its server.
+    Reach {
+        attempt: u64,
+    },
+    /// A server is done with an attempt, if it is still in that life.
+    Done {
+        server: usize,
+        life: u32,
+        attempt: u64,
+    },
+    /// An answer, or the news that there is none, comes to the gateway.
+    End {
+        attempt: u64,
+        ending: Ending,
+        via: Via,
+    },
+    /// An attempt's time is over.
+    Expire {
+        attempt: u64,
+    },
+    /// A client leaves.
+    Leave {
+        request: u64,
+    },
+    /// A request's time is over.
+    Over {
+        request: u64,
+    },
+    /// A gateway is told of a server.
+    Tell {
+        gateway: usize,
+        life: u32,
+        server: usize,
+        health: Health,
+        started: Time,
+    },
+    GatewayUp {
+        gateway: usize,
+    },
+    ServerDown {
+        server: usize,
+    },
+    ServerUp {
+        server: usize,
+    },
+    Begin {
+        fault: usize,
+    },
+    Finish {
+        fault: usize,
+    },
+    Meter,
+}
+
+/// What a client asks for.
+#[derive(Clone, Copy)]
+struct Asked {
+    plan: usize,
+    class: usize,
+    customer: u32,
+    repeats: u32,
+}
+
+struct Held {
+    asked: Asked,
+    gateway: usize,
+    at: Time,
+    deadline: Time,
+    ended: bool,
+    out: Option<u64>,
+    attempts: u32,
+    /// Whether its units were within the quota; none while nothing was sent.
+    within: Option<bool>,
+    counted: bool,
+}
+
+struct Attempt {
+    request: u64,
+    gateway: usize,
+    life: u32,
+    number: u32,
+    server: usize,
+    server_life: u32,
+    sent: Time,
+    fresh: bool,
+    work: Time,
+    over: bool,
+    /// It has come to its server, and is in its hands.
+    there: bool,
+}
+
+struct Place {
+    zone: usize,
+    decider: Box<dyn Decider>,
+    life: u32,
+    up: bool,
+    pending: Vec<Event>,
+    round_at: Option<Time>,
+    last_round: Time,
+    /// For each server what was told last: none before it was listed, else since when it is to get nothing new.
+    told: Vec<Option<Option<Time>>>,
+    /// The start of each server that was told last.
+    told_start: Vec<Time>,
+    /// Idle connections by server: the server's life, and since when each idles.
+    idle: Vec<Vec<(u32, Time)>>,
+}
+
+struct Site {
+    server: Server,
+    name: Name,
+    zone: usize,
+    cell: u32,
+    life: u32,
+    up: bool,
+    silent: bool,
+    fails: f64,
+    health: Health,
+    started: Time,
+    /// Work since its start, and the part of it from gateways that were told of the start.
+    work: [f64; 2],
+    reported: bool,
+}
+
+/// A customer's books as they truly are.
+#[derive(Clone)]
+struct Customer {
+    level: f64,
+    at: Time,
+    /// Units in this period of the meter, and what the meter told of the last.
+    used: f64,
+    metered: Option<f64>,
+}
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    maker: Maker<'a>,
+    rng: ChaCha8Rng,
+    now: Time,
+    end: Time,
+    counted_from: Time,
+    planned: u64,
+    queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    dues: Vec<Option<Due>>,
+    free: Vec<usize>,
+    places: Vec<Place>,
+    sites: Vec<Site>,
+    numbers: HashMap<Name, usize>,
+    customers: Vec<Vec<Customer>>,
+    requests: HashMap<u64, Held>,
+    attempts: HashMap<u64, Attempt>,
+    next: u64,
+    flood: f64,
+    meter_down: bool,
+    list_down: Option<Time>,
+    cuts: Vec<usize>,
+    struck: Vec<Vec<usize>>,
+    oracle: Oracle,
+    report: Report,
+    times: Histogram<u64>,
+    worth: [f64; 2],
+    work: [f64; 2],
+    actions: Vec<Action>,
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, seed: u64, maker: Maker<'a>) -> Self {
+        let s = &scenario.servers;
+        let zones = scenario.zones.len();
+        let build = Build {
+            cores: s.cores,
+            waiting: s.waiting,
+            cold: ns(s.cold_s, SECOND),
+            cold_from: s.cold_from,
+            fall: ns(s.fall_s, SECOND),
+            fall_multiple: s.fall_multiple,
+        };
+        let sites: Vec<Site> = (0..s.count as usize)
+            .map(|n| Site {
+                server: Server::new(build),
+                name: format!("s-{n}").into(),
+                zone: n % zones,
+                cell: (n / zones / 4) as u32,
+                life: 0,
+                up: true,
+                silent: false,
+                fails: 0.0,
+                health: Health::Up,
+                started: 0,
+                work: [0.0; 2],
+                reported: false,
+            })
+            .collect();
+        let settings = scenario.settings(0, 0);
+        let allowed =
+            settings.classes.iter().map(|c| Allowed { effect: c.effect, group: c.group, key_ttl: c.key_ttl });
+        let seconds = scenario.seconds.ceil() as usize;
+        let mut world = World {
+            oracle: Oracle::new(allowed.collect(), scenario.gateways.tries),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: START,
+            end: START + ns(scenario.seconds, SECOND),
+            counted_from: START + ns(scenario.uncounted_s, SECOND),
+            planned: 0,
+            queue: BinaryHeap::new(),
+            dues: Vec::new(),
+            free: Vec::new(),
+            places: Vec::new(),
+            numbers: sites.iter().enumerate().map(|(n, site)| (site.name.clone(), n)).collect(),
+            sites,
+            customers: scenario
+                .plans
+                .iter()
+                .map(|p| {
+                    vec![
+                        Customer { level: p.depth, at: START, used: 0.0, metered: None };
+                        p.customers as usize
+                    ]
+                })
+                .collect(),
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            next: 1,
+            flood: 1.0,
+            meter_down: false,
+            list_down: None,
+            cuts: Vec::new(),
+            struck: vec![Vec::new(); scenario.faults.len()],
+            report: Report {
+                scenario: scenario.name.clone(),
+                seed,
+                seconds: vec![[0; 2]; seconds],
+                ..Report::default()
+            },
+            times: times(),
+            worth: [0.0; 2],
+            work: [0.0; 2],
+            actions: Vec::new(),
+            scenario,
+            maker,
+        };
+        for n in 0..scenario.gateways.count as usize {
+            let zone = world.zone_of(n);
+            let seed = world.rng.random();
+            let settings = world.scenario.settings(n as u32, zone as u32);
+            let decider = (world.maker)(settings, seed, START);
+            let count = world.sites.len();
+            world.places.push(Place {
+                zone,
+                decider,
+                life: 0,
+                up: true,
+                pending: Vec::new(),
+                round_at: None,
+                last_round: START,
+                told: vec![None; count],
+                told_start: vec![0; count],
+                idle: vec![Vec::new(); count],
+            });
+            world.hello(n);
+        }
+        for plan in 0..scenario.plans.len() {
+            world.plan_arrival(plan);
+        }
+        for (n, fault) in scenario.faults.iter().enumerate() {
+            let at = START + ns(fault.at_s, SECOND);
+            world.plan(at, Due::Begin { fault: n });
+            world.plan(at + ns(fault.for_s, SECOND), Due::Finish { fault: n });
+        }
+        world.plan(START + METER, Due::Meter);
+        world
+    }
+
+    /// A gateway's zone, by the weights: the zones take turns until each has its part.
+    fn zone_of(&self, gateway: usize) -> usize {
+        let (weights, zones) = (&self.scenario.gateways.weights, self.scenario.zones.len());
+        if weights.is_empty() {
+            return gateway % zones;
+        }
+        let all: u64 = weights.iter().map(|w| u64::from(*w)).sum();
+        let mut place = gateway as u64 % all;
+        for (zone, weight) in weights.iter().enumerate() {
+            match place.checked_sub(u64::from(*weight)) {
+                Some(rest) => place = rest,
+                None => return zone,
+            }
+        }
+        0
+    }
+
+    // ---- The queue ----
+
+    fn plan(&mut self, at: Time, due: Due) {
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.dues[slot] = Some(due);
+                slot
+            }
+            None => {
+                self.dues.push(Some(due));
+                self.dues.len() - 1
+            }
+        };
+        self.planned += 1;
+        self.queue.push(Reverse((at.max(self.now), self.planned, slot)));
+    }
+
+    fn play(mut self) -> Result<Report, Box<Breach>> {
+        while let Some(Reverse((at, _, slot))) = self.queue.pop() {
+            if at > self.end {
+                break;
+            }
+            self.now = at;
+            self.report.events += 1;
+            let due = self.dues[slot].take();
+            self.free.push(slot);
+            if let Some(due) = due {
+                self.happen(due)?;
+            }
+        }
+        let r = &mut self.report;
+        let share = |[part, all]: [f64; 2]| if all > 0.0 { part / all } else { 0.0 };
+        (r.worth, r.wasted) = (share(self.worth), 1.0 - share(self.work));
+        if self.work[1] <= 0.0 {
+            r.wasted = 0.0;
+        }
+        r.p50_ms = self.times.value_at_quantile(0.5) as f64 / 1000.0;
+        r.p99_ms = self.times.value_at_quantile(0.99) as f64 / 1000.0;
+        Ok(self.report)
+    }
+
+    fn happen(&mut self, due: Due) -> Result<(), Box<Breach>> {
+        match due {
+            Due::Arrival { plan } => {
+                self.plan_arrival(plan);
+                let customer = self.rng.random_range(0..self.scenario.plans[plan].customers);
+                let class = self.class();
+                self.ask(Asked { plan, class, customer, repeats: 0 });
+            }
+            Due::Again { asked } => self.ask(asked),
+            Due::Round { gateway, life } => self.round(gateway, life)?,
+            Due::Timer { gateway, life, token } => self.tell(gateway, life, Event::Timer { token }),
+            Due::Reach { attempt } => self.reach(attempt)?,
+            Due::Done { server, life, attempt } => self.done(server, life, attempt),
+            Due::End { attempt, ending, via } => self.ended(attempt, ending, via)?,
+            Due::Expire { attempt } => self.expire(attempt)?,
+            Due::Leave { request } => self.leave(request),
+            Due::Over { request } => {
+                self.oracle.due(request, self.now)?;
+                self.requests.remove(&request);
+            }
+            Due::Tell { gateway, life, server, health, started } => {
+                self.told(gateway, life, server, health, started);
+            }
+            Due::GatewayUp { gateway } => self.gateway_up(gateway),
+            Due::ServerDown { server } => self.server_down(server, true),
+            Due::ServerUp { server } => self.server_up(server),
+            Due::Begin { fault } => self.begin(fault),
+            Due::Finish { fault } => self.finish(fault),
+            Due::Meter => self.meter(),
+        }
+        Ok(())
+    }
+
+    // ---- Clients ----
+
+    fn plan_arrival(&mut self, plan: usize) {
+        let p = &self.scenario.plans[plan];
+        let rate = f64::from(p.customers) * p.demand * self.flood;
+        if rate > 0.0 {
+            let gap: f64 = Exp1.sample(&mut self.rng);
+            self.plan(self.now + ns(gap / rate, SECOND).max(1), Due::Arrival { plan });
+        }
+    }
+
+    fn class(&mut self) -> usize {
+        let classes = &self.scenario.classes;
+        let mut draw = self.rng.random::<f64>() * classes.iter().map(|c| c.share).sum::<f64>();
+        for (n, class) in classes.iter().enumerate() {
+            draw -= class.share;
+            if draw < 0.0 {
+                return n;
+            }
+        }
+        classes.len() - 1
+    }
+
+    fn ask(&mut self, asked: Asked) {
+        let plan = &self.scenario.plans[asked.plan];
+        let count = self.places.len();
+        // A customer's gateways are so many in a row.
+        let first = (asked.customer as usize).wrapping_mul(7919) % count;
+        let gateway = (first + self.rng.random_range(0..plan.spread as usize)) % count;
+        let counted = self.now >= self.counted_from;
+        let class = &self.scenario.classes[asked.class];
+        let worth = class.points * plan.worth;
+        let spread = plan.spread;
+        if counted {
+            self.report.requests += 1;
+            let second = ((self.now - START) / 1_000_000_000) as usize;
+            self.report.seconds[second][0] += 1;
+        }
+        let customer = &mut self.customers[asked.plan][asked.customer as usize];
+        customer.fill(plan.rate, plan.depth, self.now);
+        if counted && asked.repeats == 0 && (plan.rate <= 0.0 || customer.level >= 1.0) {
+            self.worth[1] += worth;
+        }
+        if !self.places[gateway].up {
+            // The front finds out, and the client asks again elsewhere.
+            self.report.gone += u64::from(counted);
+            self.again(asked, 0);
+            return;
+        }
+        let id = self.next;
+        self.next += 1;
+        let deadline = self.now + ns(class.deadline_ms, MS);
+        self.oracle.asked(id, asked.class, deadline, gateway, self.now);
+        let (at, within, out) = (self.now, None, None);
+        let held = Held { asked, gateway, at, deadline, ended: false, out, attempts: 0, within, counted };
+        self.requests.insert(id, held);
+        let name = format!("{}/{}", asked.plan, asked.customer);
+        let request = Request { spread, ..Request::new(id, asked.class, asked.plan, &name, deadline, 1.0) };
+        let life = self.places[gateway].life;
+        self.tell(gateway, life, Event::Request(request));
+        self.plan(deadline + SLACK + 1, Due::Over { request: id });
+        if self.scenario.clients.leaves > 0.0 && self.rng.random::<f64>() < self.scenario.clients.leaves {
+            let after = self.rng.random_range(0..deadline - self.now);
+            self.plan(self.now + after, Due::Leave { request: id });
+        }
+    }
+
+    /// A client that was not served asks again, as often as its kind does.
+    fn again(&mut self, asked: Asked, advice: Time) {
+        let clients = &self.scenario.clients;
+        if asked.repeats >= clients.repeats {
+            return;
+        }
+        let gap: f64 = Exp1.sample(&mut self.rng);
+        let mut after = ns(clients.pause_ms * gap, MS);
+        if advice > 0 && self.rng.random::<f64>() < clients.heeds {
+            after = after.max(advice);
+        }
+        self.plan(
+            self.now + after.max(1),
+            Due::Again { asked: Asked { repeats: asked.repeats + 1, ..asked } },
+        );
+    }
+
+    fn leave(&mut self, id: u64) {
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.ended) else { return };
+        held.ended = true;
+        let (gateway, counted) = (held.gateway, held.counted);
+        self.report.gone += u64::from(counted);
+        self.oracle.left(id);
+        let life = self.places[gateway].life;
+        self.tell(gateway, life, Event::ClientGone { id });
+    }
+
+    // ---- Gateways ----
+
+    fn tell(&mut self, gateway: usize, life: u32, event: Event) {
+        let tick = ns(self.scenario.gateways.tick_ms, MS);
+        let place = &mut self.places[gateway];
+        if place.life != life || !place.up {
+            return;
+        }
+        place.pending.push(event);
+        if place.round_at.is_none() {
+            let at = self.now.max(place.last_round + tick);
+            place.round_at = Some(at);
+            self.plan(at, Due::Round { gateway, life });
+        }
+    }
+
+    fn round(&mut self, gateway: usize, life: u32) -> Result<(), Box<Breach>> {
+        let place = &mut self.places[gateway];
+        if place.life != life || !place.up {
+            return Ok(());
+        }
+        (place.round_at, place.last_round) = (None, self.now);
+        let events = std::mem::take(&mut place.pending);
+        let mut actions = std::mem::take(&mut self.actions);
+        place.decider.handle(self.now, events, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(gateway, action)?;
+        }
+        self.actions = actions;
+        Ok(())
+    }
+
+    fn carry_out(&mut self, gateway: usize, action: Action) -> Result<(), Box<Breach>> {
+        match action {
+            Action::Send { id, server, not_past } => self.send(gateway, id, &server, not_past)?,
+            Action::Reject { id, advice } => self.final_answer(id, true, advice)?,
+            Action::Fail { id } => self.final_answer(id, false, 0)?,
+            Action::Cancel { id, attempt } => {
+                let out = self.requests.get(&id).and_then(|h| h.out);
+                let out = out.filter(|key| self.attempts[key].number == attempt);
+                if let Some(key) = out {
+                    self.attempt_over(key, Ending::Undone, Via::Unknown)?;
+                }
+            }
+            Action::Timer { token, at } => {
+                let life = self.places[gateway].life;
+                self.plan(at.max(self.now + 1), Due::Timer { gateway, life, token });
+            }
+            Action::Subscribe { .. } | Action::Connections { .. } | Action::Share(_) => {}
+        }
+        Ok(())
+    }
+
+    fn final_answer(&mut self, id: u64, refused: bool, advice: Time) -> Result<(), Box<Breach>> {
+        self.oracle.answered(id, refused, self.now)?;
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.ended) else { return Ok(()) };
+        held.ended = true;
+        let (asked, counted, out, never) = (held.asked, held.counted, held.out, held.within.is_none());
+        let plan = &self.scenario.plans[asked.plan];
+        if counted && refused {
+            self.report.refused += 1;
+            let customer = &mut self.customers[asked.plan][asked.customer as usize];
+            customer.fill(plan.rate, plan.depth, self.now);
+            let room = plan.rate > 0.0 && customer.level >= (plan.depth / 2.0).max(1.0);
+            self.report.refused_with_room += u64::from(never && room);
+        } else if counted {
+            self.report.failed += 1;
+        }
+        if let Some(key) = out {
+            self.attempt_over(key, Ending::Undone, Via::Unknown)?;
+        }
+        self.again(asked, advice);
+        Ok(())
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, gateway: usize, id: u64, server: &Name, not_past: Time) -> Result<(), Box<Breach>> {
+        let now = self.now;
+        let known = self.numbers.get(server).copied();
+        let told = known.and_then(|n| self.places[gateway].told[n]);
+        let place = known.map_or((0, 0), |n| (self.sites[n].zone as u32, self.sites[n].cell));
+        self.oracle.sent(id, server, place, told, now)?;
+        let (Some(n), Some(held)) = (known, self.requests.get_mut(&id)) else { return Ok(()) };
+        let (asked, counted, number) = (held.asked, held.counted, held.attempts);
+        held.attempts += 1;
+        let first = held.within.is_none();
+        let plan = &self.scenario.plans[asked.plan];
+        if first {
+            let customer = &mut self.customers[asked.plan][asked.customer as usize];
+            customer.fill(plan.rate, plan.depth, now);
+            let within = plan.rate <= 0.0 || customer.level >= 1.0;
+            customer.level -= f64::from(u8::from(within && plan.rate > 0.0));
+            customer.used += 1.0;
+            held.within = Some(within);
+            if plan.ceiling_rate > 0.0 {
+                let slack = CEILING_UNITS + plan.ceiling_rate * CEILING_S;
+                let number = (asked.plan as u32) << 24 | asked.customer;
+                self.oracle.drawn(number, 1.0, (plan.ceiling_rate, plan.ceiling_burst, slack), now)?;
+            }
+        }
+        let deadline = held.deadline;
+        let key = self.next;
+        self.next += 1;
+        held.out = Some(key);
+        let class = &self.scenario.classes[asked.class];
+        let mut work = class.work_ms;
+        if class.spread == Spread::Exponential {
+            let draw: f64 = Exp1.sample(&mut self.rng);
+            work *= draw;
+        }
+        let idle_time = ns(self.scenario.servers.idle_s, SECOND);
+        let site_life = self.sites[n].life;
+        let place = &mut self.places[gateway];
+        // The connection used last goes first; what has idled for too long is gone.
+        place.idle[n].retain(|(_, since)| now < since + idle_time);
+        let kept = place.idle[n].pop();
+        let (zone, life) = (place.zone, place.life);
+        let crosses = zone != self.sites[n].zone;
+        if counted {
+            self.report.attempts += 1;
+            self.report.crossings += u64::from(crosses);
+            self.report.connections += u64::from(kept.is_none());
+        }
+        let way = self.way(zone, n);
+        let travel = if kept.is_some() { way } else { 3 * way };
+        let attempt = Attempt {
+            request: id,
+            gateway,
+            life,
+            number,
+            server: n,
+            server_life: kept.map_or(site_life, |(life, _)| life),
+            sent: now,
+            fresh: kept.is_none(),
+            work: ns(work, MS).max(1),
+            over: false,
+            there: false,
+        };
+        self.attempts.insert(key, attempt);
+        self.plan(now + travel, Due::Reach { attempt: key });
+        let until = if not_past == 0 { deadline } else { not_past.min(deadline) };
+        self.plan(until, Due::Expire { attempt: key });
+        Ok(())
+    }
+
+    /// One way between a zone and a server.
+    fn way(&self, zone: usize, server: usize) -> Time {
+        let network = &self.scenario.network;
+        ns(if zone == self.sites[server].zone { network.near_ms } else { network.far_ms }, MS)
+    }
+
+    /// Whether nothing passes between a zone's gateways and a server.
+    fn cut_off(&self, zone: usize, server: usize) -> bool {
+        let other = self.sites[server].zone;
+        self.sites[server].silent
+            || zone != other && self.cuts.iter().any(|cut| *cut == zone || *cut == other)
+    }
+
+    fn reach(&mut self, key: u64) -> Result<(), Box<Breach>> {
+        let Some(a) = self.attempts.get(&key) else { return Ok(()) };
+        if a.over {
+            // Given up before its last byte came: it never was there.
+            self.attempts.remove(&key);
+            return Ok(());
+        }
+        let (n, gateway, fresh, work, server_life) = (a.server, a.gateway, a.fresh, a.work, a.server_life);
+        let zone = self.places[gateway].zone;
+        if self.cut_off(zone, n) {
+            return Ok(());
+        }
+        let way = self.way(zone, n);
+        let site = &mut self.sites[n];
+        let via = if fresh { Via::Fresh } else { Via::Kept };
+        let refused = |ending, via| Due::End { attempt: key, ending, via };
+        if !site.up || site.life != server_life {
+            let due = match (fresh, site.up) {
+                (false, _) => refused(Ending::Cut, Via::Kept),
+                (true, _) => refused(Ending::NoRoute, Via::Refused),
+            };
+            self.plan(self.now + way, due);
+            return Ok(());
+        }
+        if let Some(a) = self.attempts.get_mut(&key) {
+            a.there = true;
+        }
+        let told = self.places[gateway].told_start[n] == site.started;
+        site.work[0] += work as f64;
+        site.work[1] += if told { work as f64 } else { 0.0 };
+        let handshake = if fresh { ns(self.scenario.servers.handshake_ms, MS) } else { 0 };
+        let taken = site.server.take(key, work + handshake, self.now);
+        if site.server.fallen && !site.reported {
+            site.reported = true;
+            let (name, part) = (site.name.clone(), site.work[1] / site.work[0].max(1.0));
+            self.report.fallen += 1;
+            Oracle::fell(&name, part, self.now)?;
+        }
+        let (server, life) = (n, self.sites[n].life);
+        match taken {
+            Taken::Begun(at) => self.plan(at, Due::Done { server, life, attempt: key }),
+            Taken::Waits => {}
+            Taken::Away => self.plan(self.now + way, Due::End { attempt: key, ending: Ending::Full, via }),
+        }
+        Ok(())
+    }
+
+    fn done(&mut self, n: usize, life: u32, key: u64) {
+        let site = &mut self.sites[n];
+        if site.life != life || !site.up {
+            return;
+        }
+        if let Some((next, at)) = site.server.done(self.now) {
+            self.plan(at, Due::Done { server: n, life, attempt: next });
+        }
+        let Some(a) = self.attempts.get(&key) else { return };
+        let (gateway, over, fresh, work) = (a.gateway, a.over, a.fresh, a.work);
+        self.work[1] += work as f64;
+        if over {
+            self.attempts.remove(&key);
+            return;
+        }
+        let zone = self.places[gateway].zone;
+        if self.cut_off(zone, n) {
+            return;
+        }
+        let fails = self.sites[n].fails;
+        let fault = fails > 0.0 && self.rng.random::<f64>() < fails;
+        let ending = if fault { Ending::Fault } else { Ending::Pass };
+        let via = if fresh { Via::Fresh } else { Via::Kept };
+        self.plan(self.now + self.way(zone, n), Due::End { attempt: key, ending, via });
+    }
+
+    fn ended(&mut self, key: u64, ending: Ending, via: Via) -> Result<(), Box<Breach>> {
+        let Some(a) = self.attempts.get(&key) else { return Ok(()) };
+        if a.over {
+            self.attempts.remove(&key);
+            return Ok(());
+        }
+        let (gateway, life, n, server_life) = (a.gateway, a.life, a.server, a.server_life);
+        let place = &mut self.places[gateway];
+        if place.life == life && matches!(ending, Ending::Pass | Ending::Fault | Ending::Full) {
+            place.idle[n].push((server_life, self.now));
+        }
+        if ending == Ending::Pass {
+            self.work[0] += self.attempts[&key].work as f64;
+        }
+        self.attempt_over(key, ending, via)?;
+        self.attempts.remove(&key);
+        Ok(())
+    }
+
+    fn expire(&mut self, key: u64) -> Result<(), Box<Breach>> {
+        let Some(a) = self.attempts.get(&key).filter(|a| !a.over) else { return Ok(()) };
+        // A connection that never came up has written nothing.
+        let never = a.fresh && !a.there;
+        let counted = self.requests.get(&a.request).is_some_and(|h| h.counted);
+        self.report.late_ends += u64::from(counted);
+        self.attempt_over(key, if never { Ending::NoRoute } else { Ending::Late }, Via::Unknown)
+    }
+
+    /// An attempt is over for its gateway, whatever its server still does.
+    fn attempt_over(&mut self, key: u64, ending: Ending, via: Via) -> Result<(), Box<Breach>> {
+        let Some(a) = self.attempts.get_mut(&key) else { return Ok(()) };
+        a.over = true;
+        let (id, gateway, life, number, n, sent) = (a.request, a.gateway, a.life, a.number, a.server, a.sent);
+        if self.places[gateway].life != life {
+            return Ok(());
+        }
+        let now = self.now;
+        self.oracle.over(id, ending, now);
+        let mut metered = None;
+        let mut last = true;
+        let mut served = None;
+        if let Some(held) = self.requests.get_mut(&id) {
+            held.out = None;
+            let asked = held.asked;
+            let answered = matches!(ending, Ending::Pass | Ending::Fault | Ending::Full);
+            metered = self.customers[asked.plan][asked.customer as usize].metered.filter(|_| answered);
+            if ending == Ending::Pass && !held.ended {
+                held.ended = true;
+                served = Some((asked, held.at, held.counted, held.within));
+            }
+            last = held.ended;
+            if held.counted && ending == Ending::Full {
+                self.report.turned_away += 1;
+            }
+        }
+        if let Some((asked, at, counted, within)) = served {
+            self.oracle.answered(id, false, now)?;
+            self.served(asked, at, counted, within);
+        }
+        let server = self.sites[n].name.clone();
+        let end = AttemptEnd {
+            id,
+            attempt: number,
+            server,
+            ending,
+            last,
+            spent: false,
+            elapsed: now - sent,
+            settled: 0.0,
+            metered,
+            load: None,
+            via,
+            links: 0,
+        };
+        self.tell(gateway, life, Event::AttemptEnd(end));
+        Ok(())
+    }
+
+    fn served(&mut self, asked: Asked, at: Time, counted: bool, within: Option<bool>) {
+        if !counted {
+            return;
+        }
+        let class = &self.scenario.classes[asked.class];
+        let took = self.now - at;
+        self.times.saturating_record((took / 1000).max(1));
+        if took > ns(class.aim_ms, MS) {
+            self.report.late += 1;
+            return;
+        }
+        self.report.on_time += 1;
+        self.report.seconds[((at - START) / 1_000_000_000) as usize][1] += 1;
+        if within == Some(true) {
+            self.worth[0] += class.points * self.scenario.plans[asked.plan].worth;
+        }
+    }
+
+    // ---- The list and the meter ----
+
+    /// All that a gateway is told at its start.
+    fn hello(&mut self, gateway: usize) {
+        let nodes: Vec<Node> = (0..self.sites.len())
+            .filter(|n| self.sites[*n].health != Health::Removed)
+            .map(|n| self.node(n))
+            .collect();
+        let now = self.now;
+        for (n, site) in self.sites.iter().enumerate() {
+            let place = &mut self.places[gateway];
+            place.told_start[n] = site.started;
+            place.told[n] = match site.health {
+                Health::Up => Some(None),
+                Health::Draining => Some(Some(now)),
+                Health::Removed => None,
+            };
+        }
+        let life = self.places[gateway].life;
+        self.tell(gateway, life, Event::Fleet { seq: 1, scope: Scope::Full, nodes });
+    }
+
+    fn node(&self, n: usize) -> Node {
+        let site = &self.sites[n];
+        Node {
+            name: site.name.clone(),
+            zone: site.zone as u32,
+            cell: site.cell,
+            health: site.health,
+            rating: 1.0,
+            since: site.started,
+        }
+    }
+
+    /// A server's entry has changed: each gateway hears of it a little later, or when the list is back.
+    fn announce(&mut self, server: usize) {
+        let (health, started) = (self.sites[server].health, self.sites[server].started);
+        let most = ns(self.scenario.network.list_ms, MS).max(1);
+        for gateway in 0..self.places.len() {
+            let from = self.list_down.unwrap_or(self.now).max(self.now);
+            let at = from + self.rng.random_range(0..most);
+            let life = self.places[gateway].life;
+            self.plan(at, Due::Tell { gateway, life, server, health, started });
+        }
+    }
+
+    fn told(&mut self, gateway: usize, life: u32, server: usize, health: Health, started: Time) {
+        let now = self.now;
+        let place = &mut self.places[gateway];
+        if place.life != life {
+            return;
+        }
+        place.told_start[server] = started;
+        place.told[server] = match health {
+            Health::Up => Some(None),
+            // A server that is told so twice was told so the first time.
+            _ => Some(place.told[server].flatten().or(Some(now))),
+        };
+        if health == Health::Removed {
+            place.idle[server].clear();
+        }
+        let node = Node { health, since: started, ..self.node(server) };
+        self.tell(gateway, life, Event::Fleet { seq: 1, scope: Scope::Changes, nodes: vec![node] });
+    }
+
+    fn meter(&mut self) {
+        self.plan(self.now + METER, Due::Meter);
+        let period = METER as f64 / 1e9;
+        for (plan, customers) in self.scenario.plans.iter().zip(&mut self.customers) {
+            for customer in customers {
+                let share = customer.used / (plan.rate * period);
+                customer.metered = Some(share).filter(|_| plan.rate > 0.0 && !self.meter_down);
+                customer.used = 0.0;
+            }
+        }
+    }
+
+    // ---- Faults ----
+
+    fn begin(&mut self, number: usize) {
+        let scenario = self.scenario;
+        let fault = &scenario.faults[number];
+        let struck = self.strikes(fault);
+        match fault.kind {
+            Trouble::Kill => struck.iter().for_each(|n| self.server_down(*n, true)),
+            Trouble::Silent => struck.iter().for_each(|n| self.sites[*n].silent = true),
+            Trouble::Slow => struck.iter().for_each(|n| self.sites[*n].server.slow = fault.factor),
+            Trouble::Fail => struck.iter().for_each(|n| self.sites[*n].fails = fault.factor),
+            Trouble::Release => {
+                let step = ns(fault.for_s, SECOND) / struck.len().max(1) as u64;
+                for (place, n) in struck.iter().enumerate() {
+                    let at = self.now + step * place as u64;
+                    self.plan(at, Due::ServerDown { server: *n });
+                }
+                self.struck[number] = struck;
+                return;
+            }
+            Trouble::Cut => {
+                let zone = fault.zone.as_ref().and_then(|z| scenario.zones.iter().position(|name| name == z));
+                self.cuts.extend(zone);
+            }
+            Trouble::Restart => struck.iter().for_each(|n| self.gateway_down(*n)),
+            Trouble::ListDown => self.list_down = Some(self.now + ns(fault.for_s, SECOND)),
+            Trouble::Flood => self.flood *= fault.factor,
+            Trouble::MeterDown => self.meter_down = true,
+        }
+        self.struck[number] = struck;
+    }
+
+    fn finish(&mut self, number: usize) {
+        let scenario = self.scenario;
+        let fault = &scenario.faults[number];
+        let struck = std::mem::take(&mut self.struck[number]);
+        match fault.kind {
+            Trouble::Kill => struck.iter().for_each(|n| self.server_up(*n)),
+            Trouble::Silent => struck.iter().for_each(|n| self.sites[*n].silent = false),
+            Trouble::Slow => struck.iter().for_each(|n| self.sites[*n].server.slow = 1.0),
+            Trouble::Fail => struck.iter().for_each(|n| self.sites[*n].fails = 0.0),
+            Trouble::Cut => {
+                let zone = fault.zone.as_ref().and_then(|z| scenario.zones.iter().position(|name| name == z));
+                let at = self.cuts.iter().position(|cut| Some(*cut) == zone);
+                at.map(|at| self.cuts.remove(at));
+            }
+            Trouble::ListDown => self.list_down = None,
+            Trouble::Flood if fault.factor > 0.0 => self.flood /= fault.factor,
+            Trouble::Flood => self.flood = 1.0,
+            Trouble::MeterDown => self.meter_down = false,
+            Trouble::Release | Trouble::Restart => {}
+        }
+        // A flood by nothing has let arrivals end.
+        if fault.kind == Trouble::Flood && fault.factor <= 0.0 {
+            (0..scenario.plans.len()).for_each(|plan| self.plan_arrival(plan));
+        }
+    }
+
+    /// Those that a fault strikes, in a random order: gateways for a restart, else servers.
+    fn strikes(&mut self, fault: &Fault) -> Vec<usize> {
+        let zones = &self.scenario.zones;
+        let zone = fault.zone.as_ref().and_then(|z| zones.iter().position(|name| name == z));
+        let of: Vec<usize> = match fault.kind {
+            Trouble::Restart => self.places.iter().map(|p| p.zone).collect(),
+            _ => self.sites.iter().map(|s| s.zone).collect(),
+        };
+        let mut all: Vec<usize> = (0..of.len()).filter(|n| zone.is_none_or(|zone| of[*n] == zone)).collect();
+        all.shuffle(&mut self.rng);
+        all.truncate((all.len() as f64 * fault.share).round() as usize);
+        all
+    }
+
+    /// A server dies, or is drained first: then it dies after a while, and starts again by itself.
+    fn server_down(&mut self, n: usize, first: bool) {
+        let drains = first && self.drains(n);
+        let site = &mut self.sites[n];
+        if drains && site.health == Health::Up {
+            site.health = Health::Draining;
+            site.server.draining = true;
+            self.announce(n);
+            self.plan(self.now + DRAIN, Due::ServerDown { server: n });
+            self.plan(self.now + DRAIN + AWAY, Due::ServerUp { server: n });
+            return;
+        }
+        if !site.up {
+            return;
+        }
+        (site.up, site.health) = (false, Health::Removed);
+        site.life += 1;
+        self.announce(n);
+        // Connections are reset under what was out.
+        let mut hit: Vec<u64> =
+            self.attempts.iter().filter(|(_, a)| a.server == n && a.there).map(|(key, _)| *key).collect();
+        hit.sort_unstable();
+        for key in hit {
+            let zone = self.places[self.attempts[&key].gateway].zone;
+            let way = self.way(zone, n);
+            self.plan(self.now + way, Due::End { attempt: key, ending: Ending::Cut, via: Via::Kept });
+        }
+    }
+
+    /// Whether a release is under way that strikes the server.
+    fn drains(&self, n: usize) -> bool {
+        let faults = self.scenario.faults.iter().zip(&self.struck);
+        faults.filter(|(f, _)| f.kind == Trouble::Release).any(|(_, struck)| struck.contains(&n))
+    }
+
+    fn server_up(&mut self, n: usize) {
+        let now = self.now;
+        let site = &mut self.sites[n];
+        if site.up {
+            return;
+        }
+        (site.up, site.health, site.started) = (true, Health::Up, now);
+        site.life += 1;
+        (site.work, site.reported) = ([0.0; 2], false);
+        site.server.restart(now);
+        self.announce(n);
+    }
+
+    fn gateway_down(&mut self, n: usize) {
+        let place = &mut self.places[n];
+        place.up = false;
+        place.life += 1;
+        place.pending.clear();
+        place.round_at = None;
+        place.idle.iter_mut().for_each(Vec::clear);
+        // What it held is its clients' to repeat.
+        let mut held: Vec<u64> =
+            self.requests.iter().filter(|(_, h)| h.gateway == n && !h.ended).map(|(id, _)| *id).collect();
+        held.sort_unstable();
+        for id in held {
+            self.oracle.left(id);
+            let Some(h) = self.requests.remove(&id) else { continue };
+            self.report.gone += u64::from(h.counted);
+            if let Some(a) = h.out.and_then(|key| self.attempts.get_mut(&key)) {
+                a.over = true;
+            }
+            self.again(h.asked, 0);
+        }
+        self.plan(self.now + GATEWAY_DOWN, Due::GatewayUp { gateway: n });
+    }
+
+    fn gateway_up(&mut self, n: usize) {
+        let seed = self.rng.random();
+        let place = &self.places[n];
+        let settings = self.scenario.settings(n as u32, place.zone as u32);
+        let decider = (self.maker)(settings, seed, self.now);
+        let place = &mut self.places[n];
+        place.decider = decider;
+        place.up = true;
+        place.told.fill(None);
+        self.hello(n);
+    }
+}
+
+impl Customer {
+    fn fill(&mut self, rate: f64, depth: f64, now: Time) {
+        self.level = (self.level + (now - self.at) as f64 / 1e9 * rate).min(depth);
+        self.at = now;
+    }
+}
