Add sprucehatch lab: a demo of the whole system, plays of scenarios and paired comparisons

Need: no newcomer could run the gateway, since nothing serves behind it, and the lab's models had no command.

Change: `sprucehatch lab demo` starts the real registry and gateways beside stand-ins for roll servers and clients, on ports that the system chooses, kills a server, starts it again, shows a table each second and ends all of it, also when it is stopped by a signal. `lab list`, `print`, `check`, `run` and `compare` play scenarios with many seeds at once: medians with least and most, and for two scenarios the 95% interval of the paired differences. A gateway of the tests whose log says something else no longer outlives its test.

--- a/crates/operator/src/gateways.rs
+++ b/crates/operator/src/gateways.rs
@@ -118,7 +118,7 @@
     Ok(outcome(&answers))
 }
 
-async fn statuses(setup: &Setup) -> Result<Vec<(SocketAddr, Result<Status, String>)>, Wrong> {
+pub async fn statuses(setup: &Setup) -> Result<Vec<(SocketAddr, Result<Status, String>)>, Wrong> {
     let read = |answer: Answer| {
         serde_json::from_slice::<Status>(&answer.body).map_err(|e| format!("what it told is no status: {e}"))
     };
@@ -138,7 +138,7 @@
 }
 
 /// Answers of a gateway so far, by how they ended, and when that was.
-type Seen = BTreeMap<SocketAddr, ([u64; 3], Instant)>;
+pub type Seen = BTreeMap<SocketAddr, ([u64; 3], Instant)>;
 
 const ENDS: [End; 3] = [End::Succeeded, End::Declined, End::Aborted];
 
@@ -146,6 +146,12 @@
     ENDS.map(|end| status.latency.iter().filter(|l| l.outcome == end).map(|l| l.count).sum())
 }
 
+/// What rates are counted from. One that did not answer starts anew: rates over a gap would mislead.
+pub fn seen(answers: &[(SocketAddr, Result<Status, String>)]) -> Seen {
+    let now = Instant::now();
+    answers.iter().filter_map(|(a, s)| Some((*a, (ends(s.as_ref().ok()?), now)))).collect()
+}
+
 pub async fn watch(setup: &Setup, every: Duration, count: Option<u64>) -> Result<Outcome, Wrong> {
     let mut every = interval(every);
     every.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -153,7 +159,6 @@
     loop {
         every.tick().await;
         let answers = statuses(setup).await?;
-        let now = Instant::now();
         if setup.json {
             print(told(&answers, |status| serde_json::to_value(status).unwrap_or_default()))?;
         } else {
@@ -161,8 +166,7 @@
             let before = if io::stdout().is_terminal() { "\x1b[H\x1b[2J" } else { "" };
             print(format!("{before}{}\n", page(&answers, &seen)))?;
         }
-        // One that did not answer starts anew: rates over a gap would mislead.
-        seen = answers.iter().filter_map(|(a, s)| Some((*a, (ends(s.as_ref().ok()?), now)))).collect();
+        seen = self::seen(&answers);
         looks += 1;
         if count.is_some_and(|count| looks >= count) {
             return Ok(outcome(&answers));
@@ -171,7 +175,7 @@
 }
 
 /// The gateways as a table: counts since their start, or rates since they were last seen.
-fn page(answers: &[(SocketAddr, Result<Status, String>)], seen: &Seen) -> String {
+pub fn page(answers: &[(SocketAddr, Result<Status, String>)], seen: &Seen) -> String {
     let rates = !seen.is_empty();
     let unit = |what: &str| if rates { format!("{what}/s") } else { what.to_string() };
     let (served, refused, failed) = (unit("served"), unit("refused"), unit("failed"));
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -1,7 +1,9 @@
 //! sprucehatch: the operators' command line.
 
 mod call;
+mod demo;
 mod gateways;
+mod lab;
 mod registry;
 mod table;
 
@@ -88,6 +90,9 @@
     /// Reads and changes a registry's list
     #[command(subcommand)]
     Registry(registry::Command),
+    /// Plays scenarios in simulated time with the real decisions
+    #[command(subcommand)]
+    Lab(lab::Command),
     /// Checks the configuration, tells all that is wrong with it and calls nobody
     CheckConfig,
     /// Prints what a shell completes this command line with
@@ -186,6 +191,8 @@
                 gateways::tell(&setup, &format!("/-/log?level={level}{module}")).await
             }
             Command::Registry(command) => registry::run(&setup, command).await,
+            Command::Lab(lab::Command::Demo(demo)) => demo::run(&setup, &demo).await,
+            Command::Lab(command) => lab::run(&setup, command),
             Command::CheckConfig => print("ok\n").map(|()| Outcome::All),
             Command::Completions { .. } => Ok(Outcome::All),
         }
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -213,3 +213,97 @@
     assert_eq!(run(&["--help"]).0, Some(0));
     assert!(run(&["--version"]).1.starts_with("sprucehatch "));
 }
+
+// ---- The lab ----
+
+/// Processes whose command line holds this text.
+fn running(words: &str) -> Vec<String> {
+    let all = fs::read_dir("/proc").expect("processes").filter_map(|entry| {
+        let line = fs::read(entry.ok()?.path().join("cmdline")).ok()?;
+        Some(String::from_utf8_lossy(&line).replace('\0', " "))
+    });
+    all.filter(|line| line.contains(words)).collect()
+}
+
+#[test]
+fn the_demo_shows_the_whole_system_and_leaves_nothing_behind() {
+    let mut command = Command::new(program("sprucehatch"));
+    command
+        .args(["lab", "demo", "--seconds", "4", "--rate", "50"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let started = Instant::now();
+    let child = command.spawn().expect("it starts");
+    let folder = format!("sprucehatch-demo-{}", child.id());
+    let out = child.wait_with_output().expect("it ends");
+    let said = text(&out);
+    assert!(out.status.success() && started.elapsed() < Duration::from_secs(30), "{said}");
+    for words in ["s-1 is killed", "s-1 starts again", "n2", "served/s", "everything is ended"] {
+        assert!(said.contains(words), "{words} in {said}");
+    }
+    assert!(!said.contains("in all 0 served"), "{said}");
+    assert_eq!(running(&folder), Vec::<String>::new());
+    assert!(!std::env::temp_dir().join(folder).exists());
+}
+
+#[test]
+fn a_demo_that_is_stopped_ends_what_it_has_started() {
+    for signal in ["-INT", "-TERM"] {
+        let mut command = Command::new(program("sprucehatch"));
+        command
+            .args(["lab", "demo", "--seconds", "60", "--rate", "50"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null());
+        let mut child = command.spawn().expect("it starts");
+        let mut said = BufReader::new(child.stdout.take().expect("piped"));
+        let mut line = String::new();
+        std::io::BufRead::read_line(&mut said, &mut line).expect("its first line");
+        assert!(line.contains("registry at"), "{line}");
+        let folder = format!("sprucehatch-demo-{}", child.id());
+        assert_eq!(running(&folder).len(), 4, "the registry and three gateways");
+        let stopped =
+            Command::new("kill").args([signal, &child.id().to_string()]).status().expect("kill runs");
+        assert!(stopped.success() && !child.wait().expect("it ends").success());
+        assert_eq!(running(&folder), Vec::<String>::new());
+        assert!(!std::env::temp_dir().join(folder).exists());
+    }
+}
+
+/// A scenario small enough for a build that is not optimized.
+fn scenario(change: impl Fn(String) -> String) -> std::path::PathBuf {
+    let (_, calm) = run(&["lab", "print", "calm"]);
+    let calm = calm.replace("seconds = 30", "seconds = 3").replace("uncounted_s = 5", "uncounted_s = 1");
+    file("toml", &change(calm.replace("[gateways]\ncount = 30", "[gateways]\ncount = 4")))
+}
+
+#[test]
+fn scenarios_are_listed_checked_played_and_compared() {
+    let (code, listed) = run(&["lab", "list"]);
+    assert!(code == Some(0) && listed.contains("zone-loss") && listed.contains("falls silent"), "{listed}");
+    let (base, slow) = (scenario(|t| t), scenario(|t| t.replace("work_ms = 20", "work_ms = 60")));
+    let bad = scenario(|t| t.replace("cores = 4", "cores = 0"));
+    let path = |p: &std::path::Path| p.to_str().expect("text").to_string();
+    assert_eq!(run(&["lab", "check", &path(&base), &path(&slow)]), (Some(0), "ok\n".to_string()));
+    for command in [&["lab", "check", &path(&bad)][..], &["lab", "run", "calm", &path(&bad)]] {
+        let (code, said) = run(command);
+        assert!(
+            code == Some(1) && said.contains("servers.cores is 0: a whole number from 1 to 256"),
+            "{said}"
+        );
+    }
+    let (code, said) = run(&["lab", "run", "nothing"]);
+    assert!(code == Some(1) && said.contains("\"nothing\" is no scenario"), "{said}");
+    let out = sprucehatch(&["--json", "lab", "run", &path(&base), "--seeds", "3", "--first", "5"]);
+    let lines: Vec<Value> =
+        text(&out).lines().map(|l| serde_json::from_str(l).expect("a line of JSON")).collect();
+    let seeds: Vec<u64> = lines.iter().map(|l| l["seed"].as_u64().expect("a seed")).collect();
+    assert_eq!(seeds, [5, 6, 7]);
+    assert!(lines.iter().all(|l| l["worth"].as_f64() > Some(0.9)), "{lines:?}");
+    let (code, told) = json(&["lab", "compare", &path(&base), &path(&slow), "--seeds", "4"]);
+    let p99 =
+        told.as_array().and_then(|a| a.iter().find(|f| f["figure"] == "p99 ms")).expect("it is compared");
+    assert!(code == Some(0) && p99["difference_95"][0].as_f64() > Some(20.0), "three times the work: {p99}");
+    let (_, same) = json(&["lab", "compare", &path(&base), &path(&base), "--seeds", "2"]);
+    assert_eq!(same[0]["difference_95"], serde_json::json!([0.0, 0.0]));
+    [base, slow, bad].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -389,15 +389,19 @@
         }
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the gateway starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
-        let address = logged(&mut log, "listening on ");
-        let ops = setup.ops.then(|| logged(&mut log, "operators call at "));
         let (line, lines) = channel();
-        // Read to the end also when no test listens: a full pipe would block the gateway.
-        let mut unread = Some(log);
-        if let Some(log) = unread.take_if(|_| !setup.unread) {
+        // Before anything can fail: it ends the process.
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut gateway = Gateway { child, address: any, ops: None, log: lines, unread: None, config };
+        gateway.address = logged(&mut log, "listening on ");
+        gateway.ops = setup.ops.then(|| logged(&mut log, "operators call at "));
+        if setup.unread {
+            gateway.unread = Some(log);
+        } else {
+            // Read to the end also when no test listens, or lines would be lost.
             thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(line.send(l))));
         }
-        Gateway { child, address, ops, log: lines, unread, config }
+        gateway
     }
 
     /// Waits for a line of the log that holds this text.
