Search random fault scripts for a broken rule, and show capacity and use by the second in the lab

Need: scripts that people think of meet what people think of; and a refusal can only be judged beside the room that servers had at that moment.

Change: `sprucehatch lab search` plays scripts of up to eight overlapping faults, takes the first that breaks a rule, makes it as small as it can and writes it as a scenario file. Reports tell for each second the work that all servers can do, cold ones by their warmth, and the part in use.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod oracle;
 mod report;
 pub mod scenario;
+pub mod search;
 pub mod server;
 mod world;
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -306,7 +306,7 @@
     #[schemars(range(min = 0.0, max = 86_400.0))]
     pub for_s: f64,
     /// The zone that it strikes; all without it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<String>,
     /// The part of the zone, or of all, that it strikes.
     #[serde(default = "one")]
@@ -373,6 +373,12 @@
         }
     }
 
+    /// The scenario as a file that is read again as it is.
+    pub fn text(&self) -> String {
+        // Names, numbers and lists are always worded.
+        toml::to_string(self).unwrap_or_default()
+    }
+
     /// What the scenario's gateway with this number is told at its start.
     pub fn settings(&self, me: u32, zone: u32) -> Settings {
         let classes = self.classes.iter().map(|k| Class {
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// The work that it can do now, in warm cores, and the part of it that is in use.
+    pub fn cores(&self, now: Time) -> [f64; 2] {
+        let each = if self.fallen { 0.0 } else { self.warmth(now) / self.slow.max(f64::MIN_POSITIVE) };
+        [f64::from(self.cores) * each, f64::from(self.busy) * each]
+    }
+
     /// Requests in hand, waiting ones among them.
     pub fn held(&self) -> usize {
         self.busy as usize + self.queue.len()
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -926,6 +926,12 @@
 
     fn meter(&mut self) {
         self.plan(self.now + METER, Due::Meter);
+        if (self.now - START) % 1_000_000_000 == 0 {
+            let up = self.sites.iter().filter(|site| site.up && !site.silent);
+            let each = up.map(|site| site.server.cores(self.now));
+            let sum = each.fold([0.0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]]);
+            self.report.cores.push(sum.map(|cores| (cores * 100.0).round() / 100.0));
+        }
         let period = METER as f64 / 1e9;
         for (plan, customers) in self.scenario.plans.iter().zip(&mut self.customers) {
             for customer in customers {
--- a/crates/operator/src/lab.rs
+++ b/crates/operator/src/lab.rs
@@ -22,6 +22,21 @@
     Demo(crate::demo::Demo),
     /// Plays scenarios, each with every seed
     Run(Run),
+    /// Plays scripts of random faults, looking for one in which a rule is broken
+    Search {
+        /// What the faults come on top of
+        #[arg(default_value = "calm")]
+        base: String,
+        /// How many scripts are played
+        #[arg(long, value_name = "N", default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=1_000_000))]
+        count: u64,
+        /// The seed of the first of them
+        #[arg(long, value_name = "N", default_value_t = 1)]
+        first: u64,
+        /// Where the smallest scenario that breaks the rule is written
+        #[arg(long, value_name = "FILE", default_value = "found.toml")]
+        to: PathBuf,
+    },
     /// Plays two scenarios with the same seeds and tells what the second changes
     Compare {
         base: String,
@@ -85,6 +100,7 @@
             }
             print("ok\n").map(|()| Outcome::All)
         }
+        Command::Search { base, count, first, to } => search(&base, first, count, &to),
         // Its sockets are on the event loop: the caller runs it.
         Command::Demo(_) => Ok(Outcome::None),
         Command::Run(run) => play(setup, &run),
@@ -92,6 +108,17 @@
     }
 }
 
+fn search(base: &str, first: u64, count: u64, to: &Path) -> Result<Outcome, Wrong> {
+    let base = scenario(base)?;
+    let Some(found) = ::lab::search::search(&base, first, count) else {
+        print(format!("no rule is broken in {count} scripts from seed {first} on\n"))?;
+        return Ok(Outcome::All);
+    };
+    std::fs::write(to, found.scenario.text()).map_err(|e| Wrong::one(format!("{}: {e}", to.display())))?;
+    print(format!("seed {}, written to {}\n{}", found.seed, to.display(), found.breach))?;
+    Ok(Outcome::None)
+}
+
 fn list(setup: &Setup) -> Result<Outcome, Wrong> {
     let all: Vec<Scenario> = CATALOGUE.iter().map(|(name, _)| scenario(name)).collect::<Result<_, _>>()?;
     if setup.json {
