--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -29,6 +29,7 @@
 pub const CATALOGUE: &[(&str, &str)] = &[
     ("calm", include_str!("../scenarios/calm.toml")),
     ("release", include_str!("../scenarios/release.toml")),
+    ("join", include_str!("../scenarios/join.toml")),
     ("zone-loss", include_str!("../scenarios/zone-loss.toml")),
     ("split", include_str!("../scenarios/split.toml")),
     ("herd", include_str!("../scenarios/herd.toml")),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -38,8 +38,8 @@
     pub p99_ms: f64,
     /// Of each second: requests that came, and those of them that were served in time.
     pub seconds: Vec<[u32; 2]>,
-    /// The same for the work that all servers can do, in warm cores, and the part of it that was in use; as it was seen
-    /// at the end of each second.
+    /// At the end of each second: the work that all servers can do which want something new, in warm cores, and the part
+    /// of it in use.
     pub cores: Vec<[f64; 2]>,
     /// Events that were played, the uncounted start with them.
     pub events: u64,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -927,7 +927,7 @@
     fn meter(&mut self) {
         self.plan(self.now + METER, Due::Meter);
         if (self.now - START) % 1_000_000_000 == 0 {
-            let up = self.sites.iter().filter(|site| site.up && !site.silent);
+            let up = self.sites.iter().filter(|site| site.up && !site.silent && site.health == Health::Up);
             let each = up.map(|site| site.server.cores(self.now));
             let sum = each.fold([0.0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]]);
             self.report.cores.push(sum.map(|cores| (cores * 100.0).round() / 100.0));
