Test SIGHUP during an upgrade, figures under full load and what the gateway's binary uses

Need: three hard cases of the shell had no test of their own.

Change: two processes of one gateway take SIGHUP with a bad file and with another discovery, and no request is lost; 32 clients at once while all figures are read 50 times, each within a second; the tree of crates that reach the gateway's binary holds none of the heavy ones.

--- a/crates/gateway/tests/architecture.rs
+++ b/crates/gateway/tests/architecture.rs
@@ -33,3 +33,29 @@
         assert!(left.len() < before, "these import each other in a circle: {left:?}");
     }
 }
+
+/// What the operators' program, the lab or tests bring in for themselves.
+const HEAVY: [&str; 10] = [
+    "clap_complete",
+    "comfy-table",
+    "indicatif",
+    "jsonschema",
+    "plotters",
+    "proptest",
+    "rand",
+    "rayon",
+    "regex",
+    "lab",
+];
+
+#[test]
+fn no_heavy_crate_reaches_the_gateways_binary() {
+    let mut cargo = std::process::Command::new(env!("CARGO"));
+    cargo.args(["tree", "--locked", "--offline", "-p", "granitethread", "-e", "normal", "--prefix", "none"]);
+    let out = cargo.current_dir(env!("CARGO_MANIFEST_DIR")).output().expect("cargo runs");
+    let tree = String::from_utf8(out.stdout).expect("text");
+    let used: BTreeSet<&str> = tree.lines().filter_map(|line| line.split(' ').next()).collect();
+    assert!(out.status.success() && used.contains("hyper") && used.contains("shell"), "{tree}");
+    let heavy: Vec<&&str> = HEAVY.iter().filter(|name| used.contains(**name)).collect();
+    assert!(heavy.is_empty(), "{heavy:?}");
+}
--- a/crates/gateway/tests/shell.rs
+++ b/crates/gateway/tests/shell.rs
@@ -5,6 +5,8 @@
 use std::io::Write;
 use std::path::Path;
 use std::process::{Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use testkit::{ask, file, list, program, Backend, Discovery, Gateway, Setup, LIMIT};
 
@@ -329,6 +331,41 @@
     assert!(latency["p99_ms"].as_f64() >= latency["p50_ms"].as_f64(), "{latency}");
 }
 
+/// Whatever the load, staff have their answers within a second.
+#[test]
+fn figures_are_told_within_a_second_under_full_load() {
+    let backend = Backend::new(|_, s| {
+        std::thread::sleep(Duration::from_millis(1));
+        testkit::ok(s, "x")
+    });
+    let discovery = one(&backend);
+    let gateway = Gateway::with(&discovery, json_lines("info"));
+    discovery.called(2);
+    let done = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..32)
+        .map(|_| {
+            let (done, mut client) = (done.clone(), gateway.client());
+            std::thread::spawn(move || {
+                let mut asked = 0u64;
+                while !done.load(Ordering::Relaxed) {
+                    assert!(matches!(client.ask(&ask("quote").text()).status(), 200 | 429 | 503));
+                    asked += 1;
+                }
+                asked
+            })
+        })
+        .collect();
+    let calls = ["/-/metrics", "/-/metrics?format=openmetrics", "/-/status", "/-/log", "/-/ready"];
+    for path in calls.iter().cycle().take(50) {
+        let started = Instant::now();
+        assert_eq!(gateway.call("GET", path).status(), 200, "{path}");
+        assert!(started.elapsed() < Duration::from_secs(1), "{path} took {:?}", started.elapsed());
+    }
+    done.store(true, Ordering::Relaxed);
+    let asked: u64 = clients.into_iter().map(|c| c.join().expect("a client")).sum();
+    assert!(asked > 100, "there was a load: {asked}");
+}
+
 /// A file that grows while its reader reads it is the writer's whole file or none: appending ends in errors that name it.
 #[test]
 fn a_configuration_that_is_still_being_written_is_not_half_taken() {
--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -161,3 +161,39 @@
         assert!(!out.status.success() && text.contains("LB_INHERITED_FD"), "{bad:?}: {text}");
     }
 }
+
+/// The configuration changes while two processes are one gateway: each reads its own file, and neither is hurt.
+#[test]
+fn a_hangup_during_an_upgrade_is_taken_by_both_and_loses_no_request() {
+    let (first, second) = (Backend::good(), Backend::good());
+    let (a, b) = (
+        Discovery::new(list(1, true, &[("s-1", first.address, "Ready")])),
+        Discovery::new(list(1, true, &[("s-2", second.address, "Ready")])),
+    );
+    let (held, folder) = (socket(), folder());
+    let mut old = start(&a, &held, &folder);
+    a.called(2);
+    let mut client = old.client();
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    let new = start(&a, &held, &folder);
+    old.logs("a successor serves");
+    for process in [&old, &new] {
+        process.reconfigure("{");
+        process.logs("the old one stands");
+    }
+    let good = testkit::configuration(b.address, &Setup { ops: true, ..Setup::default() });
+    for process in [&old, &new] {
+        process.reconfigure(&good);
+        process.logs("configuration read again");
+    }
+    // Both call the other discovery: the whole list, and then for what is newer.
+    b.called(4);
+    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    assert_eq!(new.client().ask(&ask("quote").text()).status(), 200);
+    second.next();
+    second.next();
+    old.signal("-TERM");
+    assert!(old.child.wait().expect("it ends").success());
+    assert_eq!(new.client().ask(&ask("quote").text()).status(), 200);
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -323,6 +323,21 @@
     path
 }
 
+/// The platform's file for a gateway.
+pub fn configuration(discovery: SocketAddr, setup: &Setup) -> String {
+    let more: Vec<String> = setup.fallbacks.iter().map(|a| format!("\"{a}\"")).collect();
+    CONFIG
+        .replace("DISCOVERY", &discovery.to_string())
+        .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
+        .replace("MORE", &more.join(","))
+        .replace("LOG", setup.log.unwrap_or("{}"))
+        .replace("POOL", setup.pool.unwrap_or("{}"))
+        .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
+        .replace("SOCKETS", &setup.sockets.to_string())
+        .replace("CONNECT", &(setup.connect_ms * 1_000_000).to_string())
+        .replace("KEEPALIVE", &(setup.keepalive_ms * 1_000_000).to_string())
+}
+
 impl Gateway {
     pub fn start(discovery: &Discovery) -> Self {
         let gateway = Gateway::with(discovery, Setup::default());
@@ -336,17 +351,7 @@
     }
 
     pub fn at(discovery: SocketAddr, setup: Setup) -> Self {
-        let more: Vec<String> = setup.fallbacks.iter().map(|a| format!("\"{a}\"")).collect();
-        let text = CONFIG
-            .replace("DISCOVERY", &discovery.to_string())
-            .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
-            .replace("MORE", &more.join(","))
-            .replace("LOG", setup.log.unwrap_or("{}"))
-            .replace("POOL", setup.pool.unwrap_or("{}"))
-            .replace("KNOWN", setup.known.as_deref().unwrap_or("null"))
-            .replace("SOCKETS", &setup.sockets.to_string())
-            .replace("CONNECT", &(setup.connect_ms * 1_000_000).to_string())
-            .replace("KEEPALIVE", &(setup.keepalive_ms * 1_000_000).to_string());
+        let text = configuration(discovery, &setup);
         let config = match &setup.toml {
             None => config_file(&text),
             Some(toml) => file("toml", &toml.replace("DISCOVERY", &discovery.to_string())),
