Add experiments to the lab: variants with the same seeds, resumed after a stop, as table and page

Need: a comparison of more than two settings was typed by hand, lost at a stop, and showed no course over time.

Change: `sprucehatch lab experiment` reads a base, seeds and variants that set values by key, checks all before any is played, plays what is missing side by side with a bar of progress, and writes lines of JSON, CSV and one page of HTML with plots. A line belongs to its scenario by a checksum, so that a changed variant is played anew.

Result: an experiment cut in the middle of a line and with a line of another scenario ends with the same plays as one that was not (test).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,11 +6,14 @@
 //! hash table. Many plays run beside each other.
 #![forbid(unsafe_code)]
 
+pub mod experiment;
 mod oracle;
+pub mod page;
 mod report;
 pub mod scenario;
 pub mod search;
 pub mod server;
+pub mod stats;
 mod world;
 
 pub use oracle::{Breach, Rule};
@@ -19,12 +22,33 @@
 pub use world::{play, play_with, Decider};
 
 use rayon::prelude::*;
+use serde_json::Value;
+use shell::config::{self, Form, Wrong};
+use std::path::Path;
 
 /// Plays each seed, as many at once as there are processors; the results in the order of the seeds.
 pub fn play_all(scenario: &Scenario, seeds: &[u64]) -> Vec<Result<Report, Box<Breach>>> {
     seeds.par_iter().map(|seed| play(scenario, *seed)).collect()
 }
 
+/// A scenario of the catalogue by its name, or the file of that name.
+pub fn find(name: &str) -> Result<Value, Wrong> {
+    match CATALOGUE.iter().find(|(known, _)| *known == name) {
+        Some((_, text)) => Form::Toml.parse(text.as_bytes()),
+        None if name.contains(['.', '/']) => {
+            let path = Path::new(name);
+            config::read(path).and_then(|text| Form::Toml.parse(&text).map_err(|wrong| wrong.of(path)))
+        }
+        None => {
+            let names: Vec<&str> = CATALOGUE.iter().map(|(name, _)| *name).collect();
+            Err(Wrong::one(format!(
+                "{name:?} is no scenario: a file, or one of {} is wanted",
+                names.join(", ")
+            )))
+        }
+    }
+}
+
 /// The scenarios that come with the lab, by name.
 pub const CATALOGUE: &[(&str, &str)] = &[
     ("calm", include_str!("../scenarios/calm.toml")),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,10 +1,10 @@
 //! What a play shows.
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The figures of one play, of requests that came after the uncounted start. A client that asks again makes a new request.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub scenario: String,
     pub seed: u64,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -4,6 +4,7 @@
 use granitehub::{Class, Effect, Group, Plan, Settings, Time};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use shell::config::{self, Form, Wrong};
 use std::path::Path;
 
@@ -325,7 +326,12 @@
 
     /// Reads and checks a scenario; all that is wrong with it is told.
     pub fn parse(text: &[u8]) -> Result<Self, Wrong> {
-        let scenario = config::from_text::<Scenario>(text, Form::Toml, "")?.read;
+        Self::from_value(Form::Toml.parse(text)?)
+    }
+
+    /// As [`Scenario::parse`], of what a text says.
+    pub fn from_value(value: Value) -> Result<Self, Wrong> {
+        let scenario = config::from_value::<Scenario>(value)?.read;
         let mut wrong = Vec::new();
         for (n, fault) in scenario.faults.iter().enumerate() {
             if let Some(zone) = fault.zone.as_ref().filter(|zone| !scenario.zones.contains(zone)) {
--- /dev/null
+++ b/crates/lab/src/stats.rs
@@ -0,0 +1,76 @@
+//! Figures of reports, over seeds and between pairs of plays.
+
+use crate::report::Report;
+
+/// What is told of a report: a figure, as a share of its requests where that says more.
+pub type Figure = (&'static str, fn(&Report) -> f64);
+
+fn share(part: u64, report: &Report) -> f64 {
+    part as f64 / report.requests.max(1) as f64
+}
+
+pub const FIGURES: [Figure; 8] = [
+    ("worth served", |r| r.worth),
+    ("late ends a request", |r| share(r.late_ends, r)),
+    ("refused with room", |r| share(r.refused_with_room, r)),
+    ("failed", |r| share(r.failed, r)),
+    ("attempts a request", |r| share(r.attempts, r)),
+    ("crossings a request", |r| share(r.crossings, r)),
+    ("connections a request", |r| share(r.connections, r)),
+    ("p99 ms", |r| r.p99_ms),
+];
+
+/// The median, and the least and the most in brackets where there are several.
+pub fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    match values.as_slice() {
+        [] => "-".to_string(),
+        [one] => format!("{one:.3}"),
+        [least, .., most] => format!("{:.3} ({least:.3} to {most:.3})", median(&values)),
+    }
+}
+
+/// Of values in order.
+pub fn median(sorted: &[f64]) -> f64 {
+    let half = sorted.len() / 2;
+    match sorted {
+        [] => 0.0,
+        _ if sorted.len() % 2 == 1 => sorted[half],
+        _ => (sorted[half - 1] + sorted[half]) / 2.0,
+    }
+}
+
+/// The interval that holds the mean of paired differences with a chance of 95%, by Student's t.
+pub fn interval(differences: &[f64]) -> Option<(f64, f64)> {
+    /// The 97.5% quantile by degrees of freedom; beyond the last, that of the normal distribution with a little room.
+    const T: [f64; 30] = [
+        12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145,
+        2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048,
+        2.045, 2.042,
+    ];
+    let count = differences.len();
+    if count < 2 {
+        return None;
+    }
+    let n = count as f64;
+    let mean = differences.iter().sum::<f64>() / n;
+    let variance = differences.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1.0);
+    let half = T.get(count - 2).copied().unwrap_or(2.0) * (variance / n).sqrt();
+    Some((mean - half, mean + half))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn medians_and_intervals_are_those_of_the_books() {
+        assert_eq!((median(&[1.0, 2.0, 9.0]), median(&[1.0, 2.0, 4.0, 9.0])), (2.0, 3.0));
+        assert_eq!(spread(vec![3.0, 1.0, 2.0]), "2.000 (1.000 to 3.000)");
+        // Mean 2, standard deviation 1, three of them: 2 ± 4.303 / sqrt 3.
+        let (least, most) = interval(&[1.0, 2.0, 3.0]).unwrap();
+        assert!((least + 0.4843).abs() < 1e-3 && (most - 4.4843).abs() < 1e-3, "{least} to {most}");
+        assert_eq!(interval(&[1.0]), None);
+        assert_eq!(interval(&[0.5, 0.5]), Some((0.5, 0.5)));
+    }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -394,11 +394,10 @@
             }
         }
         let r = &mut self.report;
-        let share = |[part, all]: [f64; 2]| if all > 0.0 { part / all } else { 0.0 };
-        (r.worth, r.wasted) = (share(self.worth), 1.0 - share(self.work));
-        if self.work[1] <= 0.0 {
-            r.wasted = 0.0;
-        }
+        // To nine digits, so that a report that is written and read again is the same.
+        let share = |[part, all]: [f64; 2]| if all > 0.0 { (part / all * 1e9).round() / 1e9 } else { 0.0 };
+        let lost = [self.work[1] - self.work[0], self.work[1]];
+        (r.worth, r.wasted) = (share(self.worth), share(lost));
         r.p50_ms = self.times.value_at_quantile(0.5) as f64 / 1000.0;
         r.p99_ms = self.times.value_at_quantile(0.99) as f64 / 1000.0;
         Ok(self.report)
--- a/crates/operator/src/lab.rs
+++ b/crates/operator/src/lab.rs
@@ -2,8 +2,11 @@
 
 use crate::table::table;
 use crate::{Outcome, Setup};
+use ::lab::experiment::Experiment;
+use ::lab::stats::{interval, spread, FIGURES};
 use ::lab::{play_all, Breach, Report, Scenario, CATALOGUE};
 use clap::{Args, Subcommand};
+use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde_json::json;
 use shell::config::Wrong;
 use shell::program::print;
@@ -22,6 +25,13 @@
     Demo(crate::demo::Demo),
     /// Plays scenarios, each with every seed
     Run(Run),
+    /// Plays an experiment: variants of a scenario with the same seeds. One that was stopped is gone on with
+    Experiment {
+        file: PathBuf,
+        /// Where results, tables and the page are written
+        #[arg(long, value_name = "FOLDER", default_value = "results")]
+        to: PathBuf,
+    },
     /// Plays scripts of random faults, looking for one in which a rule is broken
     Search {
         /// What the faults come on top of
@@ -72,17 +82,7 @@
 
 /// A name of the catalogue, or a file.
 fn scenario(name: &str) -> Result<Scenario, Wrong> {
-    match CATALOGUE.iter().find(|(known, _)| *known == name) {
-        Some((_, text)) => Scenario::parse(text.as_bytes()),
-        None if name.contains(['.', '/']) => Scenario::load(Path::new(name)),
-        None => {
-            let names: Vec<&str> = CATALOGUE.iter().map(|(name, _)| *name).collect();
-            Err(Wrong::one(format!(
-                "{name:?} is no scenario: a file, or one of {} is wanted",
-                names.join(", ")
-            )))
-        }
-    }
+    Scenario::from_value(::lab::find(name)?).map_err(|wrong| wrong.of(Path::new(name)))
 }
 
 pub fn run(setup: &Setup, command: Command) -> Result<Outcome, Wrong> {
@@ -101,6 +101,7 @@
             print("ok\n").map(|()| Outcome::All)
         }
         Command::Search { base, count, first, to } => search(&base, first, count, &to),
+        Command::Experiment { file, to } => experiment(setup, &file, &to),
         // Its sockets are on the event loop: the caller runs it.
         Command::Demo(_) => Ok(Outcome::None),
         Command::Run(run) => play(setup, &run),
@@ -108,6 +109,34 @@
     }
 }
 
+fn experiment(setup: &Setup, file: &Path, to: &Path) -> Result<Outcome, Wrong> {
+    let experiment = Experiment::load(file)?;
+    let bar = ProgressBar::with_draw_target(None, ProgressDrawTarget::stderr());
+    let results = experiment.play(to, |done, all| {
+        bar.set_length(all);
+        bar.set_position(done);
+    })?;
+    bar.finish_and_clear();
+    let page = results.write(to)?;
+    if setup.json {
+        print(format!(
+            "{:#}\n",
+            json!({"plays": results.plays.len(), "page": page, "table": results.table()})
+        ))?;
+    } else {
+        let head = ["variant", "figure", "plays", "median (least to most)", "difference to the first, 95%"];
+        print(table(&head, results.table().into_iter().map(Vec::from).collect()))?;
+        print(format!("\n{}\n", page.display()))?;
+    }
+    let broken: Vec<String> =
+        results.breaches().map(|(variant, what)| format!("{variant}: {what}")).collect();
+    if broken.is_empty() {
+        Ok(Outcome::All)
+    } else {
+        Err(Wrong(broken))
+    }
+}
+
 fn search(base: &str, first: u64, count: u64, to: &Path) -> Result<Outcome, Wrong> {
     let base = scenario(base)?;
     let Some(found) = ::lab::search::search(&base, first, count) else {
@@ -182,44 +211,6 @@
     Ok(Outcome::of(kept, all.len()))
 }
 
-/// What is told of a report: a figure, as a share of its requests where that says more.
-type Figure = (&'static str, fn(&Report) -> f64);
-
-fn share(part: u64, report: &Report) -> f64 {
-    part as f64 / report.requests.max(1) as f64
-}
-
-const FIGURES: [Figure; 8] = [
-    ("worth served", |r| r.worth),
-    ("late ends a request", |r| share(r.late_ends, r)),
-    ("refused with room", |r| share(r.refused_with_room, r)),
-    ("failed", |r| share(r.failed, r)),
-    ("attempts a request", |r| share(r.attempts, r)),
-    ("crossings a request", |r| share(r.crossings, r)),
-    ("connections a request", |r| share(r.connections, r)),
-    ("p99 ms", |r| r.p99_ms),
-];
-
-/// The median, and the least and the most in brackets where there are several.
-fn spread(mut values: Vec<f64>) -> String {
-    values.sort_by(f64::total_cmp);
-    match values.as_slice() {
-        [] => "-".to_string(),
-        [one] => format!("{one:.3}"),
-        [least, .., most] => format!("{:.3} ({least:.3} to {most:.3})", median(&values)),
-    }
-}
-
-/// Of values in order.
-fn median(sorted: &[f64]) -> f64 {
-    let half = sorted.len() / 2;
-    match sorted {
-        [] => 0.0,
-        _ if sorted.len() % 2 == 1 => sorted[half],
-        _ => (sorted[half - 1] + sorted[half]) / 2.0,
-    }
-}
-
 fn row(name: &str, reports: &[&Report], breaches: usize, took: f64) -> Vec<String> {
     let mut cells = vec![name.to_string()];
     cells.extend(FIGURES.iter().map(|(_, figure)| spread(reports.iter().map(|r| figure(r)).collect())));
@@ -233,25 +224,6 @@
     cells
 }
 
-/// The interval that holds the mean of paired differences with a chance of 95%, by Student's t.
-fn interval(differences: &[f64]) -> Option<(f64, f64)> {
-    /// The 97.5% quantile by degrees of freedom; beyond the last, that of the normal distribution with a little room.
-    const T: [f64; 30] = [
-        12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145,
-        2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048,
-        2.045, 2.042,
-    ];
-    let count = differences.len();
-    if count < 2 {
-        return None;
-    }
-    let n = count as f64;
-    let mean = differences.iter().sum::<f64>() / n;
-    let variance = differences.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1.0);
-    let half = T.get(count - 2).copied().unwrap_or(2.0) * (variance / n).sqrt();
-    Some((mean - half, mean + half))
-}
-
 fn compare(setup: &Setup, base: &str, variant: &str, seeds: &Seeds) -> Result<Outcome, Wrong> {
     let (a, b) = (scenario(base)?, scenario(variant)?);
     let seeds = seeds.all();
@@ -285,19 +257,3 @@
     }
     Ok(Outcome::All)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn medians_and_intervals_are_those_of_the_books() {
-        assert_eq!((median(&[1.0, 2.0, 9.0]), median(&[1.0, 2.0, 4.0, 9.0])), (2.0, 3.0));
-        assert_eq!(spread(vec![3.0, 1.0, 2.0]), "2.000 (1.000 to 3.000)");
-        // Mean 2, standard deviation 1, three of them: 2 ± 4.303 / sqrt 3.
-        let (least, most) = interval(&[1.0, 2.0, 3.0]).unwrap();
-        assert!((least + 0.4843).abs() < 1e-3 && (most - 4.4843).abs() < 1e-3, "{least} to {most}");
-        assert_eq!(interval(&[1.0]), None);
-        assert_eq!(interval(&[0.5, 0.5]), Some((0.5, 0.5)));
-    }
-}
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -307,3 +307,59 @@
     assert_eq!(same[0]["difference_95"], serde_json::json!([0.0, 0.0]));
     [base, slow, bad].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
 }
+
+#[test]
+fn an_experiment_is_played_gone_on_with_after_a_stop_and_shown_on_a_page() {
+    let base = scenario(|t| t);
+    let words = format!(
+        "name = \"work\"\nquestion = \"Does <more> work take longer?\"\nbase = \"{}\"\nseeds = 3\n\
+         [[variants]]\nname = \"as it is\"\n\
+         [[variants]]\nname = \"more\"\nset = {{ \"classes.*.work_ms\" = 60, \"servers.count\" = 40 }}\n",
+        base.display()
+    );
+    let (file, dir) = (file("toml", &words), folder());
+    let (path, to) = (file.to_str().expect("text"), dir.to_str().expect("text"));
+    let (code, said) = run(&["lab", "experiment", path, "--to", to]);
+    assert!(code == Some(0) && said.contains("as it is") && said.contains("work.html"), "{said}");
+    let plays = |dir: &std::path::Path| fs::read_to_string(dir.join("work.jsonl")).expect("plays");
+    let whole = plays(&dir);
+    let page = fs::read_to_string(dir.join("work.html")).expect("a page");
+    assert!(
+        page.matches("<svg").count() >= 10
+            && page.contains("Does &lt;more&gt; work")
+            && !page.contains("<script")
+    );
+    let csv = fs::read_to_string(dir.join("work.csv")).expect("a table");
+    assert_eq!(csv.lines().count(), 7, "{csv}");
+    // Stopped in the middle of a line, and a line of a scenario that has changed since.
+    let lines: Vec<&str> = whole.lines().collect();
+    let old = lines[1].replace("\"scenario\":", "\"scenario\":1");
+    let stopped = format!("{}\n{old}\n{}", lines[0], &lines[2][..40]);
+    fs::write(dir.join("work.jsonl"), stopped).expect("written");
+    assert_eq!(run(&["lab", "experiment", path, "--to", to]).0, Some(0));
+    let sorted = |text: &str| {
+        let mut lines: Vec<String> = text.lines().map(str::to_string).collect();
+        lines.sort();
+        lines
+    };
+    assert_eq!(sorted(&plays(&dir)), sorted(&whole), "the same plays as without a stop");
+    assert_eq!(fs::read_to_string(dir.join("work.csv")).expect("a table"), csv);
+    // Once all is played nothing is played again.
+    let before = fs::metadata(dir.join("work.jsonl")).and_then(|m| m.modified()).expect("a time");
+    assert_eq!(run(&["lab", "experiment", path, "--to", to]).0, Some(0));
+    assert!(fs::metadata(dir.join("work.jsonl")).and_then(|m| m.modified()).expect("a time") >= before);
+    for (from, to, told) in [
+        ("servers.count\" = 40", "servers.count\" = 0", "variants[1]: servers.count is 0: a whole number"),
+        ("classes.*.work_ms", "classes.9.work_ms", "is no place of"),
+        ("name = \"more\"", "name = \"as it is\"", "variants[1].name is \"as it is\": each name once"),
+        ("name = \"work\"", "name = \"../work\"", "name is \"../work\": letters, digits"),
+        ("servers.count", "servers.size", "servers.size is no key here"),
+    ] {
+        let bad = testkit::file("toml", &words.replace(from, to));
+        let (code, said) = run(&["lab", "experiment", bad.to_str().expect("text")]);
+        assert!(code == Some(1) && said.contains(told), "{told} in {said}");
+        fs::remove_file(bad).expect("it is there");
+    }
+    fs::remove_dir_all(dir).expect("it is there");
+    [base, file].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
+}
--- a/crates/shell/src/config.rs
+++ b/crates/shell/src/config.rs
@@ -355,6 +355,14 @@
 {
     let mut value = Form::Toml.parse(defaults.as_bytes())?;
     overlay(&mut value, form.parse(text)?);
+    from_value(value)
+}
+
+/// As [`load`], of what a text says.
+pub fn from_value<T>(value: Value) -> Result<Loaded<T>, Wrong>
+where
+    T: JsonSchema + serde::de::DeserializeOwned,
+{
     check(&schema::<T>(), &value, true)?;
     let read = T::deserialize(&value).map_err(|e| Wrong::one(e.to_string()))?;
     Ok(Loaded { read, value })
