Let the registry's log level change at its operators' address, and test the adapter's command line

Need: only the gateway's level could be changed while it runs; the adapter's commands had no test.

Change: what an operator says of a level is read in the library for both programs, and the registry answers `/-/log` as a gateway does.

--- a/crates/adapter/tests/adapter.rs
+++ b/crates/adapter/tests/adapter.rs
@@ -77,3 +77,32 @@
         );
     }
 }
+
+#[test]
+fn its_command_line_checks_a_configuration_and_tells_wrong_arguments_apart() {
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_granitehub-adapter"));
+        let out = command.args(arguments).stdin(Stdio::null()).output().expect("it runs");
+        (out.status.code(), String::from_utf8([out.stdout, out.stderr].concat()).expect("text"))
+    };
+    let file = |name: &str, text: &str| {
+        let path =
+            std::env::temp_dir().join(format!("granitehub-adapter-{}-{name}.toml", std::process::id()));
+        std::fs::write(&path, text).expect("written");
+        path
+    };
+    assert_eq!(run(&["--version"]), (Some(0), format!("granitehub-adapter {}\n", env!("CARGO_PKG_VERSION"))));
+    assert!(run(&["--help"]).1.contains("check-config"));
+    assert_eq!(run(&["fly"]).0, Some(2));
+    assert_eq!(run(&[]), (Some(0), String::new()), "the input ends at once");
+    let (good, bad) =
+        (file("good", "[log]\nlevel = \"debug\"\n"), file("bad", "[log]\nlevel = 1\nspeed = 2\n"));
+    let path = |path: &std::path::PathBuf| path.to_str().expect("text").to_string();
+    assert_eq!(run(&["check-config", "--config", &path(&good)]), (Some(0), "ok\n".to_string()));
+    for command in [&["check-config"][..], &["run"], &[]] {
+        let (code, said) = run(&[command, &["--config", &path(&bad)]].concat());
+        assert_eq!((code, said.lines().count()), (Some(1), 2), "{said}");
+        assert!(said.contains("log.level is 1: ") && said.contains("log.speed is no key here"), "{said}");
+    }
+    [good, bad].iter().for_each(|path| std::fs::remove_file(path).expect("it is there"));
+}
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -19,8 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use percent_encoding::percent_decode_str;
-use serde::Serialize;
-use shell::log::{self, Lines};
+use shell::log;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
@@ -33,9 +32,6 @@
 /// A whole call is answered at once, so only half a call ever meets this.
 const CALL_TIME: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(5);
-/// Modules with a level of their own.
-const MOST_MODULES: usize = 32;
-const LONGEST_MODULE: usize = 128;
 const SERVERS: &str = "/-/roll-servers/";
 
 pub struct Ops {
@@ -46,46 +42,10 @@
     pub server: Rc<Server>,
 }
 
-#[derive(Serialize)]
-struct LogStatus {
-    #[serde(flatten)]
-    options: log::Options,
-    lines: Lines,
-}
-
-impl LogStatus {
-    fn of(log: &log::Log) -> Self {
-        LogStatus { options: log.options(), lines: log.lines() }
-    }
-}
-
 /// Sets the level of the log, or of the module that the query names.
 fn set_level(log: &log::Log, query: &str) -> Response<Full<Bytes>> {
-    let Some(level) = field(query, "level") else {
-        return plain(StatusCode::BAD_REQUEST, "level: off, error, warn, info, debug or trace is wanted\n");
-    };
-    let set = level.parse().and_then(|level| {
-        let mut options = log.options();
-        match field(query, "module").as_deref() {
-            None => options.level = level,
-            Some(module) => {
-                let known = options.modules.contains_key(module) || options.modules.len() < MOST_MODULES;
-                let plain = module.bytes().all(|b| b.is_ascii_alphanumeric() || b"_:".contains(&b));
-                if !known || !plain || module.len() > LONGEST_MODULE {
-                    return Err(format!(
-                        "module: a path as the lines show it is wanted, {MOST_MODULES} at most"
-                    ));
-                }
-                options.modules.insert(module.to_string(), level);
-            }
-        }
-        log.set(options)
-    });
-    match set {
-        Ok(()) => {
-            tracing::warn!(%level, module = field(query, "module").as_deref(), "the level of the log was changed");
-            plain(StatusCode::OK, "changed\n")
-        }
+    match log.change(field(query, "level").as_deref(), field(query, "module").as_deref()) {
+        Ok(()) => plain(StatusCode::OK, "changed\n"),
         Err(what) => worded(StatusCode::BAD_REQUEST, what + "\n"),
     }
 }
@@ -156,7 +116,7 @@
             "/-/status" => json(serde_json::to_vec(&self.status())),
             "/-/log" => match log::get() {
                 None => plain(StatusCode::NOT_FOUND, "this process has no log of its own\n"),
-                Some(log) if wanted == Method::GET => json(serde_json::to_vec(&LogStatus::of(log))),
+                Some(log) if wanted == Method::GET => json(serde_json::to_vec(&log.status())),
                 Some(log) => set_level(log, query),
             },
             "/-/drain" => {
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -289,9 +289,12 @@
 
 fn staff(registry: &Registry, request: &Request<Incoming>) -> Answer {
     let path = request.uri().path();
-    if !matches!(path, "/-/ready" | "/-/metrics") {
+    if !matches!(path, "/-/ready" | "/-/metrics" | "/-/log") {
         return say(StatusCode::NOT_FOUND, "no such call");
     }
+    if path == "/-/log" {
+        return logged(request);
+    }
     if request.method() != Method::GET {
         return wrong_method("GET");
     }
@@ -307,6 +310,29 @@
     }
 }
 
+/// The log's level: told, or changed.
+fn logged(request: &Request<Incoming>) -> Answer {
+    let Some(log) = shell::log::get() else {
+        return say(StatusCode::NOT_FOUND, "this process has no log of its own");
+    };
+    let query = request.uri().query().unwrap_or_default();
+    let field = |key: &str| {
+        let told = query.split('&').find_map(|part| part.strip_prefix(key)?.strip_prefix('='))?;
+        percent_decode_str(told).decode_utf8().ok()
+    };
+    match *request.method() {
+        Method::GET => match serde_json::to_vec(&log.status()) {
+            Ok(status) => json(status),
+            Err(e) => say(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        },
+        Method::POST => match log.change(field("level").as_deref(), field("module").as_deref()) {
+            Ok(()) => say(StatusCode::OK, "changed"),
+            Err(what) => say(StatusCode::BAD_REQUEST, what),
+        },
+        _ => wrong_method("GET, POST"),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -516,3 +516,27 @@
     assert_eq!(check(wrong, &["--readers", "127.0.0.1:0"]).0, Some(0));
     assert!(!kept.0.join("list").exists(), "nothing was started");
 }
+
+#[test]
+fn the_level_of_the_log_changes_while_the_registry_runs() {
+    let kept = Kept(folder());
+    let registry = Registry::new(&kept.0);
+    let call = |method: &str, path: &str| {
+        Client::to(registry.operators).ask(&format!("{method} {path} HTTP/1.1\r\nHost: r\r\n\r\n"))
+    };
+    let level =
+        || -> serde_json::Value { serde_json::from_slice(&call("GET", "/-/log").body).expect("JSON") };
+    assert_eq!(level()["level"], "info");
+    for bad in ["/-/log", "/-/log?level=loud", "/-/log?level=warn&module=", "/-/log?level=warn&module=a%0Ab"]
+    {
+        assert_eq!(call("POST", bad).status(), 400, "{bad}");
+    }
+    assert_eq!(call("DELETE", "/-/log").status(), 405);
+    assert_eq!(call("POST", "/-/log?level=error").status(), 200);
+    assert_eq!(call("POST", "/-/log?level=debug&module=granitehub_registry%3A%3Aservice").status(), 200);
+    let told = level();
+    assert_eq!(
+        (&told["level"], &told["modules"]["granitehub_registry::service"]),
+        (&"error".into(), &"debug".into())
+    );
+}
--- a/crates/shell/src/log.rs
+++ b/crates/shell/src/log.rs
@@ -29,6 +29,9 @@
 /// Lines of one kind that may come at once, and each second from then on.
 const BURST: f64 = 50.0;
 const RATE: f64 = 10.0;
+/// Modules that may have a level of their own by an operator's call, and the longest of their paths.
+const MOST_MODULES: usize = 32;
+const LONGEST_MODULE: usize = 128;
 /// What the last lines may take to get out at the end.
 const LAST: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(2);
@@ -124,6 +127,14 @@
     pub left_out: u64,
 }
 
+/// The log as it is told.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Status {
+    #[serde(flatten)]
+    pub options: Options,
+    pub lines: Lines,
+}
+
 /// The log of this process.
 pub struct Log {
     filter: reload::Handle<Targets, Registry>,
@@ -194,6 +205,31 @@
         Ok(())
     }
 
+    /// Takes a level, of one module or of all others, as an operator words it.
+    pub fn change(&self, level: Option<&str>, module: Option<&str>) -> Result<(), String> {
+        let level: Level = level.unwrap_or_default().parse()?;
+        let mut options = self.options();
+        match module {
+            None => options.level = level,
+            Some(module) => {
+                let known = options.modules.contains_key(module) || options.modules.len() < MOST_MODULES;
+                let plain = module.bytes().all(|b| b.is_ascii_alphanumeric() || b"_:".contains(&b));
+                if !known || !plain || !(1..=LONGEST_MODULE).contains(&module.len()) {
+                    let wanted = "a path as the lines show it is wanted";
+                    return Err(format!("module is {module:?}: {wanted}, {MOST_MODULES} of them at most"));
+                }
+                options.modules.insert(module.to_string(), level);
+            }
+        }
+        self.set(options)?;
+        tracing::warn!(target: OWN, %level, module, "the level of the log was changed");
+        Ok(())
+    }
+
+    pub fn status(&self) -> Status {
+        Status { options: self.options(), lines: self.lines() }
+    }
+
     pub fn lines(&self) -> Lines {
         let get = |count: &AtomicU64| count.load(Ordering::Relaxed);
         Lines {
