Let faults strike single ways, and gateways pause and restart in turn, in the lab

The lab knew cuts of a whole zone in both directions only, and gateways that die all at once. Partial failure needs one way, one pair, a part of the gateways, and gateways that stand still.

A fault may name a link ("zone a except n3 -> zone b"); cut, reset and delay strike it, pause and rolling strike gateways. What two plays share for this (zones, builds, the first gateway of a customer) is the scenario's now.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,9 +7,10 @@
 #![forbid(unsafe_code)]
 
 pub mod experiment;
-mod oracle;
+pub mod link;
+pub mod oracle;
 pub mod page;
-mod report;
+pub mod report;
 pub mod scenario;
 pub mod search;
 pub mod server;
