Add trials: scenarios played with real gateways and faults on every link between them

Partial failure has to be shown with several processes of the program and faults between them. The lab has no processes, the demo three gateways and one fault, and the tests script neighbours by hand.

`sprucehatch trial run` plays the lab's scenario files with the real gateways (2 to 300), the real registry or a stand-in list service of a fixed capacity, stand-in roll servers around the lab's model, the meter and clients. Each gateway reaches each server and the list through a relay at an address of its own, so that a link is known by its two ends: it is cut with silence, reset or delayed, each way by itself. New connections over a cut do not come up, since the relay's queue of them is kept full. Gateways are killed, stopped, restarted in turn and get SIGHUP. The lab's oracle is fed at the end with what relays, stand-ins and clients saw. The demo uses the same processes, clients and announcements.

--- /dev/null
+++ b/crates/lab/src/customer.rs
@@ -0,0 +1,54 @@
+//! A customer's books as they truly are, beside what any gateway believes.
+
+use crate::scenario::{Tariff, METER};
+use granitehub::Time;
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// What its quota holds.
+    level: f64,
+    at: Time,
+    /// Units in this period of the meter.
+    used: f64,
+    /// What the meter told of the last one: the use as a share of the rate.
+    pub metered: Option<f64>,
+}
+
+impl Customer {
+    pub fn new(depth: f64, now: Time) -> Self {
+        Customer { level: depth, at: now, used: 0.0, metered: None }
+    }
+
+    fn fill(&mut self, plan: &Tariff, now: Time) {
+        let gained = now.saturating_sub(self.at) as f64 / 1e9 * plan.rate;
+        self.level = (self.level + gained).min(plan.depth);
+        self.at = self.at.max(now);
+    }
+
+    /// Whether a request of one unit is within the quota now.
+    pub fn within(&mut self, plan: &Tariff, now: Time) -> bool {
+        self.fill(plan, now);
+        plan.rate <= 0.0 || self.level >= 1.0
+    }
+
+    /// Whether at least half of the quota is there.
+    pub fn has_room(&mut self, plan: &Tariff, now: Time) -> bool {
+        self.fill(plan, now);
+        plan.rate > 0.0 && self.level >= (plan.depth / 2.0).max(1.0)
+    }
+
+    /// A request of one unit is sent for the first time; whether that was within the quota.
+    pub fn take(&mut self, plan: &Tariff, now: Time) -> bool {
+        let within = self.within(plan, now);
+        self.level -= f64::from(u8::from(within && plan.rate > 0.0));
+        self.used += 1.0;
+        within
+    }
+
+    /// A period of the meter is over; `on` if it tells.
+    pub fn meter(&mut self, plan: &Tariff, on: bool) {
+        let share = self.used / (plan.rate * (METER as f64 / 1e9));
+        self.metered = Some(share).filter(|_| plan.rate > 0.0 && on);
+        self.used = 0.0;
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! hash table. Many plays run beside each other.
 #![forbid(unsafe_code)]
 
+pub mod customer;
 pub mod experiment;
 pub mod link;
 pub mod oracle;
@@ -61,4 +62,5 @@
     ("overload", include_str!("../scenarios/overload.toml")),
     ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
     ("thin", include_str!("../scenarios/thin.toml")),
+    ("cold-start", include_str!("../scenarios/cold-start.toml")),
 ];
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -16,6 +16,11 @@
     /// Refused though at least half of the customer's quota was there.
     pub refused_with_room: u64,
     pub failed: u64,
+    /// Requests that were sent, and those of them beyond the customer's quota.
+    #[serde(default)]
+    pub passed: u64,
+    #[serde(default)]
+    pub beyond: u64,
     /// Left by their client, or lost with their gateway.
     pub gone: u64,
     /// The worth of what was served in time, as a part of what was asked within quotas.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -4,6 +4,9 @@
 use crate::link::Link;
 use crate::server::Build;
 use granitehub::{Class, Effect, Group, Plan, Settings, Time};
+use rand::seq::SliceRandom;
+use rand::Rng;
+use rand_distr::{Distribution, Exp1};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -104,6 +107,10 @@
     #[serde(default)]
     #[schemars(range(min = 0.0, max = 1000.0))]
     pub handshake_ms: f64,
+    /// Connections that a server holds; what comes on more is turned away. 0 for as many as come. With processes.
+    #[serde(default)]
+    #[schemars(range(max = 100_000))]
+    pub connections: u32,
     /// How long a connection may idle.
     #[serde(default = "idle")]
     #[schemars(range(min = 0.0, max = 3600.0))]
@@ -231,6 +238,17 @@
     pub points: f64,
 }
 
+impl Kind {
+    /// The work of one request on a warm core.
+    pub fn work(&self, rng: &mut impl Rng) -> Time {
+        let draw: f64 = match self.spread {
+            Spread::Fixed => 1.0,
+            Spread::Exponential => Exp1.sample(rng),
+        };
+        ns(self.work_ms * draw, MS).max(1)
+    }
+}
+
 fn exponential() -> Spread {
     Spread::Exponential
 }
@@ -296,6 +314,19 @@
     pub leaves: f64,
 }
 
+impl Clients {
+    /// After how long one that was not served asks again: never if it has asked often enough.
+    pub fn returns(&self, repeats: u32, advice: Time, rng: &mut impl Rng) -> Option<Time> {
+        if repeats >= self.repeats {
+            return None;
+        }
+        let gap: f64 = Exp1.sample(rng);
+        let after = ns(self.pause_ms * gap, MS);
+        let heeds = advice > 0 && rng.random::<f64>() < self.heeds;
+        Some(if heeds { after.max(advice) } else { after }.max(1))
+    }
+}
+
 impl Default for Clients {
     fn default() -> Self {
         Clients { repeats: 1, pause_ms: 500.0, heeds: 0.5, leaves: 0.0 }
@@ -330,6 +361,8 @@
     Rolling,
     /// The share of the gateways stands still: with SIGSTOP, where there are processes.
     Pause,
+    /// The share of the gateways gets SIGHUP, where there are processes.
+    Hangup,
     /// Changes of the list are told at the end.
     ListDown,
     /// Customers ask `factor` times as much.
@@ -392,6 +425,34 @@
         0
     }
 
+    /// A class, by the classes' shares; `draw` is from 0 to 1.
+    pub fn class(&self, draw: f64) -> usize {
+        let mut left = draw * self.classes.iter().map(|c| c.share).sum::<f64>();
+        for (n, class) in self.classes.iter().enumerate() {
+            left -= class.share;
+            if left < 0.0 {
+                return n;
+            }
+        }
+        self.classes.len() - 1
+    }
+
+    /// Those that a fault strikes, in a random order: gateways, or servers.
+    pub fn strikes(&self, fault: &Fault, rng: &mut impl Rng) -> Vec<usize> {
+        let zone = fault.zone.as_ref().and_then(|z| self.zones.iter().position(|name| name == z));
+        let (count, of): (u32, fn(&Self, usize) -> usize) = match fault.kind {
+            Trouble::Restart | Trouble::Rolling | Trouble::Pause | Trouble::Hangup => {
+                (self.gateways.count, Self::zone_of_gateway)
+            }
+            _ => (self.servers.count, Self::zone_of_server),
+        };
+        let mut all: Vec<usize> =
+            (0..count as usize).filter(|n| zone.is_none_or(|zone| of(self, *n) == zone)).collect();
+        all.shuffle(rng);
+        all.truncate((all.len() as f64 * fault.share).round() as usize);
+        all
+    }
+
     pub fn zone_of_server(&self, server: usize) -> usize {
         server % self.zones.len()
     }
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -9,10 +9,11 @@
     part as f64 / report.requests.max(1) as f64
 }
 
-pub const FIGURES: [Figure; 8] = [
+pub const FIGURES: [Figure; 9] = [
     ("worth served", |r| r.worth),
     ("late ends a request", |r| share(r.late_ends, r)),
     ("refused with room", |r| share(r.refused_with_room, r)),
+    ("beyond quota, of sent", |r| r.beyond as f64 / r.passed.max(1) as f64),
     ("failed", |r| share(r.failed, r)),
     ("attempts a request", |r| share(r.attempts, r)),
     ("crossings a request", |r| share(r.crossings, r)),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,15 +1,15 @@
 //! One play: events in the order of their time, and of their planning where that is the same.
 
+use crate::customer::Customer;
 use crate::link::Struck;
 use crate::oracle::{Allowed, Breach, Oracle};
 use crate::report::{times, Report};
-use crate::scenario::{ns, Fault, Scenario, Spread, Trouble, METER, MS, SECOND, SLACK, START};
+use crate::scenario::{ns, Fault, Scenario, Trouble, METER, MS, SECOND, SLACK, START};
 use crate::server::{Server, Taken};
 use granitehub::{
     Action, AttemptEnd, Ending, Event, Gateway, Health, Name, Node, Request, Scope, Settings, Time, Via,
 };
 use hdrhistogram::Histogram;
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1};
@@ -203,16 +203,6 @@
     reported: bool,
 }
 
-/// A customer's books as they truly are.
-#[derive(Clone)]
-struct Customer {
-    level: f64,
-    at: Time,
-    /// Units in this period of the meter, and what the meter told of the last.
-    used: f64,
-    metered: Option<f64>,
-}
-
 struct World<'a> {
     scenario: &'a Scenario,
     maker: Maker<'a>,
@@ -284,12 +274,7 @@
             customers: scenario
                 .plans
                 .iter()
-                .map(|p| {
-                    vec![
-                        Customer { level: p.depth, at: START, used: 0.0, metered: None };
-                        p.customers as usize
-                    ]
-                })
+                .map(|p| vec![Customer::new(p.depth, START); p.customers as usize])
                 .collect(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
@@ -390,7 +375,7 @@
             Due::Arrival { plan } => {
                 self.plan_arrival(plan);
                 let customer = self.rng.random_range(0..self.scenario.plans[plan].customers);
-                let class = self.class();
+                let class = self.scenario.class(self.rng.random());
                 self.ask(Asked { plan, class, customer, repeats: 0 });
             }
             Due::Again { asked } => self.ask(asked),
@@ -430,18 +415,6 @@
         }
     }
 
-    fn class(&mut self) -> usize {
-        let classes = &self.scenario.classes;
-        let mut draw = self.rng.random::<f64>() * classes.iter().map(|c| c.share).sum::<f64>();
-        for (n, class) in classes.iter().enumerate() {
-            draw -= class.share;
-            if draw < 0.0 {
-                return n;
-            }
-        }
-        classes.len() - 1
-    }
-
     fn ask(&mut self, asked: Asked) {
         let plan = &self.scenario.plans[asked.plan];
         let count = self.places.len();
@@ -458,8 +431,8 @@
             self.report.seconds[second][0] += 1;
         }
         let customer = &mut self.customers[asked.plan][asked.customer as usize];
-        customer.fill(plan.rate, plan.depth, self.now);
-        if counted && asked.repeats == 0 && (plan.rate <= 0.0 || customer.level >= 1.0) {
+        let within = customer.within(plan, self.now);
+        if counted && asked.repeats == 0 && within {
             self.worth[1] += worth;
         }
         if !self.places[gateway].up {
@@ -491,19 +464,10 @@
 
     /// A client that was not served asks again, as often as its kind does.
     fn again(&mut self, asked: Asked, advice: Time) {
-        let clients = &self.scenario.clients;
-        if asked.repeats >= clients.repeats {
-            return;
+        if let Some(after) = self.scenario.clients.returns(asked.repeats, advice, &mut self.rng) {
+            let asked = Asked { repeats: asked.repeats + 1, ..asked };
+            self.plan(self.now + after, Due::Again { asked });
         }
-        let gap: f64 = Exp1.sample(&mut self.rng);
-        let mut after = ns(clients.pause_ms * gap, MS);
-        if advice > 0 && self.rng.random::<f64>() < clients.heeds {
-            after = after.max(advice);
-        }
-        self.plan(
-            self.now + after.max(1),
-            Due::Again { asked: Asked { repeats: asked.repeats + 1, ..asked } },
-        );
     }
 
     fn leave(&mut self, id: u64) {
@@ -584,8 +548,7 @@
         if counted && refused {
             self.report.refused += 1;
             let customer = &mut self.customers[asked.plan][asked.customer as usize];
-            customer.fill(plan.rate, plan.depth, self.now);
-            let room = plan.rate > 0.0 && customer.level >= (plan.depth / 2.0).max(1.0);
+            let room = customer.has_room(plan, self.now);
             self.report.refused_with_room += u64::from(never && room);
         } else if counted {
             self.report.failed += 1;
@@ -612,11 +575,12 @@
         let plan = &self.scenario.plans[asked.plan];
         if first {
             let customer = &mut self.customers[asked.plan][asked.customer as usize];
-            customer.fill(plan.rate, plan.depth, now);
-            let within = plan.rate <= 0.0 || customer.level >= 1.0;
-            customer.level -= f64::from(u8::from(within && plan.rate > 0.0));
-            customer.used += 1.0;
+            let within = customer.take(plan, now);
             held.within = Some(within);
+            if counted {
+                self.report.passed += 1;
+                self.report.beyond += u64::from(!within);
+            }
             if plan.ceiling_rate > 0.0 {
                 let slack = CEILING_UNITS + plan.ceiling_rate * CEILING_S;
                 let number = (asked.plan as u32) << 24 | asked.customer;
@@ -628,11 +592,7 @@
         self.next += 1;
         held.out = Some(key);
         let class = &self.scenario.classes[asked.class];
-        let mut work = class.work_ms;
-        if class.spread == Spread::Exponential {
-            let draw: f64 = Exp1.sample(&mut self.rng);
-            work *= draw;
-        }
+        let work = class.work(&mut self.rng);
         let idle_time = ns(self.scenario.servers.idle_s, SECOND);
         let site_life = self.sites[n].life;
         let place = &mut self.places[gateway];
@@ -657,7 +617,7 @@
             server_life: kept.map_or(site_life, |(life, _)| life),
             sent: now,
             fresh: kept.is_none(),
-            work: ns(work, MS).max(1),
+            work,
             over: false,
             there: false,
         };
@@ -935,13 +895,9 @@
             let sum = each.fold([0.0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]]);
             self.report.cores.push(sum.map(|cores| (cores * 100.0).round() / 100.0));
         }
-        let period = METER as f64 / 1e9;
+        let on = !self.meter_down;
         for (plan, customers) in self.scenario.plans.iter().zip(&mut self.customers) {
-            for customer in customers {
-                let share = customer.used / (plan.rate * period);
-                customer.metered = Some(share).filter(|_| plan.rate > 0.0 && !self.meter_down);
-                customer.used = 0.0;
-            }
+            customers.iter_mut().for_each(|customer| customer.meter(plan, on));
         }
     }
 
@@ -950,7 +906,7 @@
     fn begin(&mut self, number: usize) {
         let scenario = self.scenario;
         let fault = &scenario.faults[number];
-        let struck = self.strikes(fault);
+        let struck = scenario.strikes(fault, &mut self.rng);
         match fault.kind {
             Trouble::Kill => struck.iter().for_each(|n| self.server_down(*n, true)),
             Trouble::Silent => struck.iter().for_each(|n| self.sites[*n].silent = true),
@@ -982,6 +938,8 @@
                     self.plan(self.now + step * place as u64, Due::GatewayDown { gateway: *n });
                 }
             }
+            // The lab's gateways have no file to read again.
+            Trouble::Hangup => {}
             Trouble::Pause => struck.iter().for_each(|n| self.pause(*n, ns(fault.for_s, SECOND))),
             Trouble::ListDown => self.list_down = Some(self.now + ns(fault.for_s, SECOND)),
             Trouble::Flood => self.flood *= fault.factor,
@@ -1004,7 +962,7 @@
             Trouble::Flood if fault.factor > 0.0 => self.flood /= fault.factor,
             Trouble::Flood => self.flood = 1.0,
             Trouble::MeterDown => self.meter_down = false,
-            Trouble::Release | Trouble::Restart | Trouble::Rolling | Trouble::Pause => {}
+            Trouble::Release | Trouble::Restart | Trouble::Rolling | Trouble::Pause | Trouble::Hangup => {}
         }
         // A flood by nothing has let arrivals end.
         if fault.kind == Trouble::Flood && fault.factor <= 0.0 {
@@ -1012,22 +970,6 @@
         }
     }
 
-    /// Those that a fault strikes, in a random order: gateways for a restart, else servers.
-    fn strikes(&mut self, fault: &Fault) -> Vec<usize> {
-        let zones = &self.scenario.zones;
-        let zone = fault.zone.as_ref().and_then(|z| zones.iter().position(|name| name == z));
-        let of: Vec<usize> = match fault.kind {
-            Trouble::Restart | Trouble::Rolling | Trouble::Pause => {
-                self.places.iter().map(|p| p.zone).collect()
-            }
-            _ => self.sites.iter().map(|s| s.zone).collect(),
-        };
-        let mut all: Vec<usize> = (0..of.len()).filter(|n| zone.is_none_or(|zone| of[*n] == zone)).collect();
-        all.shuffle(&mut self.rng);
-        all.truncate((all.len() as f64 * fault.share).round() as usize);
-        all
-    }
-
     /// A server dies, or is drained first: then it dies after a while, and starts again by itself.
     fn server_down(&mut self, n: usize, first: bool) {
         let drains = first && self.drains(n);
@@ -1140,10 +1082,3 @@
         self.hello(n);
     }
 }
-
-impl Customer {
-    fn fill(&mut self, rate: f64, depth: f64, now: Time) {
-        self.level = (self.level + (now - self.at) as f64 / 1e9 * rate).min(depth);
-        self.at = now;
-    }
-}
--- a/crates/operator/src/demo.rs
+++ b/crates/operator/src/demo.rs
@@ -1,43 +1,34 @@
 //! The whole system on this machine, for a look: the real registry and gateways as processes of their own, stand-ins for
 //! roll servers and clients in this one, all on loopback at ports that the system chooses.
 
-use crate::call::{self, Call};
 use crate::gateways::{page, statuses, Seen};
 use crate::{Outcome, Setup};
 use bytes::Bytes;
 use clap::Args;
-use granitehub_protocol::registration::{Announcement, ENTRIES};
-use http_body_util::{BodyExt, Empty, Full};
+use granitehub_protocol::registration::Announcement;
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rustix::process::{kill_process, Pid, Signal};
 use shell::config::Wrong;
 use shell::program::print;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::fs;
-use std::io::{BufRead, BufReader, IsTerminal};
+use std::io::IsTerminal;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::sync::mpsc::{channel, Receiver};
-use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
-use tokio::task::{spawn_local, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout, Instant};
+use trial::client::Idle;
+use trial::process::{end_all, text, Folder, Program, PATIENCE};
 
-/// What a program may take to say where it listens, or to end.
-const PATIENCE: Duration = Duration::from_secs(5);
 /// How long a roll server is listed after its last renewal.
 const LEASE: Duration = Duration::from_secs(2);
 /// Requests that a roll server works on at once, and the mean time of one.
@@ -89,97 +80,6 @@
     move |e| Wrong::one(format!("{what}: {e}"))
 }
 
-/// A program of the system. It ends with this one.
-struct Program {
-    child: Child,
-    lines: Receiver<String>,
-    name: &'static str,
-}
-
-impl Program {
-    /// Starts a program that lies beside this one.
-    fn start(name: &'static str, arguments: &[&str]) -> Result<Self, Wrong> {
-        let own = std::env::current_exe().map_err(failed("this program's own file"))?;
-        let path = own.with_file_name(name);
-        let mut command = Command::new(&path);
-        // What the environment says is meant for other gateways.
-        for variable in
-            ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS", "LB_INHERITED_FD", "TMPDIR"]
-        {
-            command.env_remove(variable);
-        }
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut child = command.spawn().map_err(|e| Wrong::one(format!("{}: {e}", path.display())))?;
-        let (line, lines) = channel();
-        if let Some(log) = child.stderr.take() {
-            // To the end, so that it never waits for a reader.
-            thread::spawn(move || {
-                BufReader::new(log).lines().map_while(Result::ok).for_each(|l| drop(line.send(l)))
-            });
-        }
-        Ok(Program { child, lines, name })
-    }
-
-    /// The address that its log tells after these words.
-    fn told(&self, words: &str) -> Result<SocketAddr, Wrong> {
-        let mut last = String::new();
-        while let Ok(line) = self.lines.recv_timeout(PATIENCE) {
-            if let Some((_, address)) = line.split_once(words) {
-                return address
-                    .trim()
-                    .parse()
-                    .map_err(|e| Wrong::one(format!("{}: {address}: {e}", self.name)));
-            }
-            last = line;
-        }
-        Err(Wrong::one(format!("{} does not say {words:?}; its last word was {last:?}", self.name)))
-    }
-
-    fn end(&self) {
-        // One that has ended needs no signal.
-        let _ = Pid::from_raw(self.child.id() as i32).map(|pid| kill_process(pid, Signal::TERM));
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let end = std::time::Instant::now() + PATIENCE;
-        self.end();
-        while matches!(self.child.try_wait(), Ok(None)) && std::time::Instant::now() < end {
-            thread::sleep(Duration::from_millis(10));
-        }
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// A folder that is gone at the end.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new() -> Result<Self, Wrong> {
-        let path = std::env::temp_dir().join(format!("sprucehatch-demo-{}", std::process::id()));
-        fs::create_dir(&path).map_err(|e| Wrong::one(format!("{}: {e}", path.display())))?;
-        Ok(Folder(path))
-    }
-
-    fn file(&self, name: &str, text: &str) -> Result<PathBuf, Wrong> {
-        let path = self.0.join(name);
-        fs::write(&path, text).map_err(|e| Wrong::one(format!("{}: {e}", path.display())))?;
-        Ok(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-fn text(path: &Path) -> &str {
-    path.to_str().unwrap_or_default()
-}
-
 /// A draw from the exponential distribution.
 fn draw(rng: &mut ChaCha8Rng, mean: Duration) -> Duration {
     mean.mul_f64(-(1.0 - rng.random::<f64>()).ln())
@@ -197,7 +97,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(failed("a roll server"))?;
         let address = listener.local_addr().map_err(failed("a roll server"))?;
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(async move { announce(&name, address, registrars).await });
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let announcement = Announcement {
+            endpoint: address.to_string(),
+            az: "hall".to_string(),
+            model: "stand-in".to_string(),
+            pod_group: 0,
+            capacity_hint: 1.0,
+            boot_ms: unix.as_millis() as u64,
+            lease_ms: LEASE.as_millis() as u64,
+        };
+        tasks.spawn_local(trial::renew(name, announcement, registrars));
         tasks.spawn_local(async move {
             let cores = Rc::new(Semaphore::new(CORES));
             let rng = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
@@ -231,34 +141,6 @@
     Ok(answer)
 }
 
-/// Registers, and renews the lease for as long as it is polled.
-async fn announce(name: &str, endpoint: SocketAddr, registrars: SocketAddr) {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let announcement = Announcement {
-        endpoint: endpoint.to_string(),
-        az: "hall".to_string(),
-        model: "stand-in".to_string(),
-        pod_group: 0,
-        capacity_hint: 1.0,
-        boot_ms: unix.as_millis() as u64,
-        lease_ms: LEASE.as_millis() as u64,
-    };
-    let path = format!("{ENTRIES}/{name}");
-    let announcement = Bytes::from(serde_json::to_vec(&announcement).unwrap_or_default());
-    let renewal = Bytes::from(format!(r#"{{"boot_ms":{}}}"#, unix.as_millis()));
-    let mut every = interval(LEASE / 4);
-    let mut listed = false;
-    loop {
-        every.tick().await;
-        let call = match listed {
-            true => Call { method: Method::POST, path: format!("{path}/renew"), body: renewal.clone() },
-            false => Call { method: Method::PUT, path: path.clone(), body: announcement.clone() },
-        };
-        // One that the registry does not know, or that it did not answer, is announced anew.
-        listed = call::make(registrars, call, LEASE / 4).await.is_ok_and(|answer| answer.yes());
-    }
-}
-
 // ---- Clients ----
 
 /// What clients saw in a span.
@@ -270,40 +152,21 @@
     times: RefCell<Vec<Duration>>,
 }
 
-type Idle = Rc<RefCell<Vec<SendRequest<Empty<Bytes>>>>>;
-
 /// One request, on a connection that idles or a new one.
-async fn ask(gateway: SocketAddr, idle: Idle, id: u64, customer: u64, gateways: u64, tally: Rc<Tally>) {
+async fn ask(gateway: SocketAddr, idle: Rc<Idle>, id: u64, customer: u64, gateways: u64, tally: Rc<Tally>) {
     let begun = Instant::now();
-    let kept = idle.borrow_mut().pop().filter(SendRequest::is_ready);
-    let exchange = async {
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => {
-                let stream = TcpStream::connect(gateway).await.ok()?;
-                stream.set_nodelay(true).ok()?;
-                let (sender, io) = handshake(TokioIo::new(stream)).await.ok()?;
-                spawn_local(io);
-                sender
-            }
-        };
-        let request = Request::get("/api")
-            .header("host", "origin.svc")
-            .header("request-id", format!("{id:016x}"))
-            .header("request-class", "roll-lookup")
-            .header("plan", "basic")
-            .header("account", format!("{customer:016x}"))
-            .header("request-timeout", format!("{:.3}", WAIT.as_secs_f64()))
-            .header("quota-info", format!("units=1,spread={gateways},first=0"))
-            .body(Empty::new())
-            .ok()?;
-        let answer = connection.send_request(request).await.ok()?;
-        let status = answer.status().as_u16();
-        answer.into_body().collect().await.ok()?;
-        idle.borrow_mut().push(connection);
-        Some(status)
-    };
-    let status = timeout(WAIT, exchange).await.ok().flatten();
+    let request = Request::get("/api")
+        .header("host", "origin.svc")
+        .header("request-id", format!("{id:016x}"))
+        .header("request-class", "roll-lookup")
+        .header("plan", "basic")
+        .header("account", format!("{customer:016x}"))
+        .header("request-timeout", format!("{:.3}", WAIT.as_secs_f64()))
+        .header("quota-info", format!("units=1,spread={gateways},first=0"))
+        .body(Full::default());
+    let Ok(request) = request else { return };
+    let reply = timeout(WAIT, idle.ask(gateway, request)).await;
+    let status = reply.ok().and_then(Result::ok).map(|reply| reply.status);
     let count = match status {
         Some(200) => &tally.served,
         Some(429 | 503) => &tally.refused,
@@ -318,7 +181,7 @@
 /// Sends requests at random times until it is dropped.
 async fn load(gateways: Vec<SocketAddr>, rate: u64, tally: Rc<RefCell<Rc<Tally>>>) {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let idle: Vec<Idle> = gateways.iter().map(|_| Idle::default()).collect();
+    let idle: Vec<Rc<Idle>> = gateways.iter().map(|_| Rc::default()).collect();
     let mut id = u64::from(std::process::id()) << 32;
     let mut next = Instant::now();
     let mut asks = JoinSet::new();
@@ -347,34 +210,21 @@
 
 // ---- The whole ----
 
-/// Runs the demo. A signal ends it and all that it started.
+/// Runs the demo. The caller ends it on a signal.
 pub async fn run(setup: &Setup, demo: &Demo) -> Result<Outcome, Wrong> {
-    let signals = |kind| signal(kind).map_err(failed("signals"));
-    let (mut int, mut term) = (signals(SignalKind::interrupt())?, signals(SignalKind::terminate())?);
-    let mut hangup = signals(SignalKind::hangup())?;
-    tokio::select! {
-        biased;
-        outcome = system(setup, demo) => outcome,
-        _ = int.recv() => Err(Wrong::one("stopped; everything is ended")),
-        _ = term.recv() => Err(Wrong::one("stopped; everything is ended")),
-        _ = hangup.recv() => Err(Wrong::one("stopped; everything is ended")),
-    }
-}
-
-async fn system(setup: &Setup, demo: &Demo) -> Result<Outcome, Wrong> {
-    let folder = Folder::new()?;
-    let list = folder.0.join("list");
-    let registry = Program::start(
-        "granitehub-registry",
-        &["--dir", text(&list), "--readers", "127.0.0.1:0", "--registrars", "127.0.0.1:0", "--grace-ms", "0"],
-    )?;
+    let folder = Folder::new("demo")?;
+    let (list, programs) = (folder.path("list"), Program::beside()?);
+    let arguments =
+        ["--dir", text(&list), "--readers", "127.0.0.1:0", "--registrars", "127.0.0.1:0", "--grace-ms", "0"];
+    let log = folder.path("registry.log");
+    let mut registry = Program::start(&programs, "granitehub-registry", &arguments, log)?;
     let readers = registry.told("Readers call at ")?;
     let registrars = registry.told("Registrars call at ")?;
     let mut servers = Vec::new();
     for n in 1..=demo.servers {
         servers.push(Some(RollServer::start(format!("s-{n}"), registrars, n).await?));
     }
-    let (mut programs, mut clients, mut operators) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut started, mut clients, mut operators) = (Vec::new(), Vec::new(), Vec::new());
     for n in 0..demo.gateways {
         let configuration = CONFIGURATION
             .replace("DISCOVERY", &readers.to_string())
@@ -382,10 +232,11 @@
             .replace("NUMBER", &n.to_string());
         let configuration = format!("name = \"n{n}\"\n{configuration}");
         let file = folder.file(&format!("n{n}.toml"), &configuration)?;
-        let gateway = Program::start("granitethread", &["--config", text(&file)])?;
+        let log = folder.path(&format!("n{n}.log"));
+        let mut gateway = Program::start(&programs, "granitethread", &["--config", text(&file)], log)?;
         clients.push(gateway.told("listening on ")?);
         operators.push(gateway.told("operators call at ")?);
-        programs.push(gateway);
+        started.push(gateway);
     }
     let gateways =
         Setup { gateways: operators, registrars: Some(registrars), limit: setup.limit, json: false };
@@ -423,14 +274,14 @@
         failed += past.failed.get();
     }
     drop(tasks);
-    programs.push(registry);
+    started.push(registry);
     let mut lost = 0;
-    for program in &mut programs {
-        lost += usize::from(!matches!(program.child.try_wait(), Ok(None)));
+    for program in &mut started {
+        lost += usize::from(program.ended().is_some());
     }
     // All at once, so that the end takes as long as the slowest.
-    programs.iter().for_each(Program::end);
-    drop((programs, folder));
+    end_all(&mut started);
+    drop((started, folder));
     print(format!("in all {served} served, {refused} refused, {failed} failed; everything is ended\n"))?;
     if lost > 0 {
         return Err(Wrong::one(format!("{lost} programs had ended before")));
--- a/crates/operator/src/gateways.rs
+++ b/crates/operator/src/gateways.rs
@@ -1,8 +1,8 @@
 //! Commands to gateways.
 
-use crate::call::{self, Answer, Call};
 use crate::table::{plain, span, table};
 use crate::{Outcome, Setup};
+use granitehub_protocol::call::{self, Answer, Call};
 use granitehub_protocol::status::{End, Status};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde_json::{json, Value};
--- a/crates/operator/src/lab.rs
+++ b/crates/operator/src/lab.rs
@@ -81,7 +81,7 @@
 }
 
 /// A name of the catalogue, or a file.
-fn scenario(name: &str) -> Result<Scenario, Wrong> {
+pub fn scenario(name: &str) -> Result<Scenario, Wrong> {
     Scenario::from_value(::lab::find(name)?).map_err(|wrong| wrong.of(Path::new(name)))
 }
 
@@ -197,6 +197,7 @@
             "worth",
             "late ends",
             "refused with room",
+            "beyond quota",
             "failed",
             "attempts",
             "crossings",
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -1,21 +1,23 @@
 //! sprucehatch: the operators' command line.
 
-mod call;
 mod demo;
 mod gateways;
 mod lab;
 mod registry;
 mod table;
+mod trial;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use shell::config::{self, Wrong};
 use shell::program::{end, print};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Watches and steers gateways and registries.
 ///
@@ -93,6 +95,9 @@
     /// Plays scenarios in simulated time with the real decisions
     #[command(subcommand)]
     Lab(lab::Command),
+    /// Plays scenarios with real processes and faults on the links between them
+    #[command(subcommand)]
+    Trial(trial::Command),
     /// Checks the configuration, tells all that is wrong with it and calls nobody
     CheckConfig,
     /// Prints what a shell completes this command line with
@@ -191,14 +196,29 @@
                 gateways::tell(&setup, &format!("/-/log?level={level}{module}")).await
             }
             Command::Registry(command) => registry::run(&setup, command).await,
-            Command::Lab(lab::Command::Demo(demo)) => demo::run(&setup, &demo).await,
+            Command::Lab(lab::Command::Demo(demo)) => until_stopped(demo::run(&setup, &demo)).await,
             Command::Lab(command) => lab::run(&setup, command),
+            Command::Trial(command) => until_stopped(trial::run(&setup, &command)).await,
             Command::CheckConfig => print("ok\n").map(|()| Outcome::All),
             Command::Completions { .. } => Ok(Outcome::All),
         }
     })
 }
 
+/// Does what starts other programs. A signal ends it and all that it started.
+async fn until_stopped(what: impl Future<Output = Result<Outcome, Wrong>>) -> Result<Outcome, Wrong> {
+    let on = |kind| signal(kind).map_err(|e| Wrong::one(format!("signals: {e}")));
+    let (mut int, mut term) = (on(SignalKind::interrupt())?, on(SignalKind::terminate())?);
+    let mut hangup = on(SignalKind::hangup())?;
+    tokio::select! {
+        biased;
+        outcome = what => outcome,
+        _ = int.recv() => Err(Wrong::one("stopped; everything is ended")),
+        _ = term.recv() => Err(Wrong::one("stopped; everything is ended")),
+        _ = hangup.recv() => Err(Wrong::one("stopped; everything is ended")),
+    }
+}
+
 /// The command line's word goes before the file's.
 fn setup(arguments: &Arguments) -> Result<Setup, Wrong> {
     let file = match config::one_of(arguments.config.clone(), "SPRUCEHATCH_CONFIG")? {
--- a/crates/operator/src/registry.rs
+++ b/crates/operator/src/registry.rs
@@ -1,10 +1,10 @@
 //! Commands to a registry, as an operator: without the start of a server, what it says counts for any.
 
-use crate::call::{self, Answer, Call};
 use crate::gateways::encoded;
 use crate::table::{plain, span, table};
 use crate::{Outcome, Setup};
 use clap::{Args, Subcommand};
+use granitehub_protocol::call::{self, Answer, Call};
 use granitehub_protocol::registration::{Announcement, Registrations, ENTRIES};
 use hyper::Method;
 use shell::config::Wrong;
--- /dev/null
+++ b/crates/operator/src/trial.rs
@@ -0,0 +1,160 @@
+//! Trials: a scenario played with real processes, beside the lab's play of it.
+
+use crate::lab::scenario;
+use crate::table::table;
+use crate::{Outcome, Setup};
+use ::lab::stats::FIGURES;
+use ::lab::Report;
+use clap::{Args, Subcommand};
+use serde_json::json;
+use shell::config::Wrong;
+use shell::program::print;
+use std::fs;
+use std::path::{Path, PathBuf};
+use trial::process::Program;
+use trial::{quantile, Figures, Played};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Plays scenarios with real gateways among stand-ins, with faults on the links between them
+    Run(Run),
+    /// Checks scenarios as a trial needs them, tells all that is wrong with them and starts nothing
+    Check { scenarios: Vec<String> },
+}
+
+#[derive(Args)]
+pub struct Run {
+    /// Names of the lab's catalogue, or files
+    #[arg(required = true)]
+    scenarios: Vec<String>,
+    /// How many seeds are played, one after the other
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    seeds: u64,
+    /// The first of them
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    first: u64,
+    /// Where the programs lie; beside this one without it
+    #[arg(long, value_name = "FOLDER")]
+    programs: Option<PathBuf>,
+    /// Shows the lab's play of the same scenario beside it
+    #[arg(long)]
+    lab: bool,
+    /// Where a line for each play (JSON), its seconds (CSV) and a page are written
+    #[arg(long, value_name = "FOLDER")]
+    to: Option<PathBuf>,
+}
+
+/// Runs a command. The caller ends it on a signal.
+pub async fn run(setup: &Setup, command: &Command) -> Result<Outcome, Wrong> {
+    let (names, run) = match command {
+        Command::Run(run) => (&run.scenarios, Some(run)),
+        Command::Check { scenarios } => (scenarios, None),
+    };
+    // All are read and checked before anything is started.
+    let all = names.iter().map(|name| {
+        let scenario = scenario(name)?;
+        trial::check(&scenario).map_err(|wrong| wrong.of(Path::new(name)))?;
+        Ok(scenario)
+    });
+    let all: Vec<::lab::Scenario> = all.collect::<Result<_, Wrong>>()?;
+    let Some(run) = run else { return print("ok\n").map(|()| Outcome::All) };
+    let programs = match &run.programs {
+        Some(folder) => folder.clone(),
+        None => Program::beside()?,
+    };
+    let (mut kept, mut void) = (true, false);
+    for scenario in &all {
+        for seed in (0..run.seeds).map(|n| run.first.wrapping_add(n)) {
+            let Played { mut figures, breach } = trial::play(scenario, seed, &programs).await?;
+            figures.report.seed = seed;
+            kept &= breach.is_none();
+            void |= figures.void.is_some();
+            let lab = run.lab.then(|| ::lab::play(scenario, seed));
+            if let Some(to) = &run.to {
+                write(to, &figures).map_err(|e| Wrong::one(format!("{}: {e}", to.display())))?;
+            }
+            if setup.json {
+                let breach = breach.as_ref().map(|breach| breach.to_string());
+                let lab = lab.and_then(Result::ok);
+                print(format!("{}\n", json!({"trial": figures, "breach": breach, "lab": lab})))?;
+                continue;
+            }
+            print(format!(
+                "{} with seed {seed}\n{}",
+                scenario.name,
+                page(&figures, lab.and_then(Result::ok))
+            ))?;
+            if let Some(what) = &figures.void {
+                print(format!("void: {what}\n"))?;
+            }
+            print(breach.map_or("rules kept\n".to_string(), |breach| breach.to_string()))?;
+        }
+    }
+    Ok(match (kept, void) {
+        (false, _) => Outcome::None,
+        (true, true) => Outcome::Some,
+        (true, false) => Outcome::All,
+    })
+}
+
+/// The play as a line, and its seconds as a table.
+fn write(to: &Path, figures: &Figures) -> std::io::Result<()> {
+    use std::io::Write;
+    fs::create_dir_all(to)?;
+    let name = &figures.report.scenario;
+    let mut lines = fs::File::options().create(true).append(true).open(to.join(format!("{name}.jsonl")))?;
+    writeln!(lines, "{}", serde_json::to_string(figures)?)?;
+    let mut rows = "second,asked,in_time,list_calls,list_turned_away,connections,sent,beyond_quota,tries,\
+                    refused_with_room\n"
+        .to_string();
+    for (n, [asked, served]) in figures.report.seconds.iter().enumerate() {
+        let list = figures.list.get(n).copied().unwrap_or_default();
+        let opened = figures.opened.get(n).copied().unwrap_or_default();
+        let quota = figures.quota.get(n).copied().unwrap_or_default();
+        rows += &format!("{n},{asked},{served},{},{},{opened}", list[0], list[1]);
+        quota.iter().for_each(|count| rows += &format!(",{count}"));
+        rows += "\n";
+    }
+    fs::write(to.join(format!("{name}-{}.csv", figures.report.seed)), rows)
+}
+
+fn page(f: &Figures, lab: Option<Report>) -> String {
+    let beside = |value: Option<String>| value.unwrap_or_else(|| "-".to_string());
+    let mut rows = Vec::new();
+    for (name, figure) in FIGURES {
+        let lab = lab.as_ref().map(|report| format!("{:.3}", figure(report)));
+        rows.push(vec![name.to_string(), format!("{:.3}", figure(&f.report)), beside(lab)]);
+    }
+    let mut row = |name: &str, value: String, lab: Option<String>| {
+        rows.push(vec![name.to_string(), value, beside(lab)]);
+    };
+    let fallen = |report: &Report| report.fallen.to_string();
+    row("requests", f.report.requests.to_string(), lab.as_ref().map(|r| r.requests.to_string()));
+    row("fallen", fallen(&f.report), lab.as_ref().map(fallen));
+    let ready: Vec<String> =
+        [0.5, 0.9, 1.0].iter().map(|part| format!("{:.2}", quantile(&f.ready_s, *part))).collect();
+    row("ready after s: half, nine in ten, last", ready.join(", "), None);
+    row("starts that became ready, of gateways", format!("{} of {}", f.ready_s.len(), f.gateways), None);
+    let sum = |what: usize| f.list.iter().map(|second| second[what]).sum::<u32>();
+    row(
+        "list: calls, turned away, most calls in a second",
+        format!("{}, {}, {}", sum(0), sum(1), Figures::worst(&f.list, 0)),
+        None,
+    );
+    let opened: u32 = f.opened.iter().sum();
+    let most = f.opened.iter().max().copied().unwrap_or(0);
+    row("connections to servers, most in a second", format!("{opened}, {most}"), None);
+    let [beyond, room] = f.quotas(0, 5);
+    row("first 5 s: beyond quota, refused with room", format!("{beyond:.3}, {room:.3}"), None);
+    let [beyond, room] = f.quotas(5, usize::MAX);
+    row("later: beyond quota, refused with room", format!("{beyond:.3}, {room:.3}"), None);
+    let recovered = f.recovered_s.map(|s| format!("{s:.1}"));
+    row("full service after the last fault, s", beside(recovered), None);
+    let spread = |all: &[u64]| format!("{}, {}", quantile(all, 0.5), quantile(all, 1.0));
+    row("processor ms a second: median, most", spread(&f.processor_ms), None);
+    row("memory kB: median, most", spread(&f.memory_kb), None);
+    row("descriptors: median, most", spread(&f.descriptors), None);
+    let [usual, worst] = f.late_ms;
+    row("this program late by ms: 99th of a hundred, most", format!("{usual:.1}, {worst:.1}"), None);
+    table(&["figure", "processes", "lab"], rows)
+}
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -363,3 +363,111 @@
     fs::remove_dir_all(dir).expect("it is there");
     [base, file].iter().for_each(|path| fs::remove_file(path).expect("it is there"));
 }
+
+const TRIAL: &str = r#"
+name = "small"
+claim = "A server dies and a link is cut one way, and each request gets its answer"
+seconds = 5
+zones = ["a", "b"]
+[gateways]
+count = 4
+[servers]
+count = 6
+cores = 8
+cold_s = 1
+cold_from = 0.5
+[[classes]]
+name = "look"
+work_ms = 5
+spread = "fixed"
+aim_ms = 800
+deadline_ms = 2000
+[[plans]]
+name = "basic"
+customers = 20
+demand = 3
+rate = 8
+depth = 16
+spread = 2
+[[faults]]
+kind = "kill"
+at_s = 1.5
+for_s = 1.5
+share = 0.3
+[[faults]]
+kind = "cut"
+link = "zone a except n2 -> zone b"
+at_s = 2
+for_s = 1.5
+[[faults]]
+kind = "restart"
+at_s = 2.5
+share = 0.25
+[[faults]]
+kind = "pause"
+at_s = 3
+for_s = 1
+share = 0.25
+"#;
+
+#[test]
+fn a_trial_plays_faults_among_real_processes_keeps_the_rules_and_leaves_nothing_behind() {
+    for registry in ["false", "true"] {
+        let file = file("toml", &format!("{TRIAL}[list]\nregistry = {registry}\n"));
+        let child = Command::new(program("sprucehatch"))
+            .args(["--json", "trial", "run", file.to_str().expect("a path")])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let pid = child.id();
+        let out = child.wait_with_output().expect("it ends");
+        // A busy machine may void the figures, never the rules.
+        let told: Value =
+            serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", text(&out)));
+        assert_eq!(told["breach"], Value::Null, "{}", text(&out));
+        assert!(matches!(out.status.code(), Some(0 | 3)), "{}", text(&out));
+        let figure = |name: &str| told["trial"][name].as_u64().unwrap_or(0);
+        assert!(figure("requests") > 100 && figure("on_time") * 2 > figure("requests"), "{told}");
+        assert_eq!(told["trial"]["ready_s"].as_array().map(Vec::len), Some(5), "four, and one again");
+        let folder = std::env::temp_dir().join(format!("sprucehatch-trial-{pid}"));
+        assert!(!folder.exists() && !runs_from(&folder), "something is left");
+    }
+}
+
+/// Whether a process runs whose command line names the folder.
+fn runs_from(folder: &std::path::Path) -> bool {
+    let name = folder.to_str().expect("a path");
+    let all = fs::read_dir("/proc").expect("processes").filter_map(Result::ok);
+    all.filter_map(|p| fs::read(p.path().join("cmdline")).ok())
+        .any(|line| String::from_utf8_lossy(&line).contains(name))
+}
+
+#[test]
+fn a_trial_that_cannot_be_played_is_told_by_key_and_one_that_is_stopped_ends_all() {
+    let words = |from: &str, to: &str| file("toml", &TRIAL.replace(from, to));
+    for (from, to, why) in [
+        ("zone a except n2 -> zone b", "zone a -> moon", "faults[1].link"),
+        ("at_s = 2.5", "at_s = -1", "faults[2].at_s"),
+        ("\"pause\"", "\"rolling\"", "faults[3] restarts gateways while faults[2]"),
+        ("count = 6", "count = 200", "servers.count is 200"),
+    ] {
+        let (code, told) = run(&["trial", "run", words(from, to).to_str().expect("a path")]);
+        assert!(code == Some(1) && told.contains(why), "{why}: {told}");
+    }
+    let file = words("seconds = 5", "seconds = 60");
+    let mut child = Command::new(program("sprucehatch"))
+        .args(["trial", "run", file.to_str().expect("a path")])
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let folder = std::env::temp_dir().join(format!("sprucehatch-trial-{}", child.id()));
+    let limit = Instant::now() + Duration::from_secs(20);
+    while !runs_from(&folder) && Instant::now() < limit {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let pid = child.id().to_string();
+    Command::new("kill").args(["-INT", &pid]).status().expect("a signal");
+    assert!(!child.wait().expect("it ends").success());
+    assert!(!folder.exists() && !runs_from(&folder), "something is left");
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,7 +1,8 @@
 //! What the programs say to each other: the list of roll servers, how it is read and merged, and a caller's side of
-//! its protocol; registrations; a gateway's status.
+//! its protocol; one call to an operators' address; registrations; a gateway's status.
 #![forbid(unsafe_code)]
 
+pub mod call;
 pub mod list;
 pub mod registration;
 pub mod status;
--- /dev/null
+++ b/crates/trial/src/figures.rs
@@ -0,0 +1,134 @@
+//! What a trial shows: the lab's report, and what only processes have.
+
+use lab::report::Report;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// How late this program's own event loop may be before its figures say nothing: for one turn in a hundred, and at most.
+const LATE: Duration = Duration::from_millis(25);
+const LATEST: Duration = Duration::from_millis(400);
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Figures {
+    #[serde(flatten)]
+    pub report: Report,
+    /// By second: calls for the list, and those of them that were turned away.
+    pub list: Vec<[u32; 2]>,
+    /// By second: new connections to servers.
+    pub opened: Vec<u32>,
+    /// By second: requests that were sent, those of them beyond quota, tries, and those refused with half of the quota there.
+    pub quota: Vec<[u32; 4]>,
+    /// How long after its start each gateway was ready, in order, in seconds; those that never were are missing.
+    pub ready_s: Vec<f64>,
+    pub gateways: u32,
+    /// Of each gateway that ran to the end, in order: processor time a second, resident memory, open descriptors.
+    pub processor_ms: Vec<u64>,
+    pub memory_kb: Vec<u64>,
+    pub descriptors: Vec<u64>,
+    /// How late this program's event loop was: the 99th of a hundred turns, and at most.
+    pub late_ms: [f64; 2],
+    /// After the last fault ended, until as much was served a second as before the first one, but for a twentieth.
+    pub recovered_s: Option<f64>,
+    /// Why the figures say nothing.
+    pub void: Option<String>,
+    #[serde(skip)]
+    pub times: Vec<f64>,
+    #[serde(skip)]
+    pub worth: [f64; 2],
+    #[serde(skip)]
+    pub lateness: Vec<Duration>,
+}
+
+/// Adds to a second's count, however late it comes.
+pub fn count<const N: usize>(seconds: &mut Vec<[u32; N]>, at: Option<usize>, what: usize) {
+    let Some(at) = at else { return };
+    if seconds.len() <= at {
+        seconds.resize(at + 1, [0; N]);
+    }
+    seconds[at][what] += 1;
+}
+
+/// Of values in order.
+pub fn quantile<T: Copy + Default>(sorted: &[T], part: f64) -> T {
+    let at = (sorted.len() as f64 * part) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or_default()
+}
+
+impl Figures {
+    pub fn away(&mut self) {
+        self.report.turned_away += 1;
+    }
+
+    /// Sums up. `faults` are the begin of the first and the end of the last, in seconds.
+    pub fn close(&mut self, faults: Option<(f64, f64)>) {
+        self.times.sort_by(f64::total_cmp);
+        self.ready_s.sort_by(f64::total_cmp);
+        self.lateness.sort();
+        let [served, asked] = self.worth;
+        self.report.worth = if asked > 0.0 { served / asked } else { 0.0 };
+        self.report.p50_ms = quantile(&self.times, 0.5);
+        self.report.p99_ms = quantile(&self.times, 0.99);
+        for all in [&mut self.processor_ms, &mut self.memory_kb, &mut self.descriptors] {
+            all.sort_unstable();
+        }
+        let (usual, worst) = (quantile(&self.lateness, 0.99), quantile(&self.lateness, 1.0));
+        self.late_ms = [usual, worst].map(|late| late.as_secs_f64() * 1000.0);
+        if usual > LATE || worst > LATEST {
+            let [usual, worst] = self.late_ms;
+            self.void = Some(format!(
+                "this program was late itself: by {usual:.0} ms in one turn of a hundred, {worst:.0} ms at most"
+            ));
+        }
+        self.recovered_s = faults.and_then(|(first, last)| {
+            let served = |range: &[[u32; 2]]| {
+                let mut all: Vec<u32> = range.iter().map(|second| second[1]).collect();
+                all.sort_unstable();
+                quantile(&all, 0.5)
+            };
+            let seconds = &self.report.seconds;
+            let before = served(seconds.get(1..first as usize)?);
+            let after = seconds.iter().enumerate().skip(last.ceil() as usize);
+            let mut well = after.filter(|(_, second)| f64::from(second[1]) >= 0.95 * f64::from(before));
+            well.next().map(|(n, _)| n as f64 + 1.0 - last)
+        });
+    }
+
+    /// Of the seconds from `from` to before `to`: units beyond quota of those sent, and tries refused with half of the quota.
+    pub fn quotas(&self, from: usize, to: usize) -> [f64; 2] {
+        let sum = self.quota.iter().take(to).skip(from).fold([0_u64; 4], |mut sum, second| {
+            sum.iter_mut().zip(second).for_each(|(sum, n)| *sum += u64::from(*n));
+            sum
+        });
+        let share = |part: u64, all: u64| part as f64 / all.max(1) as f64;
+        [share(sum[1], sum[0]), share(sum[3], sum[2])]
+    }
+
+    /// The most in one second.
+    pub fn worst<const N: usize>(seconds: &[[u32; N]], what: usize) -> u32 {
+        seconds.iter().map(|second| second[what]).max().unwrap_or(0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn recovery_counts_from_the_end_of_the_last_fault_and_lateness_voids() {
+        let served = [0, 100, 100, 20, 30, 60, 96, 100];
+        let mut figures = Figures { lateness: vec![Duration::from_millis(1); 100], ..Figures::default() };
+        figures.report.seconds = served.map(|n| [100, n]).to_vec();
+        figures.close(Some((3.0, 4.5)));
+        assert_eq!((figures.recovered_s, figures.void.clone()), (Some(2.5), None));
+        figures.lateness = vec![Duration::from_millis(30); 100];
+        figures.close(None);
+        assert!(figures.recovered_s.is_none() && figures.void.is_some());
+    }
+
+    #[test]
+    fn shares_are_of_the_seconds_that_are_named() {
+        let figures = Figures { quota: vec![[9, 9, 9, 9], [10, 1, 20, 5], [0; 4]], ..Figures::default() };
+        assert_eq!((figures.quotas(1, 3), figures.quotas(2, 3)), ([0.1, 0.25], [0.0, 0.0]));
+    }
+}
