Show quotas by phase in lab and trial, and begin the trial's meter after its first period

To see what a fault does to quotas they are needed by phase, from both plays. Each second of a report has requests sent, those beyond quota, tries and those refused with half of the quota there; the table shows them from change to change of the faults. The trial's meter told a use of 0 at the begin of a play, which no gateway had.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -43,6 +43,10 @@
     pub p99_ms: f64,
     /// Of each second: requests that came, and those of them that were served in time.
     pub seconds: Vec<[u32; 2]>,
+    /// Of each second: requests that were sent for the first time, those of them beyond quota, tries, and those refused and
+    /// never sent though half of the quota was there.
+    #[serde(default)]
+    pub quota: Vec<[u32; 4]>,
     /// At the end of each second: the work that all servers can do which want something new, in warm cores, and the part
     /// of it in use.
     pub cores: Vec<[f64; 2]>,
@@ -50,8 +54,40 @@
     pub events: u64,
 }
 
+impl Report {
+    /// Of the seconds from `from` to before `to`: units beyond quota of those sent, and tries refused with half of the quota.
+    pub fn quotas(&self, from: usize, to: usize) -> [f64; 2] {
+        let sum = self.quota.iter().take(to).skip(from).fold([0_u64; 4], |mut sum, second| {
+            sum.iter_mut().zip(second).for_each(|(sum, n)| *sum += u64::from(*n));
+            sum
+        });
+        let share = |part: u64, all: u64| part as f64 / all.max(1) as f64;
+        [share(sum[1], sum[0]), share(sum[3], sum[2])]
+    }
+}
+
+/// Adds to a second's count, however late it comes.
+pub fn count<const N: usize>(seconds: &mut Vec<[u32; N]>, at: Option<usize>, what: usize) {
+    let Some(at) = at else { return };
+    if seconds.len() <= at {
+        seconds.resize(at + 1, [0; N]);
+    }
+    seconds[at][what] += 1;
+}
+
 /// Times up to ten minutes, to three digits.
 pub(crate) fn times() -> Histogram<u64> {
     // The bounds are good ones.
     Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|e| unreachable!("{e}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_are_of_the_seconds_that_are_named() {
+        let report = Report { quota: vec![[9, 9, 9, 9], [10, 1, 20, 5], [0; 4]], ..Report::default() };
+        assert_eq!((report.quotas(1, 3), report.quotas(2, 3)), ([0.1, 0.25], [0.0, 0.0]));
+    }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -3,7 +3,7 @@
 use crate::customer::Customer;
 use crate::link::Struck;
 use crate::oracle::{Allowed, Breach, Oracle};
-use crate::report::{times, Report};
+use crate::report::{self, times, Report};
 use crate::scenario::{ns, Fault, Scenario, Trouble, METER, MS, SECOND, SLACK, START};
 use crate::server::{Server, Taken};
 use granitehub::{
@@ -404,6 +404,10 @@
         Ok(())
     }
 
+    fn second(&self) -> Option<usize> {
+        Some(((self.now - START) / 1_000_000_000) as usize)
+    }
+
     // ---- Clients ----
 
     fn plan_arrival(&mut self, plan: usize) {
@@ -432,6 +436,8 @@
         }
         let customer = &mut self.customers[asked.plan][asked.customer as usize];
         let within = customer.within(plan, self.now);
+        let second = self.second();
+        report::count(&mut self.report.quota, second, 2);
         if counted && asked.repeats == 0 && within {
             self.worth[1] += worth;
         }
@@ -545,11 +551,15 @@
         held.ended = true;
         let (asked, counted, out, never) = (held.asked, held.counted, held.out, held.within.is_none());
         let plan = &self.scenario.plans[asked.plan];
+        let customer = &mut self.customers[asked.plan][asked.customer as usize];
+        let room = refused && never && customer.has_room(plan, self.now);
+        if room {
+            let second = self.second();
+            report::count(&mut self.report.quota, second, 3);
+        }
         if counted && refused {
             self.report.refused += 1;
-            let customer = &mut self.customers[asked.plan][asked.customer as usize];
-            let room = customer.has_room(plan, self.now);
-            self.report.refused_with_room += u64::from(never && room);
+            self.report.refused_with_room += u64::from(room);
         } else if counted {
             self.report.failed += 1;
         }
@@ -572,11 +582,16 @@
         let (asked, counted, number) = (held.asked, held.counted, held.attempts);
         held.attempts += 1;
         let first = held.within.is_none();
-        let plan = &self.scenario.plans[asked.plan];
+        let (plan, second) =
+            (&self.scenario.plans[asked.plan], Some(((now - START) / 1_000_000_000) as usize));
         if first {
             let customer = &mut self.customers[asked.plan][asked.customer as usize];
             let within = customer.take(plan, now);
             held.within = Some(within);
+            report::count(&mut self.report.quota, second, 0);
+            if !within {
+                report::count(&mut self.report.quota, second, 1);
+            }
             if counted {
                 self.report.passed += 1;
                 self.report.beyond += u64::from(!within);
--- a/crates/operator/src/trial.rs
+++ b/crates/operator/src/trial.rs
@@ -4,7 +4,7 @@
 use crate::table::table;
 use crate::{Outcome, Setup};
 use ::lab::stats::FIGURES;
-use ::lab::Report;
+use ::lab::{Report, Scenario};
 use clap::{Args, Subcommand};
 use serde_json::json;
 use shell::config::Wrong;
@@ -56,7 +56,7 @@
         trial::check(&scenario).map_err(|wrong| wrong.of(Path::new(name)))?;
         Ok(scenario)
     });
-    let all: Vec<::lab::Scenario> = all.collect::<Result<_, Wrong>>()?;
+    let all: Vec<Scenario> = all.collect::<Result<_, Wrong>>()?;
     let Some(run) = run else { return print("ok\n").map(|()| Outcome::All) };
     let programs = match &run.programs {
         Some(folder) => folder.clone(),
@@ -82,7 +82,7 @@
             print(format!(
                 "{} with seed {seed}\n{}",
                 scenario.name,
-                page(&figures, lab.and_then(Result::ok))
+                page(scenario, &figures, lab.and_then(Result::ok))
             ))?;
             if let Some(what) = &figures.void {
                 print(format!("void: {what}\n"))?;
@@ -110,7 +110,7 @@
     for (n, [asked, served]) in figures.report.seconds.iter().enumerate() {
         let list = figures.list.get(n).copied().unwrap_or_default();
         let opened = figures.opened.get(n).copied().unwrap_or_default();
-        let quota = figures.quota.get(n).copied().unwrap_or_default();
+        let quota = figures.report.quota.get(n).copied().unwrap_or_default();
         rows += &format!("{n},{asked},{served},{},{},{opened}", list[0], list[1]);
         quota.iter().for_each(|count| rows += &format!(",{count}"));
         rows += "\n";
@@ -118,7 +118,22 @@
     fs::write(to.join(format!("{name}-{}.csv", figures.report.seed)), rows)
 }
 
-fn page(f: &Figures, lab: Option<Report>) -> String {
+/// The first seconds, and the time between two changes of what is wrong.
+fn phases(scenario: &Scenario) -> Vec<(String, usize, usize)> {
+    let mut ends: Vec<usize> = vec![5, scenario.seconds.ceil() as usize];
+    for fault in &scenario.faults {
+        ends.extend([fault.at_s, fault.at_s + fault.for_s].map(|at| at.round() as usize));
+        // What a fault leaves behind shows soon after it.
+        ends.push((fault.at_s + fault.for_s).round() as usize + 4);
+    }
+    ends.retain(|end| *end <= scenario.seconds.ceil() as usize);
+    ends.sort_unstable();
+    ends.dedup();
+    let begins = [0].into_iter().chain(ends.iter().copied());
+    begins.zip(&ends).filter(|(from, to)| from < to).map(|(a, b)| (format!("{a} to {b} s"), a, *b)).collect()
+}
+
+fn page(scenario: &Scenario, f: &Figures, lab: Option<Report>) -> String {
     let beside = |value: Option<String>| value.unwrap_or_else(|| "-".to_string());
     let mut rows = Vec::new();
     for (name, figure) in FIGURES {
@@ -144,10 +159,13 @@
     let opened: u32 = f.opened.iter().sum();
     let most = f.opened.iter().max().copied().unwrap_or(0);
     row("connections to servers, most in a second", format!("{opened}, {most}"), None);
-    let [beyond, room] = f.quotas(0, 5);
-    row("first 5 s: beyond quota, refused with room", format!("{beyond:.3}, {room:.3}"), None);
-    let [beyond, room] = f.quotas(5, usize::MAX);
-    row("later: beyond quota, refused with room", format!("{beyond:.3}, {room:.3}"), None);
+    for (name, from, to) in phases(scenario) {
+        let quotas = |report: &Report| {
+            let [beyond, room] = report.quotas(from, to);
+            format!("{beyond:.3}, {room:.3}")
+        };
+        row(&format!("{name}: beyond quota, refused with room"), quotas(&f.report), lab.as_ref().map(quotas));
+    }
     let recovered = f.recovered_s.map(|s| format!("{s:.1}"));
     row("full service after the last fault, s", beside(recovered), None);
     let spread = |all: &[u64]| format!("{}, {}", quantile(all, 0.5), quantile(all, 1.0));
--- a/crates/trial/src/figures.rs
+++ b/crates/trial/src/figures.rs
@@ -17,8 +17,6 @@
     pub list: Vec<[u32; 2]>,
     /// By second: new connections to servers.
     pub opened: Vec<u32>,
-    /// By second: requests that were sent, those of them beyond quota, tries, and those refused with half of the quota there.
-    pub quota: Vec<[u32; 4]>,
     /// How long after its start each gateway was ready, in order, in seconds; those that never were are missing.
     pub ready_s: Vec<f64>,
     pub gateways: u32,
@@ -40,15 +38,6 @@
     pub lateness: Vec<Duration>,
 }
 
-/// Adds to a second's count, however late it comes.
-pub fn count<const N: usize>(seconds: &mut Vec<[u32; N]>, at: Option<usize>, what: usize) {
-    let Some(at) = at else { return };
-    if seconds.len() <= at {
-        seconds.resize(at + 1, [0; N]);
-    }
-    seconds[at][what] += 1;
-}
-
 /// Of values in order.
 pub fn quantile<T: Copy + Default>(sorted: &[T], part: f64) -> T {
     let at = (sorted.len() as f64 * part) as usize;
@@ -94,16 +83,6 @@
         });
     }
 
-    /// Of the seconds from `from` to before `to`: units beyond quota of those sent, and tries refused with half of the quota.
-    pub fn quotas(&self, from: usize, to: usize) -> [f64; 2] {
-        let sum = self.quota.iter().take(to).skip(from).fold([0_u64; 4], |mut sum, second| {
-            sum.iter_mut().zip(second).for_each(|(sum, n)| *sum += u64::from(*n));
-            sum
-        });
-        let share = |part: u64, all: u64| part as f64 / all.max(1) as f64;
-        [share(sum[1], sum[0]), share(sum[3], sum[2])]
-    }
-
     /// The most in one second.
     pub fn worst<const N: usize>(seconds: &[[u32; N]], what: usize) -> u32 {
         seconds.iter().map(|second| second[what]).max().unwrap_or(0)
@@ -125,10 +104,4 @@
         figures.close(None);
         assert!(figures.recovered_s.is_none() && figures.void.is_some());
     }
-
-    #[test]
-    fn shares_are_of_the_seconds_that_are_named() {
-        let figures = Figures { quota: vec![[9, 9, 9, 9], [10, 1, 20, 5], [0; 4]], ..Figures::default() };
-        assert_eq!((figures.quotas(1, 3), figures.quotas(2, 3)), ([0.1, 0.25], [0.0, 0.0]));
-    }
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Idle, Lost, Reply};
 use crate::clock::{unix_ms, Clock};
-use crate::figures::{count, Figures};
+use crate::figures::Figures;
 use crate::ledger::{Ledger, Seen, SOCKETS};
 use crate::list::{entry, Said, Service};
 use crate::net::{Addresses, Ends, Far, Net, Target, Wire};
@@ -19,6 +19,7 @@
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use lab::customer::Customer;
+use lab::report::count;
 use lab::scenario::{ns, Runs, Scenario, METER, MS, SECOND, SLACK, START};
 use lab::server::Server;
 use rand::{Rng, SeedableRng};
@@ -167,9 +168,9 @@
             request.within = customer.take(plan, self.clock.now());
             self.note(at, Seen::Drawn { plan: asked.plan, customer: asked.customer });
             let second = self.clock.second();
-            count(&mut figures.quota, second, 0);
+            count(&mut figures.report.quota, second, 0);
             if !request.within {
-                count(&mut figures.quota, second, 1);
+                count(&mut figures.report.quota, second, 1);
             }
             if request.counted {
                 figures.report.passed += 1;
@@ -197,6 +198,8 @@
 
     pub async fn meter(self: Rc<Self>) {
         let mut every = interval(Duration::from_nanos(METER));
+        // The first comes at once, and nothing was used before.
+        every.tick().await;
         loop {
             every.tick().await;
             let on = self.meter_down.get() == 0;
@@ -301,7 +304,7 @@
             let within = self.customers.borrow_mut()[asked.plan][asked.customer as usize].within(plan, now);
             let mut figures = self.figures.borrow_mut();
             seconds(&mut figures, 0);
-            count(&mut figures.quota, second, 2);
+            count(&mut figures.report.quota, second, 2);
             if counted {
                 figures.report.requests += 1;
                 if asked.repeats == 0 && within {
@@ -366,7 +369,7 @@
                 let room = first
                     && self.customers.borrow_mut()[asked.plan][asked.customer as usize].has_room(plan, at);
                 if refused && room {
-                    count(&mut figures.quota, second, 3);
+                    count(&mut figures.report.quota, second, 3);
                 }
                 let report = &mut figures.report;
                 if counted && refused {
