Let the meter's last word stand while it is silent, so that its return brings no wave beyond quota

Beyond quota rose while the meter was silent and most in the 4 s after it was back, with no written cause. Cause: a customer's reading ages out after four filling times, since one that is refused entirely sends none, and the long averages follow it to 0. A gateway then takes the quota for unused: it forgives debts twice as fast as the rate, counts its own requests for little demand, and once the meter is back the averages need seconds to tell otherwise.

Silence is now what a gateway sees over all its customers: no word of any for four periods.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -33,6 +33,8 @@
 const LOCAL: f64 = 0.1;
 /// How long the meter's word counts, in filling times of the store.
 const SPAN: f64 = 4.0;
+/// Periods without a word of any customer after which the meter is silent.
+const SILENT: f64 = 4.0;
 /// The part of a cap on attempts out at once that is in use at best, when they come by chance.
 const OPEN_USE: f64 = 0.3;
 /// What a bad end costs beside a wait of one aim.
@@ -96,6 +98,8 @@
     /// Whether the limits on connections may have changed, and the one over all servers as told.
     resize: bool,
     told: u32,
+    /// When the meter last told anything, of any customer.
+    meter_at: Time,
     /// What is to be told to the other process of this gateway, while there is one.
     share: Option<Share>,
     /// Attempts and units that the other process has in flight.
@@ -138,6 +142,7 @@
             calm: 0.0,
             resize: true,
             told: 0,
+            meter_at: 0,
             share: None,
             beside: [0.0; RESOURCES],
             rng,
@@ -216,6 +221,7 @@
         }
         for (name, mut c) in m.customers.into_iter().filter(|(_, c)| c.plan < plans) {
             c.out = self.customers.get(&name).map_or(0, |known| known.out);
+            self.meter_at = self.meter_at.max(c.metered_at);
             self.customers.insert(name, c);
         }
         self.subset();
@@ -438,6 +444,9 @@
     /// Brings a customer's store and averages up to now.
     fn advance(&mut self, name: &Name) {
         let (now, period, mean) = (self.now, secs(self.s.meter_period), self.mean_units);
+        // While the meter tells nothing of anybody, its last word of each customer stands: taken for less use, the
+        // silence would let every gateway pass its part once more, and again until the averages are back.
+        let silent = self.meter_at > 0 && secs(now - self.meter_at) > SILENT * period;
         let Some(c) = self.customers.get_mut(name) else { return };
         let plan = &self.s.plans[c.plan];
         let rate = within(plan, mean, self.hold);
@@ -452,7 +461,8 @@
         }
         // What the meter shows unused of the rate, the true store has kept: a debt that this gateway only
         // guessed is forgiven as fast, or a wrong part would refuse for long what the quota has room for.
-        let unused = if c.level < 0.0 && c.metered_at > 0 { plan.rate - c.metered_long } else { 0.0 };
+        let unused =
+            if c.level < 0.0 && c.metered_at > 0 && !silent { plan.rate - c.metered_long } else { 0.0 };
         let (local, demand) = (c.local(plan, mean), c.demand(plan, mean));
         c.level = (c.level + dt * local * (plan.rate + unused.max(0.0))).min(plan.depth);
         // What others pass drains the store too, as far as own requests do not stand for it: where a customer
@@ -464,14 +474,16 @@
         (c.told, c.span) = (c.told * fade, (c.span + OWN * dt / c.spread) * fade);
         let keep = (-dt / memory(period, plan)).exp();
         c.share_then += ((rate / demand.max(1e-9)).min(1.0) - c.share_then) * (1.0 - keep);
-        if c.metered_at > 0 {
+        if silent {
+            c.metered += (c.metered_long - c.metered) * (1.0 - keep);
+        } else if c.metered_at > 0 {
             c.passed_long += (c.passed - c.passed_long) * (1.0 - keep);
             c.metered_long += (c.metered - c.metered_long) * (1.0 - keep);
         }
         c.asked *= keep;
         c.passed *= keep;
         // A customer refused entirely sends no more readings: a reading ages out.
-        if secs(now - c.metered_at) > 4.0 * memory(period, plan) {
+        if !silent && secs(now - c.metered_at) > 4.0 * memory(period, plan) {
             c.metered *= keep;
         }
         c.level = c.level.max(-plan.depth);
@@ -997,6 +1009,7 @@
         }
         if let Some(share) = e.metered.filter(|_| plan.rate > 0.0) {
             // Others are taken to refuse as this gateway did.
+            self.meter_at = now;
             let span = period.min(secs(now - c.metered_at));
             let passed = c.share_then.max(0.1);
             c.told += span * share * plan.rate;
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -319,6 +319,35 @@
     assert!(alone >= 16 && shared <= 9, "a burst of 20 passes {alone} alone, {shared} of a quota in use");
 }
 
+/// A customer that asks four times its quota of ten through four gateways, a quarter of it here; the meter falls silent for
+/// 12 s. What passes here in a second before, while it is silent and in the 4 s after.
+#[test]
+fn while_the_meter_is_silent_and_once_it_is_back_no_more_passes_than_before() {
+    let mut sums = [0.0; 3];
+    for customer in 0..40 {
+        let mut rig = Rig::new(settings(), 40);
+        rig.spread = 4;
+        let name = format!("customer {customer}");
+        for step in 0..460 {
+            rig.now += 100 * MS;
+            let (id, out) = rig.request(0, 0, &name, 1.0);
+            let silent = (180..300).contains(&step);
+            let Some(server) = sent_to(&out).first().cloned() else { continue };
+            rig.end_with(id, 0, &server, Ending::Pass, 10 * MS, Some(1.0).filter(|_| !silent));
+            match step {
+                80..180 => sums[0] += 0.1,
+                180..300 => sums[1] += 1.0 / 12.0,
+                300..340 => sums[2] += 0.25,
+                _ => {}
+            }
+        }
+    }
+    let [before, silent, after] = sums.map(|sum| sum / 40.0);
+    assert!(before > 1.5, "{before} a second pass of a part of 2.5");
+    assert!(silent < 1.1 * before, "{silent} a second in the silence, {before} before");
+    assert!(after < 1.1 * before, "{after} a second after it, {before} before");
+}
+
 #[test]
 fn a_guessed_debt_is_forgiven_by_a_meter_that_shows_room() {
     // A burst through what turns out the only gateway, then a pause in which the meter shows no use.
