Let the registry bound calls of readers, whole lists first, with turns for those it turns away

A registry under readers that come all at once had no bound, and one that has can only say no: who is turned away comes back when it likes. `--calls-per-s` (off without it) admits so many calls, lets a whole list wait for up to 1 s and a reader with a list for up to 0.25 s, and turns the rest away with a Retry-After of its own for each, one after the other behind the line. The admission is a library's, without a clock; the trial's stand-in list is built on it, without the order.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -164,10 +164,10 @@
 pub struct List {
     /// Whether it is the real registry, in place of a stand-in.
     pub registry: bool,
-    /// Calls a second that a stand-in answers; 0 for as many as come.
+    /// Calls a second that are answered; 0 for as many as come.
     #[schemars(range(min = 0.0, max = 1e6))]
     pub capacity: f64,
-    /// A call that would wait longer than this is turned away.
+    /// A call that would wait longer than this is turned away by a stand-in.
     #[schemars(range(min = 0.0, max = 3600.0))]
     pub line_s: f64,
     /// Whether a stand-in tells those that it turns away when to call again.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,7 +1,8 @@
 //! What the programs say to each other: the list of roll servers, how it is read and merged, and a caller's side of
-//! its protocol, and when it calls; one call to an operators' address; registrations; a gateway's status.
+//! its protocol, and when it calls; how a list service admits calls; one call to an operators' address; registrations; a gateway's status.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod call;
 pub mod list;
 pub mod registration;
--- a/crates/protocol/src/turns.rs
+++ b/crates/protocol/src/turns.rs
@@ -153,6 +153,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::admission::Admission;
     use std::cmp::Reverse;
     use std::collections::BinaryHeap;
 
@@ -162,9 +163,7 @@
 
     /// A service of so many calls a second, which turns away what would wait over a second.
     struct Service {
-        each: Duration,
-        free: Duration,
-        turn: Duration,
+        admission: Admission,
         hints: Option<fn(Duration) -> Duration>,
         /// It is silent in between.
         down: (Duration, Duration),
@@ -172,27 +171,21 @@
 
     impl Service {
         fn new(capacity: u32) -> Self {
-            let none = Duration::ZERO;
-            Service {
-                each: Duration::from_secs(1) / capacity,
-                free: none,
-                turn: none,
-                hints: None,
-                down: (none, none),
-            }
+            let admission = Admission::new(f64::from(capacity), ms(1000), ms(1000));
+            Service { admission, hints: None, down: (ms(0), ms(0)) }
+        }
+
+        /// As our own registry: whole lists first, and turns.
+        fn own(capacity: u32) -> Self {
+            let admission = Admission::new(f64::from(capacity), ms(1000), ms(250));
+            Service { admission, hints: Some(|turn| turn), ..Service::new(capacity) }
         }
 
-        fn call(&mut self, now: Duration) -> Result<Duration, Failed> {
+        fn call(&mut self, now: Duration, whole: bool) -> Result<Duration, Failed> {
             if (self.down.0..self.down.1).contains(&now) {
                 return Err(Failed::Silent);
             }
-            let begin = self.free.max(now);
-            if begin - now <= Duration::from_secs(1) {
-                self.free = begin + self.each;
-                return Ok(self.free);
-            }
-            self.turn = self.turn.max(begin) + self.each;
-            Err(Failed::Away(self.hints.map(|hint| hint(self.turn - now))))
+            self.admission.place(now, whole).map_err(|turn| Failed::Away(self.hints.map(|hint| hint(turn))))
         }
     }
 
@@ -218,7 +211,7 @@
         while let (Some(Reverse((now, n))), true) = (due.pop(), missing > 0) {
             calls += u32::from(!lists[n]);
             seconds[now.as_secs() as usize] += 1;
-            let next = match service.call(now) {
+            let next = match service.call(now, !lists[n]) {
                 Ok(done) => {
                     let new = !std::mem::replace(&mut lists[n], true);
                     missing -= u32::from(new);
@@ -274,6 +267,11 @@
             let what =
                 format!("{readers} readers at {capacity} with hints: {told:?}, {needs:.2} s are needed");
             assert!(told.calls <= 3.5 && (told.last <= 3.2 * needs || !bears), "{what}");
+            let told = median(readers, || Service::own(capacity));
+            let what =
+                format!("{readers} readers at {capacity} of our own: {told:?}, {needs:.2} s are needed");
+            let first = (EACH * readers).as_secs_f64() * 1.1;
+            assert!(told.calls <= 2.6 && (told.last <= (1.8 * needs).max(first) || !bears), "{what}");
         }
     }
 
--- a/crates/registry/src/http.rs
+++ b/crates/registry/src/http.rs
@@ -8,7 +8,7 @@
 use granitehub_protocol::watch::PATH;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -151,6 +151,14 @@
             if registry.path().is_none() {
                 return say(StatusCode::SERVICE_UNAVAILABLE, "there is no list yet");
             }
+            if let Err(turn) = registry.turn(since.is_none()).await {
+                let mut answer =
+                    say(StatusCode::SERVICE_UNAVAILABLE, "too many calls: come again in your turn");
+                // Finer than whole seconds, so that those who come back are an even stream.
+                let turn = HeaderValue::try_from(format!("{:.3}", turn.as_secs_f64())).ok();
+                turn.map(|turn| answer.headers_mut().insert(RETRY_AFTER, turn));
+                return answer;
+            }
             let mut answer = json(registry.read(since, wait).await);
             let path = registry.path().and_then(|path| HeaderValue::try_from(path).ok());
             path.map(|path| answer.headers_mut().insert(PATH, path));
--- a/crates/registry/src/main.rs
+++ b/crates/registry/src/main.rs
@@ -83,6 +83,10 @@
     #[arg(long, global = true, value_name = "N", value_parser = clap::value_parser!(u64).range(0..=MOST_GRACE))]
     #[schemars(range(max = 600_000))]
     grace_ms: Option<u64>,
+    /// The most calls of readers a second; more wait for up to a second, then get a turn. Without it all are answered at once
+    #[arg(long, global = true, value_name = "N", value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
+    #[schemars(range(min = 1, max = 1_000_000))]
+    calls_per_s: Option<u32>,
     /// The log
     #[arg(skip)]
     log: Option<log::Options>,
@@ -98,6 +102,7 @@
             registrars: self.registrars.or(file.registrars),
             operators: self.operators.or(file.operators),
             grace_ms: self.grace_ms.or(file.grace_ms),
+            calls_per_s: self.calls_per_s.or(file.calls_per_s),
             log: file.log,
         }
     }
@@ -107,6 +112,7 @@
     list: Source,
     readers: SocketAddr,
     operators: Option<SocketAddr>,
+    calls_per_s: Option<u32>,
     log: log::Options,
 }
 
@@ -162,9 +168,13 @@
         }
     };
     match list {
-        Some(list) if wrong.is_empty() => {
-            Ok(Options { list, readers, operators, log: told.log.unwrap_or_default() })
-        }
+        Some(list) if wrong.is_empty() => Ok(Options {
+            list,
+            readers,
+            operators,
+            calls_per_s: told.calls_per_s,
+            log: told.log.unwrap_or_default(),
+        }),
         _ => Err(Wrong(wrong)),
     }
 }
@@ -195,6 +205,9 @@
         }
         Source::Another(address) => (Registry::follower(id), Some(address)),
     };
+    if let Some(calls) = options.calls_per_s {
+        registry.admit(f64::from(calls));
+    }
     sides.extend(options.operators.map(|address| (address, Side::Operators)));
     let mut serving = Vec::new();
     for (address, side) in sides {
--- a/crates/registry/src/service.rs
+++ b/crates/registry/src/service.rs
@@ -3,6 +3,7 @@
 use crate::disk::{Disk, Kept};
 use crate::store::{Change, News, Refusal, Store};
 use bytes::Bytes;
+use granitehub_protocol::admission::Admission;
 use granitehub_protocol::list::{List, Target};
 use granitehub_protocol::registration::{Registration, Registrations};
 use serde::Serialize;
@@ -16,6 +17,9 @@
 
 /// Changes that come within this time of one another go out as one.
 const TOGETHER: Duration = Duration::from_millis(20);
+/// The longest that a call for the whole list waits where calls are bounded, and one of a reader that has a list.
+const LINE: Duration = Duration::from_secs(1);
+const WATCHES: Duration = Duration::from_millis(250);
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
 /// Why a call that would change the list did not.
@@ -32,6 +36,7 @@
     expiries: Cell<u64>,
     encodings: Cell<u64>,
     disk_failures: Cell<u64>,
+    turned_away: Cell<u64>,
     watchers: Cell<usize>,
     held: Cell<usize>,
 }
@@ -53,6 +58,8 @@
     /// Answers put into bytes; each serves all who wait for it.
     encodings: u64,
     disk_failures: u64,
+    /// Readers that were told to come again in their turn.
+    turned_away: u64,
     /// How long ago the list last changed.
     age_ms: u64,
     /// At a follower: how long ago its list was last known to be the latest.
@@ -75,6 +82,8 @@
     last_change: Cell<Instant>,
     /// When a follower last heard that its list is the latest.
     confirmed: Cell<Instant>,
+    begun: Instant,
+    admission: RefCell<Admission>,
     counts: Counts,
 }
 
@@ -104,6 +113,8 @@
             answers: RefCell::default(),
             last_change: Cell::new(now),
             confirmed: Cell::new(now),
+            begun: now,
+            admission: RefCell::new(Admission::new(0.0, LINE, WATCHES)),
             counts: Counts::default(),
         })
     }
@@ -235,6 +246,26 @@
 
     // ---- Readers ----
 
+    /// Admits so many calls of readers a second from now on.
+    pub fn admit(&self, calls_per_s: f64) {
+        self.admission.replace(Admission::new(calls_per_s, LINE, WATCHES));
+    }
+
+    /// Waits for the turn of a call for the whole list, or another; or else after what time it is to come again.
+    pub async fn turn(&self, whole: bool) -> Result<(), Duration> {
+        let now = self.begun.elapsed();
+        let place = self.admission.borrow_mut().place(now, whole);
+        match place {
+            Ok(at) if at > now => sleep(at - now).await,
+            Ok(_) => {}
+            Err(turn) => {
+                add(&self.counts.turned_away);
+                return Err(turn);
+            }
+        }
+        Ok(())
+    }
+
     /// The answer to a reader with this version, once there is one or its time is up.
     pub async fn read(&self, since: Option<u64>, wait: Duration) -> Bytes {
         let Some(since) = since else { return self.answer(None) };
@@ -300,6 +331,7 @@
             held: c.held.get(),
             encodings: c.encodings.get(),
             disk_failures: c.disk_failures.get(),
+            turned_away: c.turned_away.get(),
             age_ms: self.last_change.get().elapsed().as_millis() as u64,
             confirmed_ms: follows.then(|| self.confirmed.get().elapsed().as_millis() as u64),
         }
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -49,6 +49,7 @@
     command
 }
 
+const ANY_SERVER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 impl Registry {
@@ -61,7 +62,11 @@
     }
 
     fn start(dir: &Path, at: [SocketAddr; 3]) -> Self {
-        let mut registry = Registry::of(command(dir, at, &[]));
+        Registry::with(dir, at, &[])
+    }
+
+    fn with(dir: &Path, at: [SocketAddr; 3], more: &[&str]) -> Self {
+        let mut registry = Registry::of(command(dir, at, more));
         registry.readers = registry.told("Readers call at ");
         registry.registrars = registry.told("Registrars call at ");
         registry.operators = registry.told("Operators call at ");
@@ -262,6 +267,28 @@
 }
 
 /// A gateway reads at a follower of a follower, and goes on over the loss of either and of the first registry.
+#[test]
+fn readers_that_come_all_at_once_get_turns_one_after_the_other_and_whole_lists_go_first() {
+    let dir = folder();
+    // Each call takes half a second of its time: three wait no longer than a second.
+    let registry = Registry::with(&dir, [ANY; 3], &["--calls-per-s", "2"]);
+    assert_eq!(registry.register("s-1", ANY_SERVER, 7, 60_000).status(), 200);
+    let calls: Vec<Client> = (0..12).map(|_| registry.reader("")).collect();
+    let answers: Vec<Message> = calls.into_iter().map(|mut call| call.answer()).collect();
+    let served = answers.iter().filter(|answer| answer.status() == 200).count();
+    let mut turns: Vec<f64> =
+        answers.iter().filter_map(|answer| answer.header("retry-after")?.parse().ok()).collect();
+    turns.sort_by(f64::total_cmp);
+    // A busy machine makes the calls come later, and more of them are served.
+    assert!((3..12).contains(&served) && served + turns.len() == 12, "{served} served, {turns:?}");
+    assert!(turns.windows(2).all(|two| two[1] > two[0]), "each has its own: {turns:?}");
+    assert_eq!(registry.figure("turned_away"), turns.len() as u64);
+    // The line is as long as it may be for whole lists, so that a watch has to wait for its turn.
+    let (first, watch) = (registry.reader(""), registry.reader("?since=1&timeout_ms=1"));
+    let status = |mut call: Client| call.answer().status();
+    assert!(status(watch) == 503 || status(first) == 200, "whole lists go first");
+}
+
 #[test]
 fn followers_serve_the_list_on_and_keep_it_while_the_one_they_follow_is_gone() {
     let kept = Kept(folder());
@@ -506,7 +533,7 @@
     for told in [
         "registry.toml: dir is 5: a text is wanted",
         "registry.toml: grace_ms is 600001: a whole number from 0 to 600000 is wanted",
-        "registry.toml: fast is no key here: dir, follow",
+        "registry.toml: fast is no key here: calls_per_s, dir, follow",
         "registry.toml: log.level is \"loud\": \"off\" or \"error\"",
     ] {
         assert!(text.contains(told), "{told} in {text}");
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -210,7 +210,9 @@
         }
         let list = self.folder.path("list");
         let arguments = ["--dir", text(&list), "--readers", "127.0.0.1:0", "--registrars", "127.0.0.1:0"];
-        let arguments = [&arguments[..], &["--grace-ms", "0"]].concat();
+        let calls = (self.world.scenario.list.capacity as u32).to_string();
+        let bound = if calls == "0" { vec![] } else { vec!["--calls-per-s", calls.as_str()] };
+        let arguments = [&arguments[..], &["--grace-ms", "0"], &bound].concat();
         let log = self.folder.path("registry.log");
         let mut program = Program::start(&self.programs, "granitehub-registry", &arguments, log)?;
         let at = [program.told("Readers call at ")?, program.told("Registrars call at ")?];
--- a/crates/trial/src/list.rs
+++ b/crates/trial/src/list.rs
@@ -2,12 +2,13 @@
 
 use crate::net::{Addresses, Wire};
 use bytes::Bytes;
+use granitehub_protocol::admission::Admission;
 use granitehub_protocol::list::{List, Roster, State, Target};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lab::scenario::List as Words;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -20,14 +21,14 @@
     changes: RefCell<Vec<(u64, Target)>>,
     first: u64,
     told: watch::Sender<u64>,
-    /// When the line is done, and the next turn that is handed out.
-    free: Cell<Instant>,
-    turn: Cell<Instant>,
+    begun: Instant,
+    admission: RefCell<Admission>,
 }
 
 impl Service {
     pub fn new(words: Words, first: u64) -> Self {
-        let now = Instant::now();
+        let line = Duration::from_secs_f64(words.line_s);
+        let admission = Admission::new(words.capacity, line, line);
         let roster = Roster { rev: first, ..Roster::default() };
         Service {
             words,
@@ -35,8 +36,8 @@
             changes: RefCell::default(),
             first,
             told: watch::Sender::new(first),
-            free: Cell::new(now),
-            turn: Cell::new(now),
+            begun: Instant::now(),
+            admission: RefCell::new(admission),
         }
     }
 
@@ -54,30 +55,15 @@
         seen(&self.roster.borrow().whole(), gateway)
     }
 
-    /// A place in the line: when the call is done, or else after what time it is to come again.
-    fn place(&self, now: Instant) -> Result<Instant, Option<Duration>> {
-        if self.words.capacity <= 0.0 {
-            return Ok(now);
-        }
-        let each = Duration::from_secs_f64(1.0 / self.words.capacity);
-        let begin = self.free.get().max(now);
-        if begin - now <= Duration::from_secs_f64(self.words.line_s) {
-            self.free.set(begin + each);
-            return Ok(begin + each);
-        }
-        // Turns follow the line, and each other.
-        let turn = self.turn.get().max(begin) + each;
-        self.turn.set(turn);
-        Err(self.words.hint.then(|| turn - now))
-    }
-
     pub async fn answer(&self, request: Request<Incoming>, wire: &Wire) -> Response<Full<Bytes>> {
-        match self.place(Instant::now()) {
-            Ok(done) => sleep_until(done).await,
-            Err(hint) => {
+        let place = self.admission.borrow_mut().place(self.begun.elapsed(), true);
+        match place {
+            Ok(done) => sleep_until(self.begun + done).await,
+            Err(turn) => {
                 let mut answer = Response::new(Full::new(Bytes::from_static(b"too many calls\n")));
                 *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                let hint = hint.and_then(|h| format!("{:.3}", h.as_secs_f64()).parse().ok());
+                let hint =
+                    self.words.hint.then(|| format!("{:.3}", turn.as_secs_f64()).parse().ok()).flatten();
                 hint.map(|hint| answer.headers_mut().insert("retry-after", hint));
                 return answer;
             }
@@ -174,23 +160,6 @@
 mod tests {
     use super::*;
 
-    #[tokio::test(start_paused = true)]
-    async fn the_line_takes_what_it_can_serve_in_time_and_hands_out_turns() {
-        let words = Words { capacity: 10.0, line_s: 1.0, hint: true, ..Words::default() };
-        let service = Service::new(words.clone(), 1);
-        let now = Instant::now();
-        let places: Vec<_> = (0..14).map(|_| service.place(now)).collect();
-        let ms = |n: u64| Duration::from_millis(n);
-        assert_eq!((places[0], places[10]), (Ok(now + ms(100)), Ok(now + ms(1100))));
-        // One that waits a second is still taken; then turns follow the line.
-        assert_eq!(places[11..], [Err(Some(ms(1200))), Err(Some(ms(1300))), Err(Some(ms(1400)))]);
-        tokio::time::advance(ms(1200)).await;
-        assert!(service.place(Instant::now()).is_ok(), "who comes in its turn is served");
-        let silent = Service::new(Words { hint: false, ..words }, 1);
-        let last = (0..12).map(|_| silent.place(now)).next_back();
-        assert_eq!(last, Some(Err(None)), "turned away without a hint");
-    }
-
     #[test]
     fn answers_are_read_as_they_go_out_in_any_pieces() {
         let list =
