--- a/crates/protocol/src/turns.rs
+++ b/crates/protocol/src/turns.rs
@@ -5,14 +5,12 @@
 //! whoever is turned away calls again in the next phase, which begins where this one ends and is twice as long. So calls come
 //! ever more thinly until the service bears them, each reader calls once a phase, and the last phase is no longer than twice
 //! the time that the service needs. A service that says when to come again is taken at its word, while that holds. One
-//! that says nothing does work for callers that have given up: they stay away for longer.
+//! that says nothing, and may do work for callers that have given up, is called as thinly as one that turns them away.
 
 use std::time::Duration;
 
 /// The first phase is so long for each reader: short enough for a service that bears 200 calls a second.
 const EACH: Duration = Duration::from_millis(5);
-/// After silence a reader's next call comes within a time in which all of them, taking turns, call once in so long.
-const SILENT_EACH: Duration = Duration::from_millis(200);
 /// The longest phase for each reader, and of any number of them.
 const MOST_EACH: Duration = Duration::from_millis(800);
 const MOST: Duration = Duration::from_secs(60);
@@ -61,7 +59,6 @@
     shared: bool,
     /// The phase that goes on, and its end; none while calls are answered.
     phase: Option<(u32, Duration)>,
-    silences: u32,
     /// Hints that were followed since the last answer.
     hinted: u32,
     strain: u32,
@@ -70,7 +67,7 @@
 
 impl Turns {
     pub fn new(readers: u32, shared: bool) -> Self {
-        Turns { readers, shared, phase: None, silences: 0, hinted: 0, strain: 0, agent_failed: false }
+        Turns { readers, shared, phase: None, hinted: 0, strain: 0, agent_failed: false }
     }
 
     fn most(&self) -> Duration {
@@ -117,20 +114,14 @@
         };
         let span = self.span(phase).max(PAUSE);
         self.phase = Some((phase, end + span));
-        let own = (end - now) + PAUSE / 2 + span.mul_f64(chance);
-        if failed != Failed::Silent {
-            return own;
-        }
-        let span = (SILENT_EACH * self.readers).min(MOST).saturating_mul(1 << self.silences.min(2));
-        self.silences += 1;
-        own.max(PAUSE / 2 + span.min(self.most()).mul_f64(chance))
+        (end - now) + PAUSE / 2 + span.mul_f64(chance)
     }
 
     /// Before the call after one that was answered; `took` is how long it stood in line. `new`: it brought a whole list to
     /// one that had none.
     pub fn answered(&mut self, took: Duration, new: bool, chance: f64) -> Duration {
         let pressed = self.phase.is_some_and(|(phase, _)| phase > 0) || self.hinted > 0 || took > IN_LINE;
-        (self.phase, self.silences, self.hinted, self.agent_failed) = (None, 0, 0, false);
+        (self.phase, self.hinted, self.agent_failed) = (None, 0, false);
         if self.shared && new && pressed {
             self.strain = STRAIN;
             self.span(2).min(YIELDS).mul_f64(chance)
@@ -167,12 +158,14 @@
         hints: Option<fn(Duration) -> Duration>,
         /// It is silent in between.
         down: (Duration, Duration),
+        /// It turns nobody away, and does work for callers that have given up after 2 s.
+        jams: bool,
     }
 
     impl Service {
         fn new(capacity: u32) -> Self {
             let admission = Admission::new(f64::from(capacity), ms(1000), ms(1000));
-            Service { admission, hints: None, down: (ms(0), ms(0)) }
+            Service { admission, hints: None, down: (ms(0), ms(0)), jams: false }
         }
 
         /// As our own registry: whole lists first, and turns.
@@ -185,6 +178,10 @@
             if (self.down.0..self.down.1).contains(&now) {
                 return Err(Failed::Silent);
             }
+            if self.jams {
+                let done = self.admission.place(now, whole).unwrap_or(now);
+                return if done - now > ms(2000) { Err(Failed::Silent) } else { Ok(done) };
+            }
             self.admission.place(now, whole).map_err(|turn| Failed::Away(self.hints.map(|hint| hint(turn))))
         }
     }
@@ -292,7 +289,16 @@
     fn a_service_that_is_silent_in_the_middle_is_not_run_over_when_it_is_back() {
         let down = (ms(1000), ms(6000));
         let told = median(300, || Service { down, ..Service::new(40) });
-        assert!(told.last < 90.0 && told.most <= 250, "{told:?}");
+        assert!(told.last < 45.0 && told.most <= 250, "{told:?}");
+    }
+
+    #[test]
+    fn a_service_that_works_for_callers_that_gave_up_gets_out_of_its_jam() {
+        let endless = Duration::from_secs(1 << 30);
+        let jam =
+            || Service { admission: Admission::new(40.0, endless, endless), jams: true, ..Service::new(40) };
+        let told = median(300, jam);
+        assert!(told.last < 110.0 && told.calls < 5.0, "{told:?}");
     }
 
     #[test]
