--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -444,8 +444,8 @@
     /// Brings a customer's store and averages up to now.
     fn advance(&mut self, name: &Name) {
         let (now, period, mean) = (self.now, secs(self.s.meter_period), self.mean_units);
-        // While the meter tells nothing of anybody, its last word of each customer stands: taken for less use, the
-        // silence would let every gateway pass its part once more, and again until the averages are back.
+        // While the meter tells nothing of anybody, its last word of each customer stands: taken for less
+        // use, the silence would let every gateway pass its part once more, until the averages are back.
         let silent = self.meter_at > 0 && secs(now - self.meter_at) > SILENT * period;
         let Some(c) = self.customers.get_mut(name) else { return };
         let plan = &self.s.plans[c.plan];
