Give trials a page with plots, and end the circle of the lab's experiment and page

The lab's page knew experiments and experiments knew the page. The page takes plain lines and rows now, an experiment builds its own, and a trial writes one too: requests, calls for the list, connections and quotas by second, with the lab's play beside. The lab's experiment test sees the same page as before.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,10 +1,10 @@
 //! Experiments: a scenario and variants of it, each played with the same seeds. What was played stands in a file, a line
 //! each, so that an experiment that was stopped goes on where it ended.
 
-use crate::page;
+use crate::page::{Line, Page};
 use crate::report::Report;
 use crate::scenario::Scenario;
-use crate::stats::{interval, spread, FIGURES};
+use crate::stats::{interval, median, spread, Figure, FIGURES};
 use crate::world::play;
 use rayon::prelude::*;
 use schemars::JsonSchema;
@@ -18,6 +18,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+/// What is shown over time, of a report's second: none where nothing came.
+type Course = fn(&Report, usize) -> Option<f64>;
+
+const COURSES: [(&str, Course); 4] = [
+    ("requests that come a second", |r, n| r.seconds.get(n).map(|s| f64::from(s[0]))),
+    ("requests served in time a second", |r, n| r.seconds.get(n).map(|s| f64::from(s[1]))),
+    ("warm cores of servers that want something new", |r, n| r.cores.get(n).map(|c| c[0])),
+    ("part of them in use", |r, n| r.cores.get(n).filter(|c| c[0] > 0.0).map(|c| c[1] / c[0])),
+];
+
 /// An experiment as its file says it.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 struct Words {
@@ -252,13 +262,53 @@
         text
     }
 
+    fn page(&self) -> Page {
+        let courses = COURSES.iter().map(|(title, course)| {
+            let lines = self.variants.iter().map(|variant| self.course(variant, *course));
+            (title.to_string(), "Median over the seeds, by second.".to_string(), lines.collect())
+        });
+        let seeds = FIGURES.iter().map(|(title, figure): &Figure| {
+            let lines = self.variants.iter().map(|variant| {
+                let each = self.reports(variant).map(|(seed, report)| (seed as f64, figure(report)));
+                (variant.clone(), each.collect())
+            });
+            (title.to_string(), "Each seed.".to_string(), lines.collect())
+        });
+        Page {
+            name: self.name.clone(),
+            question: self.question.clone(),
+            breaches: self.breaches().map(|(at, what)| (at.to_string(), what.to_string())).collect(),
+            head: vec![
+                "variant",
+                "figure",
+                "plays",
+                "median (least to most)",
+                "difference to the first, 95%",
+            ],
+            rows: self.table().into_iter().map(Vec::from).collect(),
+            plots: courses.chain(seeds).collect(),
+        }
+    }
+
+    /// A variant's median over the seeds, by second.
+    fn course(&self, variant: &str, course: Course) -> Line {
+        let reports: Vec<&Report> = self.reports(variant).map(|(_, report)| report).collect();
+        let longest = reports.iter().map(|r| r.seconds.len()).max().unwrap_or(0);
+        let points = (0..longest).filter_map(|n| {
+            let mut values: Vec<f64> = reports.iter().filter_map(|r| course(r, n)).collect();
+            values.sort_by(f64::total_cmp);
+            (!values.is_empty()).then(|| (n as f64, median(&values)))
+        });
+        (variant.to_string(), points.collect())
+    }
+
     /// Writes table and page beside the plays; the page's place.
     pub fn write(&self, folder: &Path) -> Result<PathBuf, Wrong> {
         let page = folder.join(format!("{}.html", self.name));
         let write =
             |path: &Path, text: String| fs::write(path, text).map_err(|e| Wrong::one(e.to_string()).of(path));
         write(&folder.join(format!("{}.csv", self.name)), self.csv())?;
-        write(&page, page::page(self).map_err(Wrong::one)?)?;
+        write(&page, self.page().html().map_err(Wrong::one)?)?;
         Ok(page)
     }
 }
--- a/crates/operator/src/trial.rs
+++ b/crates/operator/src/trial.rs
@@ -3,6 +3,7 @@
 use crate::lab::scenario;
 use crate::table::table;
 use crate::{Outcome, Setup};
+use ::lab::page::{Line, Page};
 use ::lab::stats::FIGURES;
 use ::lab::{Report, Scenario};
 use clap::{Args, Subcommand};
@@ -70,20 +71,18 @@
             kept &= breach.is_none();
             void |= figures.void.is_some();
             let lab = run.lab.then(|| ::lab::play(scenario, seed));
+            let lab = lab.and_then(Result::ok);
             if let Some(to) = &run.to {
-                write(to, &figures).map_err(|e| Wrong::one(format!("{}: {e}", to.display())))?;
+                let breach = breach.as_ref().map(|breach| breach.to_string());
+                let page = shown(scenario, &figures, breach, lab.as_ref()).html().map_err(Wrong::one)?;
+                write(to, &figures, &page).map_err(|e| Wrong::one(format!("{}: {e}", to.display())))?;
             }
             if setup.json {
                 let breach = breach.as_ref().map(|breach| breach.to_string());
-                let lab = lab.and_then(Result::ok);
                 print(format!("{}\n", json!({"trial": figures, "breach": breach, "lab": lab})))?;
                 continue;
             }
-            print(format!(
-                "{} with seed {seed}\n{}",
-                scenario.name,
-                page(scenario, &figures, lab.and_then(Result::ok))
-            ))?;
+            print(format!("{} with seed {seed}\n{}", scenario.name, text(scenario, &figures, lab.as_ref())))?;
             if let Some(what) = &figures.void {
                 print(format!("void: {what}\n"))?;
             }
@@ -97,8 +96,8 @@
     })
 }
 
-/// The play as a line, and its seconds as a table.
-fn write(to: &Path, figures: &Figures) -> std::io::Result<()> {
+/// The play as a line, its seconds as a table, and its page.
+fn write(to: &Path, figures: &Figures, page: &str) -> std::io::Result<()> {
     use std::io::Write;
     fs::create_dir_all(to)?;
     let name = &figures.report.scenario;
@@ -115,7 +114,8 @@
         quota.iter().for_each(|count| rows += &format!(",{count}"));
         rows += "\n";
     }
-    fs::write(to.join(format!("{name}-{}.csv", figures.report.seed)), rows)
+    fs::write(to.join(format!("{name}-{}.csv", figures.report.seed)), rows)?;
+    fs::write(to.join(format!("{name}-{}.html", figures.report.seed)), page)
 }
 
 /// The first seconds, and the time between two changes of what is wrong.
@@ -133,19 +133,57 @@
     begins.zip(&ends).filter(|(from, to)| from < to).map(|(a, b)| (format!("{a} to {b} s"), a, *b)).collect()
 }
 
-fn page(scenario: &Scenario, f: &Figures, lab: Option<Report>) -> String {
+const HEAD: [&str; 3] = ["figure", "processes", "lab"];
+
+fn text(scenario: &Scenario, f: &Figures, lab: Option<&Report>) -> String {
+    table(&HEAD, rows(scenario, f, lab))
+}
+
+/// The play on a page, with what happened by second.
+fn shown(scenario: &Scenario, f: &Figures, breach: Option<String>, lab: Option<&Report>) -> Page {
+    let line = |name: &str, values: Vec<u32>| {
+        (name.to_string(), values.into_iter().enumerate().map(|(n, v)| (n as f64, f64::from(v))).collect())
+    };
+    fn column<const N: usize>(seconds: &[[u32; N]], what: usize) -> Vec<u32> {
+        seconds.iter().map(|second| second[what]).collect()
+    }
+    let mut requests =
+        vec![line("asked", column(&f.report.seconds, 0)), line("in time", column(&f.report.seconds, 1))];
+    requests.extend(lab.map(|lab| line("in time, lab", column(&lab.seconds, 1))));
+    let calls = vec![line("calls", column(&f.list, 0)), line("turned away", column(&f.list, 1))];
+    let quota = &f.report.quota;
+    let mut quotas =
+        vec![line("beyond quota", column(quota, 1)), line("refused with room", column(quota, 3))];
+    quotas.extend(lab.map(|lab| line("beyond quota, lab", column(&lab.quota, 1))));
+    let plot = |title: &str, lines: Vec<Line>| (title.to_string(), "By second.".to_string(), lines);
+    Page {
+        name: format!("{} with seed {}", scenario.name, f.report.seed),
+        question: scenario.claim.clone(),
+        breaches: breach.map(|what| ("this play".to_string(), what)).into_iter().collect(),
+        head: HEAD.to_vec(),
+        rows: rows(scenario, f, lab),
+        plots: vec![
+            plot("requests", requests),
+            plot("calls for the list", calls),
+            plot("new connections to servers", vec![line("connections", f.opened.clone())]),
+            plot("quotas", quotas),
+        ],
+    }
+}
+
+fn rows(scenario: &Scenario, f: &Figures, lab: Option<&Report>) -> Vec<Vec<String>> {
     let beside = |value: Option<String>| value.unwrap_or_else(|| "-".to_string());
     let mut rows = Vec::new();
     for (name, figure) in FIGURES {
-        let lab = lab.as_ref().map(|report| format!("{:.3}", figure(report)));
+        let lab = lab.map(|report| format!("{:.3}", figure(report)));
         rows.push(vec![name.to_string(), format!("{:.3}", figure(&f.report)), beside(lab)]);
     }
     let mut row = |name: &str, value: String, lab: Option<String>| {
         rows.push(vec![name.to_string(), value, beside(lab)]);
     };
     let fallen = |report: &Report| report.fallen.to_string();
-    row("requests", f.report.requests.to_string(), lab.as_ref().map(|r| r.requests.to_string()));
-    row("fallen", fallen(&f.report), lab.as_ref().map(fallen));
+    row("requests", f.report.requests.to_string(), lab.map(|r| r.requests.to_string()));
+    row("fallen", fallen(&f.report), lab.map(fallen));
     let ready: Vec<String> =
         [0.5, 0.9, 1.0].iter().map(|part| format!("{:.2}", quantile(&f.ready_s, *part))).collect();
     row("ready after s: half, nine in ten, last", ready.join(", "), None);
@@ -164,7 +202,7 @@
             let [beyond, room] = report.quotas(from, to);
             format!("{beyond:.3}, {room:.3}")
         };
-        row(&format!("{name}: beyond quota, refused with room"), quotas(&f.report), lab.as_ref().map(quotas));
+        row(&format!("{name}: beyond quota, refused with room"), quotas(&f.report), lab.map(quotas));
     }
     let recovered = f.recovered_s.map(|s| format!("{s:.1}"));
     row("full service after the last fault, s", beside(recovered), None);
@@ -174,5 +212,5 @@
     row("descriptors: median, most", spread(&f.descriptors), None);
     let [usual, worst] = f.late_ms;
     row("this program late by ms: 99th of a hundred, most", format!("{usual:.1}, {worst:.1}"), None);
-    table(&["figure", "processes", "lab"], rows)
+    rows
 }
