Show that a trial finds a spoilt gateway, and tell at once one that ends before it is ready

The oracle of a trial was tested with planted observations alone. A gateway that breaks one rule, an example of the operators' crate, runs as processes in the place of the real one: no answer, two attempts at once, an invented request, one that runs twice, one sent to drained servers are each found by their rule, and an honest pass-through breaks none. A program that ends at once ended a trial after 60 s only; it is told at once with its status. The soft limit on descriptors is raised by the play, not by the check.

--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -471,3 +471,52 @@
     assert!(!child.wait().expect("it ends").success());
     assert!(!folder.exists() && !runs_from(&folder), "something is left");
 }
+
+/// A gateway that breaks a rule as a process of its own, in the place of the real one.
+#[test]
+fn a_trial_finds_each_breach_of_a_spoilt_gateway_and_one_that_does_not_start() {
+    let programs = folder();
+    let link = |to: &str| {
+        let _ = fs::remove_file(programs.join("granitethread"));
+        std::os::unix::fs::symlink(to, programs.join("granitethread")).expect("a link");
+    };
+    link(program("examples/spoilt-gateway").to_str().expect("a path"));
+    let plain =
+        TRIAL.split("[[faults]]").next().expect("the scenario").replace("seconds = 5", "seconds = 1.5");
+    let drained = format!("{plain}[[faults]]\nkind = \"release\"\nat_s = 0\nfor_s = 0.1\n");
+    // The first is still out when the second comes.
+    let long = plain.replace("work_ms = 5", "work_ms = 600");
+    let once = plain.replace("work_ms = 5", "work_ms = 5\neffect = \"unsafe\"");
+    for (spoilt, scenario, rule) in [
+        ("", &plain, ""),
+        ("silent", &plain, "OneAnswer"),
+        ("invented", &plain, "Invented"),
+        ("twice", &long, "Attempts"),
+        ("again", &once, "Effects"),
+        ("", &drained, "Drains"),
+    ] {
+        let scenario = file("toml", scenario);
+        let out = Command::new(program("sprucehatch"))
+            .env("SPOILT", spoilt)
+            .args(["trial", "run", scenario.to_str().expect("a path")])
+            .args(["--programs", programs.to_str().expect("a path")])
+            .output()
+            .expect("it runs");
+        let told = text(&out);
+        if rule.is_empty() {
+            assert!(told.contains("rules kept"), "{told}");
+        } else {
+            let breach = format!("rule {rule} is broken");
+            assert!(told.contains(&breach) && out.status.code() == Some(1), "{spoilt}: {told}");
+        }
+    }
+    // One that ends at once, and one that is not there.
+    let scenario = file("toml", &plain);
+    for (to, why) in [("/bin/false", "ended with"), ("/nowhere", "granitethread")] {
+        link(to);
+        let arguments = ["trial", "run", scenario.to_str().expect("a path"), "--programs"];
+        let (code, told) = run(&[&arguments[..], &[programs.to_str().expect("a path")]].concat());
+        assert!(code == Some(1) && told.contains(why), "{told}");
+    }
+    fs::remove_dir_all(programs).expect("it was there");
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -80,11 +80,7 @@
             "{needed} descriptors are needed, and {most} are the most: raise the hard limit (ulimit -Hn), or name \
              fewer gateways or servers"
         )),
-        most => {
-            // The soft limit is this program's own to raise.
-            let raised = Rlimit { current: most, maximum: most };
-            setrlimit(Resource::Nofile, raised).map_err(|e| Wrong::one(format!("descriptors: {e}")))?;
-        }
+        _ => {}
     }
     if wrong.is_empty() {
         Ok(())
@@ -96,6 +92,10 @@
 /// Plays a scenario once with the programs of a folder. To be used on a local runtime. Dropped, it ends all it has started.
 pub async fn play(scenario: &Scenario, seed: u64, programs: &Path) -> Result<Played, Wrong> {
     check(scenario)?;
+    // The soft limit is this program's own to raise.
+    let most = getrlimit(Resource::Nofile).maximum;
+    setrlimit(Resource::Nofile, Rlimit { current: most, maximum: most })
+        .map_err(|e| Wrong::one(format!("descriptors: {e}")))?;
     let folder = Folder::new("trial")?;
     let world = World::new(scenario, seed, Addresses::new()?);
     let _gateways = Gateways(world.clone());
@@ -148,11 +148,14 @@
             let ready = async {
                 while !world.places.iter().all(|place| place.taken_in.get()) {
                     sleep(Duration::from_millis(20)).await;
+                    // One that has ended will not be ready.
+                    if let Some(what) = self.lost() {
+                        return Err(Wrong::one(what));
+                    }
                 }
+                Ok(())
             };
-            if timeout(READY, ready).await.is_err() {
-                return Err(self.not_ready(begun));
-            }
+            timeout(READY, ready).await.unwrap_or_else(|_| Err(self.not_ready(begun)))?;
             world.begin();
             world.figures.borrow_mut().list.clear();
         }
