--- a/crates/lab/src/customer.rs
+++ b/crates/lab/src/customer.rs
@@ -1,8 +1,17 @@
-//! A customer's books as they truly are, beside what any gateway believes.
+//! A customer: what it asks for, and its books as they truly are, beside what any gateway believes.
 
 use crate::scenario::{Tariff, METER};
 use granitehub::Time;
 
+/// What a client asks for, and how often it has asked before.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub plan: usize,
+    pub class: usize,
+    pub customer: u32,
+    pub repeats: u32,
+}
+
 #[derive(Clone, Debug)]
 pub struct Customer {
     /// What its quota holds.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,6 +1,6 @@
 //! One play: events in the order of their time, and of their planning where that is the same.
 
-use crate::customer::Customer;
+use crate::customer::{Asked, Customer};
 use crate::link::Struck;
 use crate::oracle::{Allowed, Breach, Oracle};
 use crate::report::{self, times, Report};
@@ -132,15 +132,6 @@
     Meter,
 }
 
-/// What a client asks for.
-#[derive(Clone, Copy)]
-struct Asked {
-    plan: usize,
-    class: usize,
-    customer: u32,
-    repeats: u32,
-}
-
 struct Held {
     asked: Asked,
     gateway: usize,
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
-use lab::customer::Customer;
+use lab::customer::{Asked, Customer};
 use lab::report::count;
 use lab::scenario::{ns, Runs, Scenario, METER, MS, SECOND, SLACK, START};
 use lab::server::Server;
@@ -55,15 +55,6 @@
     told: RefCell<HashMap<usize, u64>>,
 }
 
-/// What a client asks for.
-#[derive(Clone, Copy)]
-struct Asked {
-    plan: usize,
-    class: usize,
-    customer: u32,
-    repeats: u32,
-}
-
 /// A request as long as it may matter.
 struct Open {
     asked: Asked,
