Open connections to servers as a share of attempts, so that a mass start is no wave

A gateway now takes a server to which it has a connection before a near-equal one, unless a tenth of its attempts has earned a new one; where the open one is in use, or its server looks worse by a request in hand, it opens one as before. Cold servers keep their own turns. The module learns from the pool how many connections a server has and how long idle ones are kept.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -49,6 +49,9 @@
 /// A server that holds no more than this works at its own pace.
 const CALM: f64 = 2.0;
 const AHEAD: f64 = 1.6;
+/// New connections to servers as a share of attempts, and what one weighs beyond it, in requests in hand.
+const OPENS: f64 = 0.1;
+const HANDSHAKE: f64 = 1.0;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
@@ -85,6 +88,8 @@
     sent_rate: f64,
     sent_at: Time,
     retries: f64,
+    /// How many connections may be opened where one in use would do as well.
+    opens: f64,
     /// How much of the rooms is open: closed by late answers from all over, opened by timely ones.
     open: f64,
     /// How many gateways use each server.
@@ -135,6 +140,7 @@
             sent_rate: 0.0,
             sent_at: now,
             retries: rng.f64() + RETRY_SHARE,
+            opens: 0.0,
             hold: 0.0,
             others: 0.0,
             sharers: f64::from(s.gateways),
@@ -343,6 +349,7 @@
                 own: 0,
                 mine: false,
                 beside: 0,
+                links: 0,
                 room: fresh_room,
                 narrowed: now,
                 slow: 1.0,
@@ -360,6 +367,7 @@
             if n.since > known.since {
                 // A restart: what was learnt of the old process says nothing of the new one.
                 (known.room, known.slow, known.paced, known.bears) = (fresh_room, 1.0, 0, BOUNDLESS);
+                known.links = 0;
                 known.ends = vec![(0.0, 0.0); slots];
             }
             (known.zone, known.cell, known.health) = (n.zone, n.cell, n.health);
@@ -814,7 +822,11 @@
             let silent = secs(self.now - s.heard.min(self.now)) / self.usual[h.class].max(1e-9);
             let hung = if s.own > 0 { (silent / 3.0).max(1.0) } else { 1.0 };
             let far = if s.zone == self.s.zone { 1.0 } else { 1.0 + self.s.cross_zone_price };
-            let load = s.here() + others + 1.0;
+            // Beyond the paper: new connections are a share of the attempts, beyond it one that is open goes
+            // before a near-equal server. Guards servers against the handshakes of all gateways at once, as
+            // after a mass start; harms by fewer servers to choose from at first.
+            let dear = warmth >= 1.0 && self.opens < 1.0 && self.unlinked(s);
+            let load = s.here() + others + 1.0 + if dear { HANDSHAKE } else { 0.0 };
             // What was learnt of a pace fades while the server is not used, or it would never be again.
             let quiet = if s.own > 0 { 0.0 } else { silent / 16.0 };
             let slow = 1.0 + (s.slow - 1.0) * (-quiet).exp();
@@ -843,8 +855,15 @@
         Some(found[one].3.clone())
     }
 
+    /// Whether an attempt at a server would have to open a connection, as far as is known.
+    fn unlinked(&self, s: &Server) -> bool {
+        self.s.kept > 0 && (s.own >= s.links || self.now.saturating_sub(s.heard) >= self.s.kept)
+    }
+
     fn send(&mut self, id: RequestId, server: Name, out: &mut Vec<Action>) {
         let (now, memory) = (self.now, self.memory());
+        let opening = if self.unlinked(&self.servers[&server]) { 1.0 } else { 0.0 };
+        self.opens = (self.opens + OPENS - opening).clamp(0.0, 2.0);
         let h = self.held.get_mut(&id).expect("picked from the held");
         let class = &self.s.classes[h.class];
         let s = self.servers.get_mut(&server).expect("chosen from the servers");
@@ -860,6 +879,7 @@
             s.heard = now;
         }
         s.own += 1;
+        s.links = s.links.max(s.own);
         let units = if h.sends == 0 { h.units } else { 0.0 };
         if let Some(c) = self.customers.get_mut(&h.customer) {
             c.out += 1;
@@ -965,7 +985,7 @@
         let (memory, classes, least) = (self.memory(), self.s.classes.len(), 1.0 / self.sharers);
         let Some(s) = self.servers.get_mut(&o.server) else { return };
         s.own = s.own.saturating_sub(1);
-        s.heard = now;
+        (s.heard, s.links) = (now, e.links);
         let full = e.ending == Ending::Full;
         // A new connection that was turned away, or refused beside others: the server holds no more of them.
         let crowded = full && e.via == Via::Fresh || e.via == Via::Refused;
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -113,6 +113,8 @@
     pub connections: u32,
     /// The most of them to one server, whatever it bears.
     pub connections_each: u32,
+    /// How long a connection to a server is kept idle; 0 if that is not known.
+    pub kept: Time,
 }
 
 impl Default for Settings {
@@ -143,6 +145,7 @@
             tick: 1_000_000,
             connections: 0,
             connections_each: u32::MAX,
+            kept: 0,
         }
     }
 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -63,6 +63,9 @@
     /// Attempts that the other process of this gateway has out here.
     #[serde(skip)]
     pub(crate) beside: u32,
+    /// Connections that this process holds to it, as of the last end of an attempt.
+    #[serde(skip)]
+    pub(crate) links: u32,
     /// How many of this gateway's attempts it may hold: widened by answers, narrowed by refusals.
     pub(crate) room: f64,
     pub(crate) narrowed: Time,
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -1238,3 +1238,41 @@
     let most = at.values().copied().max().unwrap_or(0);
     assert!(at.len() == 60 && most <= 90, "{most} at one of {} servers", at.len());
 }
+
+/// Of a gateway with 12 servers, from its start: connections opened by so many requests, one after another.
+fn opened_by(requests: u32) -> usize {
+    let plans = vec![Plan::new("free", 0.0, 0.0)];
+    // Whose answers take as long as a gateway guesses at first.
+    let classes = vec![Class::new("quote", 200 * MS, SEC, Effect::Safe, Group::All)];
+    let s = Settings { connections: 400, kept: 15 * SEC, plans, classes, gateways: 30, ..settings() };
+    let mut rig = Rig::new(s, 12);
+    let mut linked = std::collections::BTreeSet::new();
+    for n in 0..requests {
+        let (id, out) = rig.request(0, 0, &format!("c{n}"), 1.0);
+        let server = sent_to(&out).remove(0);
+        let via = if linked.insert(server.clone()) { Via::Fresh } else { Via::Kept };
+        rig.now += 50 * MS;
+        rig.end_via(id, &server, Ending::Pass, via, 1);
+        rig.now += 150 * MS;
+    }
+    linked.len()
+}
+
+#[test]
+fn a_gateway_opens_connections_in_turns_where_one_that_is_open_would_do() {
+    assert_eq!(opened_by(6), 1, "the first one does for the first requests");
+    // The one that is needed, and a tenth of the attempts.
+    assert!((4..=6).contains(&opened_by(50)), "{} by 50 requests", opened_by(50));
+    assert_eq!(opened_by(200), 12, "all in the end");
+}
+
+#[test]
+fn a_request_beside_others_opens_a_connection_and_does_not_wait() {
+    let plans = vec![Plan::new("free", 0.0, 0.0)];
+    let s = Settings { connections: 400, kept: 15 * SEC, plans, gateways: 30, ..settings() };
+    let mut rig = Rig::new(s, 12);
+    let all: Vec<String> =
+        (0..4).flat_map(|n| sent_to(&rig.request(0, 0, &format!("c{n}"), 1.0).1)).collect();
+    let different: std::collections::BTreeSet<&String> = all.iter().collect();
+    assert_eq!((all.len(), different.len()), (4, 4), "{all:?}");
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -228,6 +228,8 @@
     // A roll server counts idle time from when it wrote its answer and closes at the settings' time at the
     // latest: half of it keeps clear of requests written to a connection on its way out.
     let idle_time = keepalive / 2;
+    let idle_time = pool.idle_ms.map_or(idle_time, |ms| idle_time.min(Duration::from_millis(ms)));
+    settings.kept = idle_time.as_nanos().try_into().unwrap_or(granitehub::Time::MAX);
     Ok(Config {
         name: environment("LB_NAME").unwrap_or(file.name),
         listen,
@@ -240,7 +242,7 @@
         // Twice over a start beside the old process, and with what sockets and heap need, within the limit.
         body_memory: (file.limits.memory_mb << 20) / 5,
         connect_timeout,
-        idle_time: pool.idle_ms.map_or(idle_time, |ms| idle_time.min(Duration::from_millis(ms))),
+        idle_time,
         client_sockets: sockets - reserved - backend_sockets,
         backend_sockets,
         log: file.log.unwrap_or_default(),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -601,6 +601,7 @@
             answer_slack: SLACK,
             cross_zone_price: self.network.crossing_price,
             tick: ns(self.gateways.tick_ms, MS),
+            kept: ns(self.servers.idle_s, SECOND),
             ..Settings::default()
         }
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -174,8 +174,9 @@
     told: Vec<Option<Option<Time>>>,
     /// The start of each server that was told last.
     told_start: Vec<Time>,
-    /// Idle connections by server: the server's life, and since when each idles.
+    /// Idle connections by server: the server's life, and since when each idles; and those in use.
     idle: Vec<Vec<(u32, Time)>>,
+    used: Vec<u32>,
 }
 
 struct Site {
@@ -306,6 +307,7 @@
                 told: vec![None; count],
                 told_start: vec![0; count],
                 idle: vec![Vec::new(); count],
+                used: vec![0; count],
             });
             world.hello(n);
         }
@@ -605,6 +607,7 @@
         // The connection used last goes first; what has idled for too long is gone.
         place.idle[n].retain(|(_, since)| now < since + idle_time);
         let kept = place.idle[n].pop();
+        place.used[n] += 1;
         let (zone, life) = (place.zone, place.life);
         let crosses = zone != self.sites[n].zone;
         if counted {
@@ -769,6 +772,9 @@
             return Ok(());
         }
         let now = self.now;
+        let place = &mut self.places[gateway];
+        place.used[n] = place.used[n].saturating_sub(1);
+        let links = place.idle[n].len() as u32 + place.used[n];
         self.oracle.over(id, ending, now);
         let mut metered = None;
         let mut last = true;
@@ -804,7 +810,7 @@
             metered,
             load: None,
             via,
-            links: 0,
+            links,
         };
         self.tell(gateway, life, Event::AttemptEnd(end));
         Ok(())
@@ -1063,6 +1069,7 @@
         place.pending.clear();
         place.round_at = None;
         place.idle.iter_mut().for_each(Vec::clear);
+        place.used.fill(0);
         // What it held is its clients' to repeat.
         for id in self.open(n) {
             self.oracle.left(id);
