Show in lab and trial how the fleet fares against what its servers could do

To judge overload one has to know what was possible. Lab and trial now count by second the work that was wanted within quotas, what was served of it in time, and what all servers that want something new could do then (cold curve, slow and fallen ones taken in); attempts, first ones, those turned away and those at servers that serve nothing, with the most at one. Before, recovery was measured against the median before the first fault, which a cold fleet cannot do.

A fault `refuse` has servers turn all away at once, in lab and trial.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -63,4 +63,9 @@
     ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
     ("thin", include_str!("../scenarios/thin.toml")),
     ("cold-start", include_str!("../scenarios/cold-start.toml")),
+    ("storm-kill", include_str!("../scenarios/storm-kill.toml")),
+    ("storm-slow", include_str!("../scenarios/storm-slow.toml")),
+    ("storm-refuse", include_str!("../scenarios/storm-refuse.toml")),
+    ("storm-flood", include_str!("../scenarios/storm-flood.toml")),
+    ("storm-zone", include_str!("../scenarios/storm-zone.toml")),
 ];
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -2,6 +2,8 @@
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
 
 /// The figures of one play, of requests that came after the uncounted start. A client that asks again makes a new request.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -47,14 +49,90 @@
     /// never sent though half of the quota was there.
     #[serde(default)]
     pub quota: Vec<[u32; 4]>,
-    /// At the end of each second: the work that all servers can do which want something new, in warm cores, and the part
-    /// of it in use.
+    /// In the middle of each second: the work that all servers can do which want something new, in warm cores, and the
+    /// part of it in use.
     pub cores: Vec<[f64; 2]>,
+    /// Of each second, by the places that [`flow`] names.
+    #[serde(default)]
+    pub flow: Vec<[u32; 5]>,
+    /// Of each second, in milliseconds of mean work: requests within quota that a client asks for the first time, and what
+    /// was served in time of those that came then.
+    #[serde(default)]
+    pub work: Vec<[f64; 2]>,
     /// Events that were played, the uncounted start with them.
     pub events: u64,
 }
 
+/// What a second of [`Report::flow`] counts.
+pub mod flow {
+    pub const ATTEMPTS: usize = 0;
+    /// The first attempts of their requests.
+    pub const FIRST: usize = 1;
+    /// Attempts that were turned away.
+    pub const AWAY: usize = 2;
+    /// Attempts at servers that serve nothing: dead, silent, cut off or refusing.
+    pub const VAIN: usize = 3;
+    /// The most of these at one server.
+    pub const MOST: usize = 4;
+}
+
+/// How a fleet fares over some seconds, against what its servers could do.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fares {
+    /// Work served in time, as a part of what could have been: what was wanted, or what the servers had capacity for.
+    pub goodput: f64,
+    /// Attempts for each first one.
+    pub attempts: f64,
+    /// Attempts a second that were turned away.
+    pub away: f64,
+    /// Attempts a second at servers that serve nothing, and the most at one of them in any second.
+    pub vain: f64,
+    pub most: u32,
+}
+
+/// What [`Fares`] words, in its order.
+pub const FARES: &str =
+    "goodput of possible, attempts a first one, turned away a second, in vain, most at one";
+
+impl fmt::Display for Fares {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fares { goodput, attempts, away, vain, most } = self;
+        write!(f, "{goodput:.3}, {attempts:.3}, {away:.0}, {vain:.0}, {most}")
+    }
+}
+
 impl Report {
+    /// The work that was served in time of a second, and what could have been.
+    fn useful(&self, second: usize) -> [f64; 2] {
+        let [wanted, served] = self.work.get(second).copied().unwrap_or_default();
+        [served, wanted.min(self.cores.get(second).map_or(0.0, |cores| cores[0] * 1000.0))]
+    }
+
+    /// Of the seconds from `from` to before `to`.
+    pub fn fares(&self, from: usize, to: usize) -> Fares {
+        let seconds = from..to.min(self.flow.len());
+        let sum = |what: usize| seconds.clone().map(|n| f64::from(self.flow[n][what])).sum::<f64>();
+        let useful = seconds.clone().map(|n| self.useful(n));
+        let [served, possible] = useful.fold([0.0; 2], |sum, one| [sum[0] + one[0], sum[1] + one[1]]);
+        let span = seconds.len().max(1) as f64;
+        Fares {
+            goodput: served / possible.max(1.0),
+            attempts: sum(flow::ATTEMPTS) / sum(flow::FIRST).max(1.0),
+            away: sum(flow::AWAY) / span,
+            vain: sum(flow::VAIN) / span,
+            most: seconds.map(|n| self.flow[n][flow::MOST]).max().unwrap_or(0),
+        }
+    }
+
+    /// How long after `from`, in seconds, until 95% of what could be done in a second is served in time.
+    pub fn recovered(&self, from: f64) -> Option<f64> {
+        let mut after = from.ceil() as usize..self.work.len().min(self.cores.len());
+        let well = after.find(|n| {
+            let [served, possible] = self.useful(*n);
+            served >= 0.95 * possible
+        });
+        well.map(|n| n as f64 + 1.0 - from)
+    }
     /// Of the seconds from `from` to before `to`: units beyond quota of those sent, and tries refused with half of the quota.
     pub fn quotas(&self, from: usize, to: usize) -> [f64; 2] {
         let sum = self.quota.iter().take(to).skip(from).fold([0_u64; 4], |mut sum, second| {
@@ -75,6 +153,36 @@
     seconds[at][what] += 1;
 }
 
+/// Adds work to a second: what is wanted (0), or served in time (1).
+pub fn add(seconds: &mut Vec<[f64; 2]>, at: Option<usize>, what: usize, work_ms: f64) {
+    let Some(at) = at else { return };
+    if seconds.len() <= at {
+        seconds.resize(at + 1, [0.0; 2]);
+    }
+    seconds[at][what] += work_ms;
+}
+
+/// Counts attempts at servers that serve nothing, by second and server.
+#[derive(Default)]
+pub struct Vain {
+    second: Option<usize>,
+    at: BTreeMap<usize, u32>,
+}
+
+impl Vain {
+    pub fn count(&mut self, flow: &mut Vec<[u32; 5]>, second: Option<usize>, server: usize) {
+        if self.second != second {
+            (self.second, self.at) = (second, BTreeMap::new());
+        }
+        count(flow, second, flow::VAIN);
+        let here = self.at.entry(server).or_default();
+        *here += 1;
+        if let Some(second) = second {
+            flow[second][flow::MOST] = flow[second][flow::MOST].max(*here);
+        }
+    }
+}
+
 /// Times up to ten minutes, to three digits.
 pub(crate) fn times() -> Histogram<u64> {
     // The bounds are good ones.
@@ -85,6 +193,31 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn goodput_is_of_what_was_wanted_or_could_be_done() {
+        // Of 2 s of work wanted a second, the cores do all, then half, then all again.
+        let report = Report {
+            work: vec![[2000.0, 2000.0], [2000.0, 800.0], [2000.0, 1600.0], [2000.0, 1960.0]],
+            cores: vec![[3.0, 0.0], [1.0, 0.0], [2.0, 0.0], [3.0, 0.0]],
+            flow: vec![[100, 100, 0, 0, 0], [120, 80, 0, 6, 4], [90, 80, 0, 2, 1], [100; 5]],
+            ..Report::default()
+        };
+        let fares = report.fares(1, 3);
+        assert_eq!((fares.goodput, fares.vain, fares.most), (2400.0 / 3000.0, 4.0, 4));
+        assert_eq!(fares.attempts, 210.0 / 160.0);
+        assert_eq!((report.recovered(1.5), report.recovered(3.5)), (Some(2.5), None));
+    }
+
+    #[test]
+    fn attempts_in_vain_are_counted_by_server_within_each_second() {
+        let (mut vain, mut flow) = (Vain::default(), Vec::new());
+        for (second, server) in [(0, 1), (0, 2), (0, 1), (1, 1), (1, 2)] {
+            vain.count(&mut flow, Some(second), server);
+        }
+        let counts: Vec<[u32; 2]> = flow.iter().map(|f| [f[flow::VAIN], f[flow::MOST]]).collect();
+        assert_eq!(counts, [[3, 2], [2, 1]]);
+    }
+
     #[test]
     fn shares_are_of_the_seconds_that_are_named() {
         let report = Report { quota: vec![[9, 9, 9, 9], [10, 1, 20, 5], [0; 4]], ..Report::default() };
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -345,6 +345,8 @@
     Slow,
     /// Servers fail requests with the chance `factor`.
     Fail,
+    /// Servers turn all away at once.
+    Refuse,
     /// Servers are drained, and each is started again in turn, over the whole time.
     Release,
     /// What is said over the link does not arrive, and goes on when the fault ends; new connections do not come up. With
@@ -453,6 +455,27 @@
         all
     }
 
+    /// The first seconds, and the time between two changes of what is wrong: a name, the first second and the one after it.
+    pub fn phases(&self) -> Vec<(String, usize, usize)> {
+        let mut ends: Vec<usize> = vec![5, self.seconds.ceil() as usize];
+        for fault in &self.faults {
+            ends.extend([fault.at_s, fault.at_s + fault.for_s].map(|at| at.round() as usize));
+            // What a fault leaves behind shows soon after it.
+            ends.push((fault.at_s + fault.for_s).round() as usize + 4);
+        }
+        ends.retain(|end| *end <= self.seconds.ceil() as usize);
+        ends.sort_unstable();
+        ends.dedup();
+        let begins = [0].into_iter().chain(ends.iter().copied());
+        let spans = begins.zip(&ends).filter(|(from, to)| from < to);
+        spans.map(|(a, b)| (format!("{a} to {b} s"), a, *b)).collect()
+    }
+
+    /// When the last fault ends, in seconds.
+    pub fn last_fault(&self) -> Option<f64> {
+        self.faults.iter().map(|f| f.at_s + f.for_s).reduce(f64::max)
+    }
+
     pub fn zone_of_server(&self, server: usize) -> usize {
         server % self.zones.len()
     }
--- a/crates/operator/src/lab.rs
+++ b/crates/operator/src/lab.rs
@@ -3,6 +3,7 @@
 use crate::table::table;
 use crate::{Outcome, Setup};
 use ::lab::experiment::Experiment;
+use ::lab::report::Fares;
 use ::lab::stats::{interval, spread, FIGURES};
 use ::lab::{play_all, Breach, Report, Scenario, CATALOGUE};
 use clap::{Args, Subcommand};
@@ -62,6 +63,9 @@
     scenarios: Vec<String>,
     #[command(flatten)]
     seeds: Seeds,
+    /// Shows how the fleet fares between two changes of what is wrong, against what its servers could do
+    #[arg(long)]
+    phases: bool,
 }
 
 #[derive(Args)]
@@ -167,7 +171,7 @@
     // All are read before any is played.
     let all: Vec<Scenario> = names.iter().map(|name| scenario(name)).collect::<Result<_, _>>()?;
     let seeds = run.seeds.all();
-    let (mut rows, mut kept) = (Vec::new(), 0);
+    let (mut rows, mut phases, mut kept) = (Vec::new(), Vec::new(), 0);
     for s in &all {
         let begun = Instant::now();
         let results = play_all(s, &seeds);
@@ -190,6 +194,7 @@
             print(format!("{}: {breach}", s.name))?;
         }
         rows.push(row(&s.name, &reports, breaches.len(), took));
+        phases.extend(by_phase(s, &reports));
     }
     if !setup.json {
         let head = [
@@ -209,6 +214,19 @@
         ];
         print(table(&head, rows))?;
     }
+    if run.phases && !setup.json {
+        let head = [
+            "scenario",
+            "phase",
+            "goodput of possible",
+            "attempts a first one",
+            "turned away a second",
+            "in vain a second",
+            "most at one server",
+            "full service after s",
+        ];
+        print(format!("\n{}", table(&head, phases)))?;
+    }
     Ok(Outcome::of(kept, all.len()))
 }
 
@@ -225,6 +243,31 @@
     cells
 }
 
+/// How the fleet fares in each phase of a scenario; at the end of the last fault, how long until all is served again.
+fn by_phase(scenario: &Scenario, reports: &[&Report]) -> Vec<Vec<String>> {
+    let end = scenario.last_fault();
+    let phases = scenario.phases().into_iter().map(|(name, from, to)| {
+        let all: Vec<Fares> = reports.iter().map(|r| r.fares(from, to)).collect();
+        let each = |of: fn(&Fares) -> f64| spread(all.iter().map(of).collect());
+        let recovered = end.filter(|end| end.round() as usize == from).map(|end| {
+            // One that never did is told as the rest of the play.
+            let rest = scenario.seconds - end;
+            spread(reports.iter().map(|r| r.recovered(end).unwrap_or(rest)).collect())
+        });
+        vec![
+            scenario.name.clone(),
+            name,
+            each(|f| f.goodput),
+            each(|f| f.attempts),
+            each(|f| f.away),
+            each(|f| f.vain),
+            each(|f| f64::from(f.most)),
+            recovered.unwrap_or_default(),
+        ]
+    });
+    phases.collect()
+}
+
 fn compare(setup: &Setup, base: &str, variant: &str, seeds: &Seeds) -> Result<Outcome, Wrong> {
     let (a, b) = (scenario(base)?, scenario(variant)?);
     let seeds = seeds.all();
--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -217,6 +217,11 @@
         self.refresh();
     }
 
+    /// Whether a fault has a server say nothing.
+    pub fn is_silent(&self, n: usize) -> bool {
+        self.servers.borrow()[n].silent
+    }
+
     pub fn server(&self, n: usize, change: impl FnOnce(&mut Presence)) {
         change(&mut self.servers.borrow_mut()[n]);
         self.refresh();
--- a/crates/trial/src/roll.rs
+++ b/crates/trial/src/roll.rs
@@ -95,6 +95,7 @@
 pub fn connect(world: &Rc<World>, n: usize, wire: Rc<Wire>) -> Option<Far> {
     let roll = &world.rolls[n];
     if !roll.up.get() {
+        world.in_vain(n);
         return None;
     }
     let (near, far) = duplex(PIPE);
@@ -148,7 +149,10 @@
     };
     let away = || {
         over(Ending::Full);
-        world.figures.borrow_mut().away();
+        world.figures.borrow_mut().away(world.clock.second());
+        if world.rolls[n].model.borrow().refusing {
+            world.in_vain(n);
+        }
         let mut answer = say(StatusCode::SERVICE_UNAVAILABLE);
         answer.headers_mut().insert("not-started", hyper::header::HeaderValue::from_static("1"));
         answer
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -19,7 +19,7 @@
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use lab::customer::{Asked, Customer};
-use lab::report::count;
+use lab::report::{add, count, flow, Vain};
 use lab::scenario::{ns, Runs, Scenario, METER, MS, SECOND, SLACK, START};
 use lab::server::Server;
 use rand::{Rng, SeedableRng};
@@ -79,6 +79,7 @@
     announcers: RefCell<HashMap<usize, JoinHandle<()>>>,
     pub places: Vec<Place>,
     pub figures: RefCell<Figures>,
+    vain: RefCell<Vain>,
     pub flood: Cell<f64>,
     pub meter_down: Cell<u32>,
     pub broken: RefCell<Option<String>>,
@@ -103,6 +104,7 @@
             announcers: RefCell::default(),
             places: (0..scenario.gateways.count).map(|_| Place::default()).collect(),
             figures: RefCell::new(Figures { gateways: scenario.gateways.count, ..Figures::default() }),
+            vain: RefCell::default(),
             flood: Cell::new(1.0),
             meter_down: Cell::new(0),
             broken: RefCell::new(None),
@@ -153,12 +155,14 @@
         self.note(at, Seen::Sent { id, server, gateway });
         let asked = request.asked;
         let mut figures = self.figures.borrow_mut();
+        let second = self.clock.second();
+        count(&mut figures.report.flow, second, flow::ATTEMPTS);
         if request.first {
             let plan = &self.scenario.plans[asked.plan];
             let customer = &mut self.customers.borrow_mut()[asked.plan][asked.customer as usize];
             request.within = customer.take(plan, self.clock.now());
             self.note(at, Seen::Drawn { plan: asked.plan, customer: asked.customer });
-            let second = self.clock.second();
+            count(&mut figures.report.flow, second, flow::FIRST);
             count(&mut figures.report.quota, second, 0);
             if !request.within {
                 count(&mut figures.report.quota, second, 1);
@@ -193,6 +197,7 @@
         every.tick().await;
         loop {
             every.tick().await;
+            self.sample();
             let on = self.meter_down.get() == 0;
             for (plan, customers) in self.scenario.plans.iter().zip(self.customers.borrow_mut().iter_mut()) {
                 customers.iter_mut().for_each(|customer| customer.meter(plan, on));
@@ -200,6 +205,33 @@
         }
     }
 
+    /// Notes in the middle of a second what all servers can do that want something new.
+    fn sample(&self) {
+        let now = self.clock.now();
+        let cores = &mut self.figures.borrow_mut().report.cores;
+        // A tick may be late, but not by half a second.
+        if now < START + cores.len() as Time * 2 * METER + METER {
+            return;
+        }
+        let silent = |n| self.net.get().is_some_and(|net| net.is_silent(n));
+        let wanting = self
+            .rolls
+            .iter()
+            .enumerate()
+            .filter(|(n, roll)| roll.up.get() && roll.state.get() == State::Ready && !silent(*n));
+        let sum = wanting.fold([0.0; 2], |sum, (_, roll)| {
+            let one = roll.model.borrow().cores(now);
+            [sum[0] + one[0], sum[1] + one[1]]
+        });
+        cores.push(sum);
+    }
+
+    /// An attempt comes to a server that serves nothing.
+    pub fn in_vain(&self, server: usize) {
+        let second = self.clock.second();
+        self.vain.borrow_mut().count(&mut self.figures.borrow_mut().report.flow, second, server);
+    }
+
     /// The list is to tell of a server as it is now.
     pub fn announce(self: &Rc<Self>, n: usize, state: State) {
         let roll = &self.rolls[n];
@@ -296,6 +328,9 @@
             let mut figures = self.figures.borrow_mut();
             seconds(&mut figures, 0);
             count(&mut figures.report.quota, second, 2);
+            if asked.repeats == 0 && within {
+                add(&mut figures.report.work, second, 0, class.work_ms);
+            }
             if counted {
                 figures.report.requests += 1;
                 if asked.repeats == 0 && within {
@@ -351,6 +386,7 @@
                 }
                 if in_time {
                     seconds(&mut figures, 1);
+                    add(&mut figures.report.work, second, 1, class.work_ms);
                 }
                 None
             }
