Charge repeats of what servers turned away to the budget of repeats

They now come out of the budget that repeats of possible runs have, which grows by a fifth of the first attempts, and by less as the gateway finds the whole too full. Without budget the request is given up at once. Refused connections stay free: they press on no server.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -21,7 +21,8 @@
 const SHARERS: f64 = 20.0;
 /// Weight of one more observation in every average over answers.
 const GAIN: f64 = 0.2;
-/// Further attempts of work that may have run, as a share of first attempts.
+/// Further attempts of what may have run or was turned away, as a share of first attempts; less where the
+/// whole is too full.
 const RETRY_SHARE: f64 = 0.2;
 /// An answer later than this part of the aim leaves too little for the wait before it.
 const LATE: f64 = 0.35;
@@ -888,7 +889,7 @@
         let charge = Charge::Sent { customer: h.customer.clone(), units };
         if h.sends == 0 {
             let most = 1.0 + RETRY_SHARE * self.sent_rate * memory;
-            self.retries = (self.retries + RETRY_SHARE).min(most);
+            self.retries = (self.retries + RETRY_SHARE * self.open).min(most);
         }
         h.out = Some(Out { server: server.clone(), at: now, attempt: h.sends, cancelled: false });
         h.sends += 1;
@@ -923,6 +924,8 @@
             let (zone, cell) = self.servers.get(&o.server).map_or((u32::MAX, u32::MAX), |s| (s.zone, s.cell));
             h.ran = Some((o.at, zone, cell));
         }
+        // What a full server turned away has not run, yet to send it again presses on the rest.
+        let free = never && e.ending != Ending::Full;
         h.tried.push(o.server.clone());
         h.draw = self.rng.f64();
         let plan = h.plan;
@@ -935,8 +938,8 @@
         self.settle(&customer, units, &e);
         if done {
             self.held.remove(&e.id);
-        } else if !e.spent && self.may_repeat(e.id, never) {
-            if !never {
+        } else if !e.spent && self.may_repeat(e.id, free) {
+            if !free {
                 self.retries -= 1.0;
             }
             let (res, plan) = (self.dominant(units), self.held[&e.id].plan);
@@ -1043,7 +1046,7 @@
         self.charge(Charge::Ended { customer: customer.clone(), back });
     }
 
-    fn may_repeat(&self, id: RequestId, never: bool) -> bool {
+    fn may_repeat(&self, id: RequestId, free: bool) -> bool {
         let h = &self.held[&id];
         let class = &self.s.classes[h.class];
         let allowed = match (h.ran, class.effect) {
@@ -1051,7 +1054,7 @@
             (Some((first, ..)), Effect::Keyed) => self.now + self.s.tick < first + class.key_ttl,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed && h.sends < self.s.try_limit && self.now < h.hope && (never || self.retries >= 1.0)
+        allowed && h.sends < self.s.try_limit && self.now < h.hope && (free || self.retries >= 1.0)
     }
 
     /// The final answer of a request that is not out: a refusal only if nothing can have run.
