Let gateways of a large fleet have less than one attempt out where the whole is too full

A gateway that sees two answers a second also needed ten and more seconds to close its rooms, since each answer closed a twentieth.

A room of less than one attempt is now kept over time, by a rest after each attempt, of a second and a half at most and drawn, since gateways that were stopped together else go on together. An answer counts for the time since the last one, so that few teach as fast as many; an attempt that was turned away counts as a late answer does; and the rooms close down to an even part of one attempt a server. With more than 20 answers a second, and 20 gateways to a server, all but the turned away is as before.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -53,6 +53,8 @@
 /// New connections to servers as a share of attempts, and what one weighs beyond it, in requests in hand.
 const OPENS: f64 = 0.1;
 const HANDSHAKE: f64 = 1.0;
+/// The longest rest, in seconds, of a gateway that may have less than one attempt out.
+const REST: f64 = 1.0;
 const TIMER_PUMP: u64 = 0;
 const TIMER_ASK: u64 = 1;
 const TIMER_REQUESTS: u64 = 2;
@@ -93,6 +95,11 @@
     opens: f64,
     /// How much of the rooms is open: closed by late answers from all over, opened by timely ones.
     open: f64,
+    /// When an attempt last ended, and how long it took, in seconds.
+    freed: Time,
+    last_took: f64,
+    /// What the rest after it is multiplied by.
+    rest: f64,
     /// How many gateways use each server.
     sharers: f64,
     /// EWMA of how long an attempt is out, in seconds.
@@ -146,6 +153,9 @@
             others: 0.0,
             sharers: f64::from(s.gateways),
             open: 1.0,
+            freed: now,
+            last_took: 0.0,
+            rest: 1.0,
             calm: 0.0,
             resize: true,
             told: 0,
@@ -692,9 +702,12 @@
     /// The first request of a queue that every availability counter covers and that may be sent now, where,
     /// and its place. The cheap checks come first, and a class that finds no server is asked for once.
     fn head(&mut self, res: usize, plan: usize, rooms: [f64; 2]) -> Option<(RequestId, Name, usize)> {
+        // Beyond the paper: a room of less than one attempt is kept over time, by a rest after each. Guards
+        // servers of a large fleet, of which each gateway may send one; harms by waits where room is there.
         let fits = |g: &Self, r: usize, cost: f64| {
             let used = g.subs[r].in_flight + g.beside[r];
-            used == 0.0 || used + cost <= rooms[r]
+            let rest = (g.last_took * (1.0 / rooms[0].max(1e-9) - 1.0)).min(REST) * g.rest;
+            used + cost <= rooms[r] || used == 0.0 && secs(g.now - g.freed) >= rest
         };
         if !fits(self, 0, 1.0) {
             return None;
@@ -928,6 +941,8 @@
         let free = never && e.ending != Ending::Full;
         h.tried.push(o.server.clone());
         h.draw = self.rng.f64();
+        // Drawn, or gateways that were stopped together would go on together.
+        self.rest = 0.5 + h.draw;
         let plan = h.plan;
         let done = e.last || e.ending == Ending::Pass || h.streaming || h.gone;
         self.subs[0].in_flight -= 1.0;
@@ -971,17 +986,21 @@
         let took = secs(e.elapsed);
         let aim = secs(self.s.classes[class].aim);
         self.hold += (took - self.hold) * GAIN / 4.0;
+        self.last_took = took;
         let usual = self.usual[class].max(1e-6);
         // Beyond the paper: late answers from one server narrow its own room; when they outnumber one in
         // four over all servers, the whole is too full, and each closes a part of every room. Guards against
         // jams that feed on themselves, whatever began them; harms where a class is late on idle servers.
         let pass = e.ending == Ending::Pass;
         let silent = e.ending == Ending::Late && !o.cancelled;
-        if silent || took > aim * LATE {
-            self.open = (self.open * (1.0 - GAIN / 4.0)).max(GAIN / 4.0);
+        // An answer stands for the time since the last one: a gateway that sees few learns as fast.
+        let weight = secs(now - self.freed).clamp(GAIN / 4.0, 0.5);
+        if silent || took > aim * LATE || e.ending == Ending::Full {
+            self.open = (self.open * (1.0 - weight)).max((1.0 / self.sharers).min(GAIN / 4.0));
         } else if pass {
-            self.open = (self.open + GAIN / 12.0).min(1.0);
+            self.open = (self.open + weight / 3.0).min(1.0);
         }
+        self.freed = now;
         if pass {
             self.usual[class] += (took.min(aim) - usual) * GAIN / 4.0;
         }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -1037,6 +1037,72 @@
     assert!(late + 1 >= open, "{late} at once of {open}");
 }
 
+/// What a gateway of so many sends at once after answers that were late, each so long after the last.
+fn at_once_after_late(gateways: u32, count: u32, apart: Time) -> usize {
+    let s = Settings { gateways, plans: vec![Plan::new("free", 0.0, 0.0)], ..settings() };
+    let mut rig = Rig::new(s, 12);
+    for n in 0..count {
+        let (id, out) = rig.request(0, 0, &format!("c{n}"), 1.0);
+        rig.now += apart;
+        let server = sent_to(&out).pop().unwrap_or("s0".to_string());
+        rig.end_with(id, 0, &server, Ending::Pass, 400 * MS, None);
+    }
+    (0..100).filter(|n| !sends(&rig.request(0, 0, &format!("d{n}"), 1.0).1).is_empty()).count()
+}
+
+#[test]
+fn a_gateway_that_sees_few_answers_closes_as_fast_as_one_that_sees_many() {
+    // Two seconds of late answers, of a fleet of 20: four of them, and forty.
+    let (few, many) = (at_once_after_late(20, 4, SEC / 2), at_once_after_late(20, 40, SEC / 20));
+    assert!(few <= many + 2 && few <= 3, "{few} at once after few answers, {many} after many");
+}
+
+/// The most attempts out at once, of a fleet whose servers take 0.4 s for each, after it has learnt so.
+fn out_at_once(gateways: u32) -> u32 {
+    let start = |me| {
+        let s = Settings { gateways, me, plans: vec![Plan::new("free", 0.0, 0.0)], ..settings() };
+        let g = Gateway::new(s, u64::from(me), 100 * SEC).expect("in range");
+        let mut rig = Rig { g, now: 100 * SEC, next: 1, spread: 1 };
+        rig.tell(large_list(0..4));
+        rig
+    };
+    let mut fleet: Vec<Rig> = (0..gateways).map(start).collect();
+    // By gateway: when an attempt ends, its request and its server.
+    let mut held: Vec<Vec<(Time, u64, String)>> = vec![Vec::new(); fleet.len()];
+    let mut most = 0;
+    for step in 0..2000 {
+        let mut out = 0;
+        for (n, (rig, held)) in fleet.iter_mut().zip(&mut held).enumerate() {
+            rig.now = 100 * SEC + step * 10 * MS;
+            let now = rig.now;
+            // All ask at once, and ever again.
+            if (step + n as u64) % 50 == 0 {
+                let (_, actions) = rig.request(0, 0, &format!("c{step}"), 1.0);
+                let sent = sends(&actions).into_iter().zip(sent_to(&actions));
+                held.extend(sent.map(|(id, server)| (now + 400 * MS, id, server)));
+            }
+            let (done, rest) = held.drain(..).partition(|(at, ..)| *at <= now);
+            *held = rest;
+            for (_, id, server) in done {
+                let actions = rig.end_with(id, 0, &server, Ending::Pass, 400 * MS, None);
+                let more = sends(&actions).into_iter().zip(sent_to(&actions));
+                held.extend(more.map(|(id, server)| (now + 400 * MS, id, server)));
+            }
+            out += held.len() as u32;
+        }
+        if step > 1000 {
+            most = most.max(out);
+        }
+    }
+    most
+}
+
+#[test]
+fn a_large_fleet_has_less_than_one_attempt_out_for_each_gateway_where_all_are_late() {
+    let most = out_at_once(200);
+    assert!(most <= 100, "{most} out at once of 200 gateways at 4 servers");
+}
+
 /// Servers of three zones, as a list of a large fleet has them.
 fn large_list(servers: impl Iterator<Item = usize>) -> Event {
     let node = |i: usize| Node { zone: i as u32 % 3, ..Node::new(&format!("s{i:02}"), Health::Up) };
