Send the newest request first while the whole is too full

Behind rooms that are closed a queue of the oldest first sends what has waited for most of its aim: it comes late, and those behind it too (storm-slow: a quarter of what was served). While late answers close the rooms, a request now stands ahead of its equals that came before it; worthier classes stay ahead, and a queue that waits for anything else is as before.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -615,7 +615,11 @@
         let points = |id: &RequestId| self.held.get(id).map_or(0.0, |h| self.s.classes[h.class].points);
         let own = points(&r.id);
         let queue = &self.subs[res].queues[r.plan];
-        let place = queue.iter().position(|id| points(id) < own).unwrap_or(queue.len());
+        // While the whole is too full the newest goes first, which has most of its time: what has waited for
+        // long comes late, and others with it.
+        let newest = self.open < 1.0;
+        let behind = |id: &RequestId| points(id) < own || newest && points(id) <= own;
+        let place = queue.iter().position(behind).unwrap_or(queue.len());
         self.subs[res].queues[r.plan].insert(place, r.id);
     }
 
