Keep the newest first to rooms below one attempt, and time weights to large fleets

In a small fleet each gateway sees enough, and its answers of a thin second say less than was made of them.

An answer now weighs more than a twentieth only as far as its server is shared (by 40 gateways: up to a half), and the newest goes first only where the room is less than one attempt.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -615,9 +615,9 @@
         let points = |id: &RequestId| self.held.get(id).map_or(0.0, |h| self.s.classes[h.class].points);
         let own = points(&r.id);
         let queue = &self.subs[res].queues[r.plan];
-        // While the whole is too full the newest goes first, which has most of its time: what has waited for
-        // long comes late, and others with it.
-        let newest = self.open < 1.0;
+        // With room for less than one attempt the newest goes first, which has most of its time: what has
+        // waited for long comes late, and others with it.
+        let newest = self.room(0) < 1.0;
         let behind = |id: &RequestId| points(id) < own || newest && points(id) <= own;
         let place = queue.iter().position(behind).unwrap_or(queue.len());
         self.subs[res].queues[r.plan].insert(place, r.id);
@@ -997,8 +997,10 @@
         // jams that feed on themselves, whatever began them; harms where a class is late on idle servers.
         let pass = e.ending == Ending::Pass;
         let silent = e.ending == Ending::Late && !o.cancelled;
-        // An answer stands for the time since the last one: a gateway that sees few learns as fast.
-        let weight = secs(now - self.freed).clamp(GAIN / 4.0, 0.5);
+        // An answer stands for the time since the last one, as far as many gateways share what there is to see:
+        // one that sees few learns as fast.
+        let most = (self.sharers * GAIN / 8.0).clamp(GAIN / 4.0, 0.5);
+        let weight = secs(now - self.freed).clamp(GAIN / 4.0, most);
         if silent || took > aim * LATE || e.ending == Ending::Full {
             self.open = (self.open * (1.0 - weight)).max((1.0 / self.sharers).min(GAIN / 4.0));
         } else if pass {
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -1022,33 +1022,32 @@
     assert!(gone.starts_with(&[worthy, second]), "{gone:?}");
 }
 
-/// The first to go, of two that wait, after answers that took so long.
-fn first_of_two(took: Time) -> usize {
-    let s = Settings { plans: vec![Plan::new("free", 0.0, 0.0)], ..settings() };
+/// The first to go, of two that wait for room at a server that so many gateways use.
+fn first_of_two(gateways: u32) -> usize {
+    let s = Settings { gateways, plans: vec![Plan::new("free", 0.0, 0.0)], ..settings() };
     let mut rig = Rig::new(s, 1);
-    let mut out = Vec::new();
+    let mut out = None;
     let mut waiting = Vec::new();
     while waiting.len() < 2 {
         let (id, actions) = rig.request(0, 0, &format!("f{}", rig.next), 1.0);
-        rig.now += MS;
         match sends(&actions).is_empty() {
-            false if waiting.is_empty() && out.len() < 3 => {
-                rig.end_with(id, 0, "s0", Ending::Pass, took, None);
-                out.push(id);
-            }
-            false => out.push(id),
+            false => out = Some(id),
             true => waiting.push(id),
         }
-        assert!(out.len() < 100, "room is finite");
+        assert!(rig.next < 100, "room is finite");
     }
-    let gone = out.iter().skip(3).flat_map(|id| sends(&rig.end_with(*id, 0, "s0", Ending::Pass, took, None)));
-    let first = gone.into_iter().next().expect("one of them goes");
-    waiting.iter().position(|id| *id == first).expect("of those that wait")
+    let out = out.expect("one goes out");
+    let mut gone = sends(&rig.end(out, 0, "s0", Ending::Pass));
+    // A gateway that rests after an attempt goes on with time.
+    rig.now += 200 * MS;
+    gone.extend(sends(&rig.tell(Event::Timer { token: 0 })));
+    let first = gone.first().expect("one of them goes");
+    waiting.iter().position(|id| id == first).expect("of those that wait")
 }
 
 #[test]
-fn the_newest_goes_first_only_where_the_whole_is_too_full() {
-    assert_eq!((first_of_two(50 * MS), first_of_two(400 * MS)), (0, 1));
+fn the_newest_goes_first_only_where_the_room_is_less_than_one_attempt() {
+    assert_eq!((first_of_two(2), first_of_two(30)), (0, 1));
 }
 
 #[test]
