Show staff how full the servers look to a gateway, and try overload with processes

Staff could not see whether a gateway refuses since it finds the servers too full. `/-/status` and OpenMetrics now tell how much of the rooms is open, how many attempts may be out, how many requests wait and how many repeats are left; `sprucehatch status` and `watch` show the first and third.

The tests play a trial of eight gateways with four servers, all slow for 3 s, one refusing and one that half of the gateways cannot reach: up to then repeats are at most a fifth of first attempts and what each gateway began with, which is the bound by construction.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -326,6 +326,13 @@
         listed.filter(|(name, s)| self.banned.contains(*name) || s.health == Health::Up && failing(s)).count()
     }
 
+    /// How full the servers look to this gateway.
+    pub fn fullness(&self) -> Fullness {
+        let waiting = self.subs.iter().flat_map(|s| &s.queues).flatten();
+        let waiting = waiting.filter(|id| self.held.contains_key(id)).count();
+        Fullness { open: self.open, room: self.room(0), waiting, repeats: self.retries }
+    }
+
     // ---- The list of servers ----
 
     fn fleet(&mut self, scope: Scope, nodes: Vec<Node>, out: &mut Vec<Action>) {
@@ -997,8 +1004,8 @@
         // jams that feed on themselves, whatever began them; harms where a class is late on idle servers.
         let pass = e.ending == Ending::Pass;
         let silent = e.ending == Ending::Late && !o.cancelled;
-        // An answer stands for the time since the last one, as far as many gateways share what there is to see:
-        // one that sees few learns as fast.
+        // An answer stands for the time since the last one, as far as many gateways share what there is to
+        // see: one that sees few learns as fast.
         let most = (self.sharers * GAIN / 8.0).clamp(GAIN / 4.0, 0.5);
         let weight = secs(now - self.freed).clamp(GAIN / 4.0, most);
         if silent || took > aim * LATE || e.ending == Ending::Full {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -358,6 +358,19 @@
     Share(Share),
 }
 
+/// How full the servers look to this gateway, and what it does about it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fullness {
+    /// The part of the rooms at servers that is open: 1 while answers are in time, less where they are late.
+    pub open: f64,
+    /// Attempts that may be out at once; below 1 the gateway rests between two.
+    pub room: f64,
+    /// Requests that wait for it.
+    pub waiting: usize,
+    /// Repeats that may go out now.
+    pub repeats: f64,
+}
+
 /// A change to a customer's books, by the process that made it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Charge {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -13,7 +13,7 @@
     Snapshot, Time,
 };
 use granitehub_protocol::list::{List, Roster, State, Target};
-use granitehub_protocol::status::ListAge;
+use granitehub_protocol::status::{Fullness, ListAge};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -246,6 +246,11 @@
         self.state.borrow().gateway.ejected()
     }
 
+    pub fn fullness(&self) -> Fullness {
+        let granitehub::Fullness { open, room, waiting, repeats } = self.state.borrow().gateway.fullness();
+        Fullness { open, room, waiting, repeats }
+    }
+
     // ---- The other process of this gateway ----
 
     pub fn paired(&self) -> bool {
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -1,7 +1,7 @@
 //! The figures that operators read: what became of requests since the start of the process, and how long they took.
 
 use crate::pool::PoolFigures;
-use granitehub_protocol::status::{End, ListAge};
+use granitehub_protocol::status::{End, Fullness, ListAge};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -92,6 +92,7 @@
     pub ejected: usize,
     pub connections: PoolFigures,
     pub list: ListAge,
+    pub fullness: Fullness,
 }
 
 impl Figures {
@@ -195,6 +196,7 @@
             ejected: 1,
             connections,
             list: ListAge { version: 9, age_ms: 70 },
+            fullness: Fullness::default(),
         };
         let text = || String::from_utf8(figures.json(&rest).unwrap()).unwrap();
         let mut served = figures.taken(0);
--- a/crates/gateway/src/openmetrics.rs
+++ b/crates/gateway/src/openmetrics.rs
@@ -93,11 +93,15 @@
                 None,
             )?;
         }
-        let Rest { forwards, discovered, ejected, connections: c, list } = &self.rest;
+        let Rest { forwards, discovered, ejected, connections: c, list, fullness: f } = &self.rest;
         m.count("forwards", "Attempts written whole to roll servers", *forwards)?;
         m.now("requests_outstanding", "Requests taken but not ended", self.outstanding as usize)?;
         m.now("roll_servers_discovered", "Roll servers in the list", *discovered)?;
         m.now("roll_servers_ejected", "Listed roll servers that are avoided", *ejected)?;
+        m.one("rooms_open", "Part of the rooms at roll servers that is open", &ConstGauge::new(f.open))?;
+        m.one("room_attempts", "Attempts that may be out at once", &ConstGauge::new(f.room))?;
+        m.now("requests_waiting", "Requests that wait for room", f.waiting)?;
+        m.one("repeats_left", "Repeats that may go out now", &ConstGauge::new(f.repeats))?;
         m.one("list_version", "Version of the list in use", &ConstGauge::new(list.version as i64))?;
         let age = ConstGauge::new(list.age_ms as f64 / 1000.0);
         let help = "Time since discovery last told the list or had nothing newer";
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -141,6 +141,7 @@
             ejected: self.driver.ejected(),
             connections: self.backends.pool.figures(),
             list: self.driver.list_age(),
+            fullness: self.driver.fullness(),
         }
     }
 
@@ -189,6 +190,7 @@
             ejected: self.driver.ejected(),
             out_by_hand: self.backends.pool.banned().iter().map(|name| name.to_string()).collect(),
             list: self.driver.list_age(),
+            fullness: self.driver.fullness(),
             latency: latency.collect(),
             log_lost: log::get().map_or(0, |log| log.lines().lost),
         }
--- a/crates/operator/src/gateways.rs
+++ b/crates/operator/src/gateways.rs
@@ -188,6 +188,8 @@
         &refused,
         &failed,
         "held",
+        "waiting",
+        "open",
         "servers",
         "avoided",
         "by hand",
@@ -220,7 +222,9 @@
                 let (up, age) = (Duration::from_millis(s.uptime_ms), Duration::from_millis(s.list.age_ms));
                 cells.extend([plain(&s.name), state.to_string(), span(up)]);
                 cells.extend(counts);
-                cells.extend([s.outstanding.to_string(), s.discovered.to_string(), s.ejected.to_string()]);
+                let (waiting, open) = (s.fullness.waiting.to_string(), format!("{:.2}", s.fullness.open));
+                cells.extend([s.outstanding.to_string(), waiting, open]);
+                cells.extend([s.discovered.to_string(), s.ejected.to_string()]);
                 let by_hand: Vec<String> = s.out_by_hand.iter().map(|name| plain(name)).collect();
                 cells.extend([
                     by_hand.join(" "),
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -435,6 +435,71 @@
     }
 }
 
+/// Eight gateways, two servers for three seconds four times slower and a third that turns all away, one way cut for
+/// half of the gateways, and clients that ask again.
+const STORM: &str = r#"
+name = "small-storm"
+claim = "Gateways repeat little of what servers turn away, and bring no wave after it"
+seconds = 7
+zones = ["a", "b"]
+[gateways]
+count = 8
+[servers]
+count = 4
+cores = 2
+waiting = 4
+[[classes]]
+name = "look"
+work_ms = 20
+aim_ms = 400
+deadline_ms = 1500
+[[plans]]
+name = "basic"
+customers = 40
+demand = 5
+rate = 20
+depth = 40
+spread = 4
+[clients]
+repeats = 6
+pause_ms = 100
+heeds = 0
+[[faults]]
+kind = "slow"
+at_s = 2
+for_s = 3
+factor = 4
+[[faults]]
+kind = "refuse"
+at_s = 2
+for_s = 3
+share = 0.25
+[[faults]]
+kind = "cut"
+link = "50% of gateways -> s-1"
+at_s = 2
+for_s = 3
+"#;
+
+#[test]
+fn gateways_as_processes_repeat_little_of_what_overloaded_servers_turn_away() {
+    let file = file("toml", STORM);
+    let out = Command::new(program("sprucehatch"))
+        .args(["--json", "trial", "run", file.to_str().expect("a path")])
+        .output()
+        .expect("it runs");
+    let told: Value = serde_json::from_slice(&out.stdout).unwrap_or_else(|e| panic!("{e}: {}", text(&out)));
+    assert_eq!(told["breach"], Value::Null, "{}", text(&out));
+    // Up to the end of the fault: attempts, first ones, and those turned away.
+    let sum = |what: usize| -> u64 {
+        (0..5).map(|second| told["trial"]["flow"][second][what].as_u64().unwrap_or(0)).sum()
+    };
+    let (all, first, away) = (sum(0), sum(1), sum(2));
+    assert!(first > 100 && away > 10, "{all} attempts, {first} first ones, {away} turned away");
+    // Each gateway has up to 1.2 in hand at first, beside a fifth of its first attempts.
+    assert!(all - first <= first / 5 + 10, "{all} attempts, {first} first ones, {away} turned away");
+}
+
 /// Whether a process runs whose command line names the folder.
 fn runs_from(folder: &std::path::Path) -> bool {
     let name = folder.to_str().expect("a path");
--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -22,11 +22,26 @@
     pub ejected: usize,
     pub out_by_hand: Vec<String>,
     pub list: ListAge,
+    pub fullness: Fullness,
     pub latency: Vec<Latency>,
     /// Lines of the log that nobody took.
     pub log_lost: u64,
 }
 
+/// How full the roll servers look to the gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fullness {
+    /// The part of the rooms at roll servers that is open: 1 while answers are in time.
+    pub open: f64,
+    /// Attempts that may be out at once; below 1 the gateway rests between two.
+    pub room: f64,
+    /// Requests that wait for it.
+    pub waiting: usize,
+    /// Repeats that may go out now.
+    pub repeats: f64,
+}
+
 /// The list in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
