Answer all that was taken before the exit, and go on while an answer is owed

Every lost request had a deadline over 3 s and was taken before or just after the signal.

Cause: `server.rs`, `accept`, the branch of `last` left the loop with clients still held and the process ended; `longest_drain` counts at most 3 s of a deadline, while `driver.rs` gave requests in hand all of theirs. Ruled out: requests that came late on connections that stayed open (none was taken later than 0.6 s after the signal), answers on their way, a late loop (1 ms).

Change: with SIGTERM the driver ends whatever time a request has 0.2 s before SIGKILL is due, so that its answer is written before the exit; bodies that still come are answered too. What still comes to a client, as a large answer does, is no longer cut off by the exit.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -130,6 +130,10 @@
     counts: Counts,
     pub figures: Rc<Figures>,
     discovery_down: Cell<bool>,
+    /// Once the process is to end: when the last request has to be answered.
+    last: Cell<Option<Instant>>,
+    /// What a client is advised that is given up with the process; 0 where clients may not be told.
+    elsewhere: Time,
     /// When the list was last told or found to be as it was.
     list_told: Cell<Instant>,
     zones: Vec<String>,
@@ -180,6 +184,8 @@
             counts: Counts::default(),
             figures: Figures::new(s.classes.iter().map(|c| c.name.as_str())),
             discovery_down: Cell::new(false),
+            last: Cell::default(),
+            elsewhere: if s.retry_after { s.tick.min(s.max_retry_after) } else { 0 },
             list_told: Cell::new(Instant::now()),
             zones: config.zones.clone(),
             tick: Duration::from_nanos(s.tick),
@@ -362,6 +368,7 @@
         }
         let relayed = r.outgoing.body.relay().is_some();
         let deadline = if relayed { r.arrived + OPEN } else { Self::deadline(r.arrived, r.timeout) };
+        let deadline = self.by_the_end(deadline);
         let (client, answer) = oneshot::channel();
         let live = Live {
             client: Some(client),
@@ -396,8 +403,23 @@
     /// The body of a request that goes on as it comes is whole: from now on its client's time runs.
     pub fn whole(&self, id: RequestId, timeout: Duration) {
         let mut state = self.state.borrow_mut();
-        let deadline = Self::deadline(Instant::now(), timeout);
+        let deadline = self.by_the_end(Self::deadline(Instant::now(), timeout));
         if let Some(live) = state.live.get_mut(&id) {
+    fn by_the_end(&self, deadline: Instant) -> Instant {
+        self.last.get().map_or(deadline, |last| deadline.min(last))
+    }
+
+    /// The process is to end: whatever has been taken, and still is, has its answer by then.
+    pub fn end_by(&self, last: Instant) {
+        self.last.set(Some(last));
+        let state = &mut *self.state.borrow_mut();
+        for (id, live) in state.live.iter_mut().filter(|(_, live)| live.deadline > last) {
+            live.deadline = last;
+            state.timers.push(Reverse((last + GRACE, Due::Deadline(*id))));
+        }
+        self.wake.notify_one();
+    }
+
             live.deadline = deadline;
             state.timers.push(Reverse((deadline + GRACE, Due::Deadline(id))));
             self.wake.notify_one();
@@ -517,7 +539,8 @@
         add(&self.counts.overdue);
         live.may_have_run |= live.out.is_some();
         live.late = true;
-        self.give_up(live, true, 0);
+        let advice = if self.last.get().is_some() { self.elsewhere } else { 0 };
+        self.give_up(live, true, advice);
         match &live.out {
             Some(attempt) => attempt.abort(),
             None => drop(state.live.remove(&id)),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -34,8 +34,13 @@
 /// SIGKILL is due so long after SIGTERM and the longest deadline, of which no more than `MOST_DEADLINE` counts.
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const MOST_DEADLINE: Duration = Duration::from_secs(3);
-/// The process is gone so long before that: every request taken in the window has been answered.
+/// The process is gone so long before that, unless it still owes an answer.
 const EXIT_BEFORE: Duration = Duration::from_millis(100);
+/// So long before that again every request has its answer, of whatever time is left to its client: room to write it, also
+/// for a loop that comes late.
+const ANSWER_BEFORE: Duration = Duration::from_millis(100);
+/// What still comes then, as a large answer does, goes on until it is whole, or someone ends the process by force.
+const LONGEST_END: Duration = Duration::from_secs(60);
 /// Once a successor serves and the end is near, connections close that have idled for so long: the least
 /// likely to cross a request. The rest close at the last moment.
 const LEAVE_IDLE: Duration = Duration::from_secs(1);
@@ -230,9 +235,12 @@
         }
         self.draining.set(true);
         let started = Instant::now();
+        let end = started + self.longest_drain;
+        self.driver.end_by(end - ANSWER_BEFORE);
         if self.successor.get() {
             tracing::info!("leaving to the successor");
-            self.leave(started + self.longest_drain).await;
+            self.leave(end).await;
+            self.owed().await;
             tracing::info!("left in {} ms", started.elapsed().as_millis());
             return;
         }
@@ -251,16 +259,29 @@
         while timeout(Duration::ZERO, self.admit(&listener, &mut next)).await.is_ok() {}
         drop(listener);
         self.close_all();
-        let mut last = pin!(sleep_until(started + self.longest_drain));
+        let mut last = pin!(sleep_until(end));
         while !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.left.notified() => {}
                 () = &mut last => break,
             }
         }
+        self.owed().await;
         tracing::info!("drained in {} ms", started.elapsed().as_millis());
     }
 
+    /// Waits for the end of what clients have been begun to be given.
+    async fn owed(&self) {
+        let end = Instant::now() + LONGEST_END;
+        let owes = || self.clients.borrow().values().any(|c| c.idle.get().is_none());
+        while owes() {
+            tokio::select! {
+                () = self.left.notified() => {}
+                () = sleep_until(end) => return,
+            }
+        }
+    }
+
     /// Serves the connections that are open until clients are done with them, or the time is over. What waits
     /// at the listener is the successor's.
     async fn leave(&self, end: Instant) {
--- /dev/null
+++ b/crates/gateway/tests/endings.rs
@@ -0,0 +1,194 @@
+//! What is still owed when something ends: real connections, and the bad order every time.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use testkit::{ask, list, ok, say, Ask, Backend, Discovery, Gateway, Setup, LIMIT};
+
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+/// What may pass after a client's time before a request without an end counts as lost.
+const LOST: Duration = Duration::from_millis(500);
+/// After SIGTERM the process goes on for so long at least: the longest deadline, of which 3 s count, and some room.
+const EXIT: Duration = Duration::from_millis(3600);
+
+fn one(backend: &Backend) -> Discovery {
+    Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]))
+}
+
+/// The class `book-slot` has a deadline of 10 s.
+fn patient() -> Setup {
+    let long = r#""name":"book-slot","on_time":750000000,"deadline":10000000000"#;
+    let changed = vec![(r#""name":"book-slot","on_time":750000000,"deadline":2500000000"#, long)];
+    Setup { changed, ..Setup::default() }
+}
+
+fn lasting(class: &'static str, timeout: &'static str) -> Ask {
+    Ask { timeout, ..ask(class) }
+}
+
+/// Takes requests and says nothing until the test ends.
+fn hanging() -> Backend {
+    Backend::new(|_, _| {
+        std::thread::sleep(LIMIT);
+        false
+    })
+}
+
+/// All that comes until the connection ends, and when it does.
+fn to_the_end(stream: &mut TcpStream) -> (Vec<u8>, Instant) {
+    let (mut all, mut part, begun) = (Vec::new(), [0; 4096], Instant::now());
+    loop {
+        assert!(begun.elapsed() < LIMIT, "the connection ends");
+        match stream.read(&mut part) {
+            Ok(n @ 1..) => all.extend_from_slice(&part[..n]),
+            Ok(0) => return (all, Instant::now()),
+            Err(e) => panic!("the connection ends in order: {e}, after {} bytes", all.len()),
+        }
+    }
+}
+
+/// Waits until nobody listens there any more.
+fn until_closed(gateway: &Gateway) {
+    let begun = Instant::now();
+    while TcpStream::connect(gateway.address).is_ok() {
+        assert!(begun.elapsed() < LIMIT, "the listener closes");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// ---- SIGTERM and the exit ----
+
+/// The server hangs, and the client's time outlasts the process: the answer comes before the exit, not never.
+#[test]
+fn a_request_with_more_time_than_the_process_has_is_answered_before_the_exit() {
+    let backend = hanging();
+    let discovery = one(&backend);
+    let mut gateway = Gateway::with(&discovery, patient());
+    discovery.called(2);
+    let (mut before, mut after) = (gateway.client(), gateway.client());
+    assert_eq!(after.ask(READY).status(), 200);
+    before.send(&lasting("book-slot", "9.0").text());
+    backend.next();
+    // Begun before, whole after: the connection stays open for it.
+    let late = lasting("book-slot", "9.0").text();
+    after.send(&late[..40]);
+    assert_eq!(gateway.client().ask(READY).status(), 200);
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    let told = Instant::now();
+    after.send(&late[40..]);
+    for client in [&mut before, &mut after] {
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (504, Some("close")), "it may have run");
+    }
+    assert!(told.elapsed() < EXIT, "{:?}", told.elapsed());
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+/// A body that comes too slowly to be whole by the exit.
+#[test]
+fn a_body_that_is_not_whole_by_the_exit_is_answered_before_it() {
+    let backend = Backend::good();
+    let mut gateway = Gateway::start(&one(&backend));
+    let mut client = gateway.client();
+    let head =
+        ask("book-slot").text().replace("Content-Length: 5\r\n\r\nhello", "Content-Length: 900000\r\n\r\n");
+    client.send(&head);
+    client.send("x");
+    assert_eq!(gateway.client().ask(READY).status(), 200);
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    let mut writer = client.stream.try_clone().expect("a second handle");
+    // At the pace of an honest client, until it reads its answer.
+    let slow = std::thread::spawn(move || {
+        while writer.write_all(&[b'x'; 6400]).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let answer = client.answer();
+    assert!(matches!(answer.status(), 429 | 503 | 504), "{answer:?}");
+    assert!(gateway.child.wait().expect("it ends").success());
+    drop(client);
+    let _ = slow.join();
+}
+
+/// What a server still gives is not cut off by the exit: whoever ends the process by force does.
+#[test]
+fn a_large_answer_that_outlasts_the_drain_comes_whole() {
+    const HALF: usize = 100_000;
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let backend = Backend::new(move |_, s| {
+        say(s, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 2 * HALF));
+        let half = [b'x'; HALF];
+        s.write_all(&half).is_ok() && wait.lock().expect("kept").recv().is_ok() && s.write_all(&half).is_ok()
+    });
+    let mut gateway = Gateway::start(&one(&backend));
+    let mut client = gateway.client();
+    client.send(&ask("quote").text());
+    let mut first = vec![0; HALF];
+    client.stream.read_exact(&mut first).expect("the first half");
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    std::thread::sleep(EXIT + Duration::from_millis(200));
+    go.send(()).expect("the backend waits");
+    let (rest, _) = to_the_end(&mut client.stream);
+    let all = [first, rest].concat();
+    assert!(all.starts_with(b"HTTP/1.1 200") && all.len() > 2 * HALF, "{} bytes", all.len());
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+/// SIGTERM while a process still looks for a predecessor: the drain counts from the signal.
+#[test]
+fn a_signal_before_the_first_list_ends_the_process_in_order() {
+    let silent = Discovery::silent();
+    let mut gateway = Gateway::with(&silent, Setup::default());
+    let mut client = gateway.client();
+    client.send(&lasting("book-slot", "2.0").text());
+    gateway.signal("-TERM");
+    gateway.signal("-TERM");
+    gateway.signal("-HUP");
+    let answer = client.answer();
+    assert!(matches!(answer.status(), 429 | 503), "{answer:?}");
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+// ---- Clients that leave ----
+
+// ---- Time ----
+
+// ---- The list ----
+
+/// Answers one call for the whole list and no watch; tells when each call came, and its path.
+fn falls_silent(first: String) -> (std::net::SocketAddr, Receiver<(Instant, String)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (address, (seen, calls)) = (listener.local_addr().expect("an address"), channel());
+    std::thread::spawn(move || {
+        let mut kept = Vec::new();
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let (mut got, mut part) = (Vec::new(), [0; 4096]);
+            while let Ok(n @ 1..) = stream.read(&mut part) {
+                got.extend_from_slice(&part[..n]);
+                if !got.ends_with(b"\r\n\r\n") {
+                    continue;
+                }
+                let text = String::from_utf8_lossy(&got).into_owned();
+                got.clear();
+                let path = text.split(' ').nth(1).unwrap_or_default().to_string();
+                let watch = path.contains("since=");
+                if seen.send((Instant::now(), path)).is_err() {
+                    return;
+                }
+                if watch {
+                    break;
+                }
+                ok(&mut stream, &first);
+            }
+            kept.push(stream);
+        }
+    });
+    (address, calls)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -257,6 +257,8 @@
     pub log: Option<&'static str>,
     /// Whether nobody reads the log after its first lines.
     pub unread: bool,
+    /// Other values in the platform's file: a text of it, and what stands in its place.
+    pub changed: Vec<(&'static str, &'static str)>,
 }
 
 impl Default for Setup {
@@ -277,6 +279,7 @@
             toml: None,
             log: None,
             unread: false,
+            changed: Vec::new(),
         }
     }
 }
@@ -326,7 +329,11 @@
 /// The platform's file for a gateway.
 pub fn configuration(discovery: SocketAddr, setup: &Setup) -> String {
     let more: Vec<String> = setup.fallbacks.iter().map(|a| format!("\"{a}\"")).collect();
-    CONFIG
+    let changed = setup.changed.iter().fold(CONFIG.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from:?} stands in the file");
+        text.replace(from, to)
+    });
+    changed
         .replace("DISCOVERY", &discovery.to_string())
         .replace("MODE", if setup.subscribe { "subscribe" } else { "automatic" })
         .replace("MORE", &more.join(","))
