End an answer of unknown length with its client's time

Symptom, by a test with real connections: a server that begins a chunked answer, or one ended by its close, and goes on in drops or falls silent held its client for 5 s (silence) or for ever (drops), past the half second after its time from which on it is lost.

Cause: `backends.rs`, `Download`: once an answer is relayed only a silence of 5 s ends it, whatever the request's time. Change: an answer of up to 64 KiB ends with its request's time, so that the client can tell that it is not whole; a large one is timed by its first bytes and goes on while its server gives.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{interval, sleep, timeout_at, Instant, Sleep};
+use tokio::time::{interval, sleep, sleep_until, timeout_at, Instant, Sleep};
 
 /// An answer of unknown length that takes longer goes on to the client as it comes.
 const HOLD_TIME: Duration = Duration::from_millis(100);
@@ -236,6 +236,8 @@
             framed,
             stall: Box::pin(sleep(Duration::ZERO)),
             waiting: false,
+            given: 0,
+            limit: None,
             backends: self.clone(),
         };
         outcome(Some(ServedBody::Stream(Box::new(download))))
@@ -270,6 +272,10 @@
     framed: bool,
     stall: Pin<Box<Sleep>>,
     waiting: bool,
+    /// How much of it has gone on.
+    given: usize,
+    /// When its client's time is over.
+    limit: Option<Pin<Box<Sleep>>>,
     backends: Rc<Backends>,
 }
 
@@ -279,6 +285,20 @@
         self.connection.is_none() && self.first.is_empty()
     }
 
+    /// Its client waits so long. A large answer is timed by its first bytes, and what its server still gives goes on
+    /// past this time; a small one has to be whole.
+    pub fn ends_by(&mut self, limit: Instant) {
+        self.limit = self.length.is_none_or(|l| l <= SMALL as u64).then(|| Box::pin(sleep_until(limit)));
+    }
+
+    /// Whether a small answer has not come to its end in its client's time.
+    fn overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.given > SMALL {
+            self.limit = None;
+        }
+        self.limit.as_mut().is_some_and(|limit| limit.as_mut().poll(cx).is_ready())
+    }
+
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.backends.done(connection, self.framed);
@@ -296,14 +316,19 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let me = &mut *self;
         if let Some(data) = me.first.pop_front() {
+            me.given += data.len();
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         me.grant = None;
+        if me.connection.is_some() && me.overdue(cx) {
+            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
         let Some(connection) = me.connection.as_mut() else { return Poll::Ready(None) };
         let closed = connection.link.poll(cx);
         match Pin::new(&mut me.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 me.waiting = false;
+                me.given += frame.data_ref().map_or(0, Bytes::len);
                 // Nobody may ask on after the last byte of a told length.
                 if me.body.is_end_stream() {
                     me.finish();
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -3,7 +3,7 @@
 //! Whatever the module says or leaves unsaid, a request gets one final answer by its deadline, and two of
 //! its attempts are never out at once.
 
-use crate::backends::{Backends, Outcome, Outgoing, Served};
+use crate::backends::{Backends, Outcome, Outgoing, Served, ServedBody};
 use crate::config::Config;
 use crate::figures::Figures;
 use crate::link::Progress;
@@ -396,15 +396,15 @@
         Some(Ticket { id: r.id, answer, driver: self.clone(), answered: false })
     }
 
+    /// Until when a client waits for the end of its answer.
+    fn limit(&self, id: RequestId, not_past: Instant) -> Instant {
+        self.state.borrow().live.get(&id).map_or(not_past, |live| live.deadline)
+    }
+
     fn deadline(whole: Instant, timeout: Duration) -> Instant {
         whole + timeout - MARGIN.min(timeout / 10)
     }
 
-    /// The body of a request that goes on as it comes is whole: from now on its client's time runs.
-    pub fn whole(&self, id: RequestId, timeout: Duration) {
-        let mut state = self.state.borrow_mut();
-        let deadline = self.by_the_end(Self::deadline(Instant::now(), timeout));
-        if let Some(live) = state.live.get_mut(&id) {
     fn by_the_end(&self, deadline: Instant) -> Instant {
         self.last.get().map_or(deadline, |last| deadline.min(last))
     }
@@ -420,6 +420,11 @@
         self.wake.notify_one();
     }
 
+    /// The body of a request that goes on as it comes is whole: from now on its client's time runs.
+    pub fn whole(&self, id: RequestId, timeout: Duration) {
+        let mut state = self.state.borrow_mut();
+        let deadline = self.by_the_end(Self::deadline(Instant::now(), timeout));
+        if let Some(live) = state.live.get_mut(&id) {
             live.deadline = deadline;
             state.timers.push(Reverse((deadline + GRACE, Due::Deadline(id))));
             self.wake.notify_one();
@@ -623,7 +628,11 @@
         };
         let request = live.outgoing.clone();
         let task = spawn_local(async move {
-            let outcome = run.driver.backends.attempt(&run.server, &request, not_past, &run.progress).await;
+            let mut outcome =
+                run.driver.backends.attempt(&run.server, &request, not_past, &run.progress).await;
+            if let Some(Served { body: ServedBody::Stream(download), .. }) = &mut outcome.served {
+                download.ends_by(run.driver.limit(run.id, not_past));
+            }
             run.done(outcome);
         });
         live.out = Some(task.abort_handle());
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -159,6 +159,30 @@
 
 // ---- Time ----
 
+/// A server begins an answer of unknown length, in each framing, and goes on in drops or falls silent.
+#[test]
+fn an_answer_that_does_not_end_is_ended_with_its_clients_time() {
+    let heads = ["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"];
+    for (head, drops) in heads.into_iter().flat_map(|head| [(head, true), (head, false)]) {
+        let backend = Backend::new(move |_, s| {
+            let drop = if head.contains("chunked") { "1\r\nx\r\n" } else { "x" };
+            say(s, head);
+            while say(s, drop) {
+                std::thread::sleep(if drops { Duration::from_millis(100) } else { LIMIT });
+            }
+            false
+        });
+        let gateway = Gateway::start(&one(&backend));
+        let mut client = gateway.client();
+        let sent = Instant::now();
+        client.send(&lasting("quote", "0.8").text());
+        let (got, ended) = to_the_end(&mut client.stream);
+        let took = ended - sent;
+        assert!(took < Duration::from_millis(800) + LOST, "{head:?}, drops {drops}: {took:?}");
+        assert!(got.starts_with(b"HTTP/1.1 ") && !got.ends_with(b"0\r\n\r\n"), "no end is made up");
+    }
+}
+
 // ---- The list ----
 
 /// Answers one call for the whole list and no watch; tells when each call came, and its path.
