Notice that a client left also where bytes lie behind its request

Symptom, by a test with real connections: a client sends a request and more bytes (an empty line, half a request, a whole one, 100 kB) and leaves while it waits for a server; it was sent on when a server came, 0.25 s later.

Cause: the HTTP layer looks for the end of a connection under a request only while its read buffer is empty (`mid_message_detect_eof`). Change: the server watches the socket itself (`Client::left`). A reset was seen before as well; its test is listed. Whoever ends its sending and still reads cannot be told from one that left, as before.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -10,14 +10,17 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// A client that takes nothing of its answer for so long is let go.
 const UNREAD_TIME: Duration = Duration::from_secs(15);
 
+/// How often a client is looked at of which bytes lie behind its request.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
@@ -52,6 +55,23 @@
         let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_ok_and(|n| n > 0)
     }
+
+    /// Waits until it has closed its connection. The HTTP layer sees that only where no bytes lie behind the request.
+    pub async fn left(&self) {
+        loop {
+            let Ok(ready) = self.stream.ready(Interest::READABLE).await else { return };
+            if ready.is_read_closed() {
+                return;
+            }
+            // Taken as read only where nothing is there, so that the next event wakes again.
+            let peek = || SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+            match self.stream.try_io(Interest::READABLE, peek) {
+                Ok(1..) => sleep(LOOK_EVERY).await,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                _ => return,
+            }
+        }
+    }
 }
 
 pub struct Tap(pub Rc<Client>);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -458,7 +458,12 @@
         let (answer, mut taken) = match &upload {
             None => {
                 let taken = taken();
-                (ticket.await, taken)
+                tokio::select! {
+                    biased;
+                    answer = &mut ticket => (answer, taken),
+                    // Nobody reads this; it ends the request.
+                    () = client.left() => return Err(StatusCode::BAD_REQUEST),
+                }
             }
             Some(upload) => {
                 let early = tokio::select! {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -157,6 +157,49 @@
 
 // ---- Clients that leave ----
 
+/// More bytes lie behind the request, so that its end is not the next thing to be read.
+#[test]
+fn a_client_that_left_bytes_behind_is_not_sent_on() {
+    for behind in ["\r\n", "GET /api", &ask("quote").text(), &"x".repeat(100_000)] {
+        let backend = Backend::good();
+        let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Terminating")]));
+        let gateway = Gateway::start(&discovery);
+        let (mut leaves, mut stays) = (gateway.client(), gateway.client());
+        let (gone, here) = (ask("quote"), ask("book-slot"));
+        leaves.send(&(gone.text() + behind));
+        stays.send(&here.text());
+        assert_eq!(gateway.client().ask(READY).status(), 503);
+        drop(leaves);
+        std::thread::sleep(Duration::from_millis(250));
+        discovery.tell(2, list(2, false, &[("s-1", backend.address, "Ready")]));
+        assert_eq!(stays.answer().body, format!("for {}", here.id).into_bytes());
+        assert_eq!(backend.next().header("request-id"), Some(here.id.as_str()));
+        assert!(backend.untouched(), "sent on after its client left {:?} behind", &behind[..2]);
+    }
+}
+
+/// The end of a connection comes as a reset, while the request waits for its server.
+#[test]
+fn a_client_that_resets_its_connection_is_not_sent_on() {
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Terminating")]));
+    let gateway = Gateway::start(&discovery);
+    let (mut leaves, mut stays) = (gateway.client(), gateway.client());
+    let here = ask("book-slot");
+    // An answer that is left unread makes the close a reset.
+    leaves.send(READY);
+    leaves.stream.peek(&mut [0]).expect("an answer");
+    leaves.send(&ask("quote").text());
+    stays.send(&here.text());
+    assert_eq!(gateway.client().ask(READY).status(), 503);
+    drop(leaves);
+    std::thread::sleep(Duration::from_millis(250));
+    discovery.tell(2, list(2, false, &[("s-1", backend.address, "Ready")]));
+    assert_eq!(stays.answer().status(), 200);
+    assert_eq!(backend.next().header("request-id"), Some(here.id.as_str()));
+    assert!(backend.untouched());
+}
+
 // ---- Time ----
 
 /// A server begins an answer of unknown length, in each framing, and goes on in drops or falls silent.
