Owe a new connection its first answer through a drain

Symptom, by a test with real connections: a connection that was taken in just before SIGTERM, or before the end of the listener, and whose request came a moment later was closed with no answer.

Cause: `server.rs`, `close_all` had `serve` drop connections that had sent nothing yet, at the signal and at the end of the window. Both orders failed before and pass now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -340,9 +340,16 @@
         }
     }
 
-    /// Has every client's connection close, once it has no request in hand.
+    /// Has every client's connection close, once it has no request in hand. A new one is owed an answer to its first
+    /// request, which may be on its way; if none comes in its time, that ends it.
     fn close_all(&self) {
-        self.clients.borrow().values().for_each(|c| c.close.notify_one());
+        for client in self.clients.borrow().values() {
+            if client.known.get() || client.idle.get().is_none() {
+                client.close.notify_one();
+            } else {
+                client.closing.set(true);
+            }
+        }
     }
 
     fn close_longest_idle(&self) {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -140,6 +140,26 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// New connections whose first request crosses what ends: the signal, and the end of the listener.
+#[test]
+fn a_new_connection_gets_its_answer_whenever_its_request_comes() {
+    let backend = Backend::good();
+    let mut gateway = Gateway::start(&one(&backend));
+    let mut early = gateway.client();
+    // Taken in before this one is answered.
+    assert_eq!(gateway.client().ask(READY).status(), 200);
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    let mut late = gateway.client();
+    assert_eq!(gateway.client().ask(READY).status(), 503);
+    let ended = |answer: testkit::Message| (answer.status(), answer.header("connection").map(str::to_owned));
+    let last = (200, Some("close".to_string()));
+    assert_eq!(ended(early.ask(&ask("quote").text())), last, "the signal came between");
+    until_closed(&gateway);
+    assert_eq!(ended(late.ask(&ask("quote").text())), last, "the listener is closed");
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
 /// SIGTERM while a process still looks for a predecessor: the drain counts from the signal.
 #[test]
 fn a_signal_before_the_first_list_ends_the_process_in_order() {
