Give up a silent watch well before its news count as told

Symptom, by a test with real connections: a watch that fell silent was given up exactly 2 s after its wait, the moment at which its news count as told (2.06 s measured to the next call). A pause, a new connection and its answer had to fit into the half second after which nothing may go to a drained server.

Cause: `watch.rs`, one silence of 2 s for calls that wait and for those that do not. Change: 1.2 s after a wait. Budget from the end of the wait: 1.2 s of silence, up to 0.15 s of pause, the rest of 2.5 s for connection, answer and a late loop. Asked lists keep their turns; a small fleet's (up to 10 readers) are within the budget, a large one's are not (open).

--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -279,3 +279,23 @@
     });
     (address, calls)
 }
+
+/// What a silent watch misses counts as told 2 s after its wait is over, and 0.5 s later nothing may go to a server that
+/// drains. By then it has to be opened anew and answered, on a new connection, with a loop that comes late.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_well_before_its_news_count_as_told() {
+    let backend = Backend::good();
+    for subscribe in [false, true] {
+        let (address, calls) = falls_silent(list(1, true, &[("s-1", backend.address, "Ready")]));
+        let _gateway = Gateway::at(address, Setup { subscribe, ..Setup::default() });
+        let next = || calls.recv_timeout(LIMIT * 3).expect("a call");
+        let (mut watch, mut path) = next();
+        if !path.contains("since=") {
+            (watch, path) = next();
+        }
+        let wait = path.split("timeout_ms=").nth(1).and_then(|w| w.parse().ok()).expect("a watch");
+        let (again, _) = next();
+        let late = (again - watch).saturating_sub(Duration::from_millis(wait));
+        assert!(late < Duration::from_millis(1800), "asked or not ({subscribe}): {late:?} after the wait");
+    }
+}
--- a/crates/protocol/src/watch.rs
+++ b/crates/protocol/src/watch.rs
@@ -17,6 +17,9 @@
 
 /// Past this an answer that may not wait is not coming.
 pub const SILENCE: Duration = Duration::from_secs(2);
+/// Past this after its wait the answer to a call that may is not. What it misses counts as told 2 s after the wait, and by
+/// half a second later a pause, a new connection and an answer have to be over.
+pub const WATCH_SILENCE: Duration = Duration::from_millis(1200);
 /// Names the registries that a list came through, the first one first.
 pub const PATH: &str = "list-path";
 
@@ -72,7 +75,8 @@
             None => "/v1/endpoints".to_string(),
             Some(r) => format!("/v1/endpoints?since={r}&timeout_ms={}", wait.as_millis()),
         };
-        match timeout(wait + SILENCE, self.exchange(address, path)).await {
+        let silence = if wait.is_zero() { SILENCE } else { WATCH_SILENCE };
+        match timeout(wait + silence, self.exchange(address, path)).await {
             Ok(told) => told,
             Err(_) => Err(Failure { what: "silent".to_string(), failed: Failed::Silent }),
         }
