Notice that a client left also while its body goes on as it comes

Symptom, by a test with real connections: a client sends a body too large to be held (100 kB where memory gives 64 KiB) and leaves while the request waits for a server; 0.25 s later it was sent on whole.

Cause: `server.rs`, `api`, the branch of a relayed body waited for the answer or the body's end alone, and nobody reads the body before an attempt does. Change: it watches the socket as the other branch does. Test: failed 6 of 6 before, passes. Left: the end of a connection behind more bytes than the socket holds is not seen before they are read.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,7 @@
 use crate::backends::{Backends, Download, Outgoing, ServedBody};
 use crate::bodies::{self, Content, Fault};
 use crate::client::{Client, Tap};
-use crate::driver::{Answer, Driver, Incoming, RequestName};
+use crate::driver::{Answer, Driver, Incoming, RequestName, Ticket};
 use crate::figures::Taken;
 use bytes::Bytes;
 use granitehub::Effect;
@@ -465,17 +465,14 @@
         let (answer, mut taken) = match &upload {
             None => {
                 let taken = taken();
-                tokio::select! {
-                    biased;
-                    answer = &mut ticket => (answer, taken),
-                    // Nobody reads this; it ends the request.
-                    () = client.left() => return Err(StatusCode::BAD_REQUEST),
-                }
+                (awaited(&mut ticket, client).await?, taken)
             }
             Some(upload) => {
                 let early = tokio::select! {
+                    biased;
                     answer = &mut ticket => Some(answer),
                     () = upload.whole() => None,
+                    () = client.left() => return Err(StatusCode::BAD_REQUEST),
                 };
                 match early {
                     Some(answer) => {
@@ -489,7 +486,7 @@
                     None => {
                         let taken = taken();
                         self.driver.whole(id, wait);
-                        (ticket.await, taken)
+                        (awaited(&mut ticket, client).await?, taken)
                     }
                 }
             }
@@ -598,6 +595,15 @@
     }
 }
 
+/// The answer, unless the client leaves before it: what is returned then nobody reads, and it ends the request.
+async fn awaited(ticket: &mut Ticket, client: &Client) -> Result<Answer, StatusCode> {
+    tokio::select! {
+        biased;
+        answer = ticket => Ok(answer),
+        () = client.left() => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
 /// Marks a client idle again, also when its request is dropped.
 struct Busy(Rc<Client>);
 
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -220,6 +220,42 @@
     assert!(backend.untouched());
 }
 
+/// A body too large to be held goes on as it comes: nobody reads it while the request waits for a server. Its rest, and
+/// behind it the end of the connection, lie in the socket when its client has left.
+#[test]
+fn a_client_that_left_with_its_body_on_the_way_is_not_sent_on() {
+    const LENGTH: usize = 100_000;
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Terminating")]));
+    let little = vec![(r#""memory_mb":192"#, r#""memory_mb":1"#)];
+    let setup = Setup { changed: little, log: Some(r#"{"level":"debug"}"#), ..Setup::default() };
+    let gateway = Gateway::with(&discovery, setup);
+    discovery.called(2);
+    let (mut leaves, mut stays) = (gateway.client(), gateway.client());
+    let head = format!("Content-Length: {LENGTH}\r\n\r\n");
+    leaves.send(&ask("book-slot").text().replace("Content-Length: 5\r\n\r\nhello", &head));
+    leaves.send(&"x".repeat(LENGTH));
+    gateway.logs("taken");
+    let here = ask("book-slot");
+    stays.send(&here.text());
+    gateway.logs("taken");
+    drop(leaves);
+    std::thread::sleep(Duration::from_millis(250));
+    discovery.tell(2, list(2, false, &[("s-1", backend.address, "Ready")]));
+    assert_eq!(stays.answer().body, format!("for {}", here.id).into_bytes());
+    assert_eq!(backend.next().header("request-id"), Some(here.id.as_str()));
+    // A long body takes its time: many a short request is through before it would be whole.
+    for _ in 0..50 {
+        let next = ask("book-slot");
+        assert_eq!(stays.ask(&next.text()).status(), 200);
+        assert_eq!(
+            backend.next().header("request-id"),
+            Some(next.id.as_str()),
+            "sent on after its client left"
+        );
+    }
+}
+
 /// A listener whose queue is full: no further connection to it comes up until it accepts.
 fn crowded() -> (TcpListener, Vec<TcpStream>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
