Let a client close first where bytes lie behind its last answer

Symptom, by a test with real connections: SIGTERM while a request is in hand, bytes come behind it, its answer of 1.5 MB is the connection's last: the client, which reads late, got 122,936 bytes and a reset.

Cause: `server.rs`, `serve` drops the socket as soon as the HTTP layer has written the answer; a close over unread bytes is a reset, which throws away what the send buffer still holds. Ruled out: the exit (the reset came before it).

Change: once the last answer is written and its end told, unread bytes are read off until the client closes, 2 s at most; the exit counts that as owed. Where nothing lies unread all is as it was, so that no request which crosses a close is read. Left: bytes that come after the close of a connection without any unread then.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -273,7 +273,7 @@
     /// Waits for the end of what clients have been begun to be given.
     async fn owed(&self) {
         let end = Instant::now() + LONGEST_END;
-        let owes = || self.clients.borrow().values().any(|c| c.idle.get().is_none());
+        let owes = || self.clients.borrow().values().any(|c| c.idle.get().is_none() || c.resting.get());
         while owes() {
             tokio::select! {
                 () = self.left.notified() => {}
@@ -386,7 +386,12 @@
                 // First, so that a request which has arrived is read before a close.
                 biased;
                 // Errors are the client's: it left, or sent what is no HTTP.
-                _ = connection.as_mut() => return,
+                ended = connection.as_mut() => {
+                    if ended.is_ok() && client.last.get() && client.has_unread() {
+                        client.rest().await;
+                    }
+                    return;
+                }
                 () = client.close.notified() => {
                     if client.takes_nothing(Instant::now()) {
                         return;
@@ -431,6 +436,7 @@
         if last || matches!(reply.status(), StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT) {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        client.last.set(reply.headers().contains_key(CONNECTION));
         reply
     }
 
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -175,6 +175,37 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// A connection whose last answer is still in the send buffer, while bytes that nobody will read lie in the receive buffer:
+/// a close would reset it and throw the rest of the answer away.
+#[test]
+fn a_last_answer_comes_whole_where_bytes_lie_behind_its_request() {
+    const LENGTH: usize = 1_500_000;
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let backend = Backend::new(move |_, s| {
+        let whole = wait.lock().expect("kept").recv().is_ok();
+        say(s, &format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n"));
+        whole && s.write_all(&[b'x'; LENGTH]).is_ok()
+    });
+    let mut gateway = Gateway::start(&one(&backend));
+    let mut client = gateway.client();
+    client.send(&ask("quote").text());
+    backend.next();
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    // More than is read ahead of a request in hand.
+    client.send(&"x".repeat(60_000));
+    go.send(()).expect("the backend waits");
+    // All of the answer is out of the program's hands once the server has been heard to its end: nothing is read till then.
+    std::thread::sleep(Duration::from_millis(500));
+    let mut all = Vec::new();
+    let read = client.stream.read_to_end(&mut all);
+    assert!(all.starts_with(b"HTTP/1.1 200"));
+    assert!(all.len() > LENGTH, "{} bytes, then {read:?}", all.len());
+    drop(client);
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
 // ---- Clients that leave ----
 
 /// More bytes lie behind the request, so that its end is not the next thing to be read.
