Go on after SIGTERM while an answer is not written yet

Symptom, by a test with real connections: a client that reads late has answers of 60 kB outstanding until the system takes no more; SIGTERM; 3.6 s later the process ended and the last answer was cut off.

Cause: `server.rs`, `owed`: a client counts as idle once the HTTP layer has taken its answer's body, also while a part of it waits in this program to be written. Change: what waits to be written is owed (`Client::is_owed`); a client that takes nothing for 15 s is let go as before. Ruled out: a reset (the client got an end in order).

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -52,6 +52,11 @@
         Client { stream, begun, unread, closing, last, resting, connected, known, idle, close }
     }
 
+    /// Whether it has a request in hand, or an answer that has not left this program or may not reach it.
+    pub fn is_owed(&self) -> bool {
+        self.idle.get().is_none() || self.unread.get().is_some() || self.resting.get()
+    }
+
     /// Whether it has left its answer unread for too long.
     pub fn takes_nothing(&self, now: Instant) -> bool {
         self.unread.get().is_some_and(|at| now.saturating_duration_since(at) >= UNREAD_TIME)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -273,7 +273,7 @@
     /// Waits for the end of what clients have been begun to be given.
     async fn owed(&self) {
         let end = Instant::now() + LONGEST_END;
-        let owes = || self.clients.borrow().values().any(|c| c.idle.get().is_none() || c.resting.get());
+        let owes = || self.clients.borrow().values().any(|c| c.is_owed());
         while owes() {
             tokio::select! {
                 () = self.left.notified() => {}
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -206,6 +206,46 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+/// Answers that the program has taken whole and cannot write yet, since their client reads late.
+#[test]
+fn answers_that_are_not_written_yet_outlast_the_drain() {
+    const LENGTH: usize = 60_000;
+    let body = "x".repeat(LENGTH);
+    let backend = Backend::new(move |_, s| ok(s, &body));
+    let mut gateway = Gateway::with(&one(&backend), Setup { ops: true, ..Setup::default() });
+    while gateway.client().ask(READY).status() != 200 {}
+    let served = |gateway: &Gateway| gateway.figure("/succeeded/quote");
+    // How many answers the system takes off the program's hands, and one more, which it takes in part.
+    let fill = |most: usize| {
+        let (mut client, before) = (gateway.client(), served(&gateway));
+        let mut sent = 0;
+        while sent < most {
+            client.send(&ask("quote").text());
+            sent += 1;
+            let asked = Instant::now();
+            while served(&gateway) < before + sent as u64 {
+                if asked.elapsed() > Duration::from_secs(1) {
+                    return (client, sent - 1);
+                }
+            }
+        }
+        (client, sent)
+    };
+    let (probe, most) = fill(200);
+    assert!((2..200).contains(&most), "{most} answers fit");
+    drop(probe);
+    let clients: Vec<_> = (most - 1..=most).map(fill).collect();
+    gateway.signal("-TERM");
+    gateway.logs("draining");
+    std::thread::sleep(EXIT + Duration::from_millis(200));
+    for (mut client, sent) in clients {
+        for n in 1..=sent {
+            assert_eq!(client.answer().body.len(), LENGTH, "answer {n} of {sent}");
+        }
+    }
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
 // ---- Clients that leave ----
 
 /// More bytes lie behind the request, so that its end is not the next thing to be read.
