Let customers not known yet meet the chance of what their plan's strangers ask

Change: a customer of whom the meter has told nothing asks what the first words told that such customers of its plan ask; its store counts as far as own traffic tells of the whole, else the chance is met, once for what passes and once for what that costs beyond the quota. Where a gateway sees most of a customer nothing changes.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -85,6 +85,8 @@
     pumping: bool,
     swept: Time,
     mean_units: f64,
+    /// What customers of each plan ask of whom the meter has not told before.
+    strangers: Vec<Strangers>,
     /// EWMA of the elapsed time of good answers, by class, in seconds.
     usual: Vec<f64>,
     /// EWMA of attempts sent per second, and when it was brought up to date.
@@ -144,6 +146,7 @@
             pumping: false,
             swept: now,
             mean_units: 1.0,
+            strangers: vec![Strangers::default(); s.plans.len()],
             usual: s.classes.iter().map(|c| secs(c.aim) / 4.0).collect(),
             sent_rate: 0.0,
             sent_at: now,
@@ -525,12 +528,22 @@
         self.asked(&r.customer, r.units);
         let (mean, plan, c) = (self.mean_units, &self.s.plans[r.plan], &self.customers[&r.customer]);
         let local = c.local(plan, mean);
-        let asked = c.asks(plan, mean);
-        // The chance is met once for each request's worth that the store is short of.
-        let short = ((r.units - c.level) / mean.max(1e-9)).max(0.0) * local + 1.0 - local;
+        // Beyond the paper: of a customer that the meter has told nothing of, the store is not known, so far
+        // as own traffic does not tell of the whole; it asks what such customers of its plan asked. Guards
+        // the fleet's quota where many gateways see each customer seldom; harms customers within theirs until
+        // the meter tells.
+        let unknown = c.metered_at == 0 && c.level >= r.units;
+        let asked = if unknown { self.strangers[r.plan].asks() * plan.rate } else { c.asks(plan, mean) };
+        // The chance is met once for each request's worth that the store is short of. Where the meter alone
+        // knows, it is met once for what passes and once for what that costs beyond the quota.
+        let short = ((r.units - c.level) / mean.max(1e-9)).max(0.0) * local;
+        let alone = (1.0 - local) * (1.0 + plan.over_cost);
         let rate = within(plan, mean, self.hold);
-        let chance = 1.0 - (rate / asked.max(1e-9)).min(1.0).powf(short);
-        let pass = c.level >= r.units || draw >= chance;
+        let chance = 1.0 - (rate / asked.max(1e-9)).min(1.0).powf(short + alone);
+        let pass = c.level >= r.units && !unknown || draw >= chance;
+        if unknown {
+            self.strangers[r.plan].met(1.0 - chance);
+        }
         if pass {
             self.passed(&r.customer, r.units);
         }
@@ -1070,6 +1083,7 @@
             c.told += span * share * plan.rate;
             c.span += span * passed;
             if c.metered_at == 0 {
+                self.strangers[c.plan].told(share);
                 let over = c.demand(plan, mean) - plan.rate;
                 c.level -= (1.0 - c.local(plan, mean)) * over.max(0.0) * memory(period, plan);
             }
@@ -1186,6 +1200,27 @@
     }
 }
 
+impl Strangers {
+    /// Such a customer passed by this chance.
+    fn met(&mut self, chance: f64) {
+        let met = self.met.get_or_insert(1.0);
+        *met += (chance - *met) * GAIN / 4.0;
+    }
+
+    /// The meter's first word of one, as a part of the rate. Others are taken to let as many pass.
+    fn told(&mut self, share: f64) {
+        let keep = 1.0 - GAIN / 4.0;
+        let asked = share / self.met.unwrap_or(1.0).max(0.1);
+        (self.asked, self.heard) = (self.asked * keep + asked, self.heard * keep + 1.0);
+    }
+
+    /// What one asks, in parts of the rate, by requests and not by customers: those that ask much come more
+    /// often. Without evidence as much as it may, which weighs as one request.
+    fn asks(&self) -> f64 {
+        (self.asked + 1.0) / (self.heard + 1.0)
+    }
+}
+
 /// The servers that may get requests.
 fn ready<'a>(
     servers: &'a BTreeMap<Name, Server>,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -117,6 +117,16 @@
     pub(crate) share_then: f64,
 }
 
+/// What is known of a plan's customers of whom nothing is known yet.
+#[derive(Clone, Default)]
+pub(crate) struct Strangers {
+    /// EWMA of the chance by which they pass.
+    pub(crate) met: Option<f64>,
+    /// What the meter's first words told that they ask, in parts of the rate, and how many words.
+    pub(crate) asked: f64,
+    pub(crate) heard: f64,
+}
+
 /// What a gateway has learnt and holds against its customers: all that a successor needs to go on as one with
 /// it. Times are on the clock that both processes read.
 #[derive(Clone, Serialize, Deserialize)]
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -792,6 +792,33 @@
     assert!((1..=30).contains(&passed(3.0)), "{} of 60 where the meter shows thrice the rate", passed(3.0));
 }
 
+#[test]
+fn customers_not_known_yet_meet_what_such_customers_ask() {
+    // Each comes once: whatever the store of one may hold, only the meter's word on the others tells. They ask so
+    // many times their rate, and every gateway lets pass as many as this one.
+    let passed = |asked: f64, over_cost: f64, spread: u32| {
+        let plans = vec![Plan { over_cost, ..Plan::new("basic", 10.0, 20.0) }];
+        let mut rig = Rig::new(Settings { gateways: 200, plans, ..settings() }, 10);
+        rig.spread = spread;
+        let (mut passed, mut share) = (0, 1.0);
+        for n in 0..600 {
+            rig.now += 100 * MS;
+            let (id, out) = rig.request(0, 0, &format!("c{n}"), 1.0);
+            let to = sent_to(&out);
+            to.first().map(|s| rig.end_with(id, 0, s, Ending::Pass, 50 * MS, Some(asked * share)));
+            passed += to.len();
+            share += (to.len() as f64 - share) * 0.02;
+        }
+        passed
+    };
+    assert_eq!(passed(0.8, 1.0, 200), 600, "all are within their quotas");
+    // The store holds so little of 200 gateways that the meter knows half of the whole.
+    let (free, dear) = (passed(2.0, 0.0, 200), passed(2.0, 1.0, 200));
+    assert!((360..=480).contains(&free), "{free} of 600 that ask twice their rate");
+    assert!((240..=360).contains(&dear), "{dear} of 600 where what is beyond costs as much again");
+    assert!(passed(2.0, 1.0, 1) > 570, "a gateway that sees all of them keeps their stores itself");
+}
+
 #[test]
 fn a_server_out_by_hand_stays_out_over_any_list_and_returns_cold() {
     let mut rig = Rig::new(settings(), 2);
