Give back to its customer's store what was never sent on

Symptom, by a module test: 20 requests of a customer with a burst of 20 wait for a server and their clients leave, or their time runs out: all of its next 20 are refused, though a try counts against a quota when it is first sent on.

Cause: `decide.rs`, `within_quota` charges at admission; `forget` and `finish` dropped what was never sent without giving it back. Change: both give it back (`unpassed`). Left: during an upgrade the other process is not told of it, and keeps to less.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -1106,6 +1106,9 @@
     /// The final answer of a request that is not out: a refusal only if nothing can have run.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.remove(&id) else { return };
+        if h.sends == 0 {
+            self.unpassed(&h);
+        }
         if h.ran.is_some() {
             out.push(Action::Fail { id });
         } else {
@@ -1144,10 +1147,22 @@
                 }
                 h.gone = true;
             }
-            None => drop(self.held.remove(&id)),
+            None => {
+                let unsent = self.held.remove(&id);
+                unsent.filter(|h| h.sends == 0).into_iter().for_each(|h| self.unpassed(&h));
+            }
         }
     }
 
+    /// What passed and was never sent on has taken nothing of its customer's store.
+    fn unpassed(&mut self, h: &Held) {
+        self.advance(&h.customer);
+        let Some(c) = self.customers.get_mut(&h.customer) else { return };
+        let plan = &self.s.plans[c.plan];
+        c.level = (c.level + h.units * c.weight(plan, self.mean_units)).min(plan.depth);
+        c.passed = (c.passed - h.units / memory(secs(self.s.meter_period), plan)).max(0.0);
+    }
+
     /// Forgets customers long quiet.
     fn sweep(&mut self) {
         let (now, s) = (self.now, &self.s);
