Meet strangers by chance only in thin stores, and take back what unsent requests gave back

Change: both rules on quotas hold where the even part of a store is under half a request (`THIN`). Giving back what was never sent on is taken back, with its test: it costs 0.002 there, also where only the store gets it; it is left open in the findings.

--- a/crates/decisions/src/decide.rs
+++ b/crates/decisions/src/decide.rs
@@ -32,6 +32,8 @@
 const NEAR: f64 = 0.3;
 /// Requests of the even part in the store at which own traffic and the meter weigh alike.
 const LOCAL: f64 = 0.1;
+/// Requests of the even part in the store below which a gateway's own requests tell it nothing of the store.
+const THIN: f64 = 0.5;
 /// How long the meter's word counts, in filling times of the store.
 const SPAN: f64 = 4.0;
 /// Periods without a word of any customer after which the meter is silent.
@@ -528,16 +530,17 @@
         self.asked(&r.customer, r.units);
         let (mean, plan, c) = (self.mean_units, &self.s.plans[r.plan], &self.customers[&r.customer]);
         let local = c.local(plan, mean);
-        // Beyond the paper: of a customer that the meter has told nothing of, the store is not known, so far
-        // as own traffic does not tell of the whole; it asks what such customers of its plan asked. Guards
-        // the fleet's quota where many gateways see each customer seldom; harms customers within theirs until
-        // the meter tells.
-        let unknown = c.metered_at == 0 && c.level >= r.units;
+        // Beyond the paper: where the even part of a store is next to nothing, what it holds is not known of
+        // a customer of whom the meter has told nothing; it asks what such customers of its plan asked.
+        // Guards the fleet's quota where many gateways see each customer seldom; harms customers within
+        // theirs until the meter tells.
+        let thin = c.even(plan, mean) < THIN;
+        let unknown = thin && c.metered_at == 0 && c.level >= r.units;
         let asked = if unknown { self.strangers[r.plan].asks() * plan.rate } else { c.asks(plan, mean) };
-        // The chance is met once for each request's worth that the store is short of. Where the meter alone
-        // knows, it is met once for what passes and once for what that costs beyond the quota.
+        // The chance is met once for each request's worth that the store is short of. There, it is met once
+        // for what passes and once for what that costs beyond the quota.
         let short = ((r.units - c.level) / mean.max(1e-9)).max(0.0) * local;
-        let alone = (1.0 - local) * (1.0 + plan.over_cost);
+        let alone = (1.0 - local) * (1.0 + if thin { plan.over_cost } else { 0.0 });
         let rate = within(plan, mean, self.hold);
         let chance = 1.0 - (rate / asked.max(1e-9)).min(1.0).powf(short + alone);
         let pass = c.level >= r.units && !unknown || draw >= chance;
@@ -1106,9 +1109,6 @@
     /// The final answer of a request that is not out: a refusal only if nothing can have run.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.remove(&id) else { return };
-        if h.sends == 0 {
-            self.unpassed(&h);
-        }
         if h.ran.is_some() {
             out.push(Action::Fail { id });
         } else {
@@ -1147,22 +1147,10 @@
                 }
                 h.gone = true;
             }
-            None => {
-                let unsent = self.held.remove(&id);
-                unsent.filter(|h| h.sends == 0).into_iter().for_each(|h| self.unpassed(&h));
-            }
+            None => drop(self.held.remove(&id)),
         }
     }
 
-    /// What passed and was never sent on has taken nothing of its customer's store.
-    fn unpassed(&mut self, h: &Held) {
-        self.advance(&h.customer);
-        let Some(c) = self.customers.get_mut(&h.customer) else { return };
-        let plan = &self.s.plans[c.plan];
-        c.level = (c.level + h.units * c.weight(plan, self.mean_units)).min(plan.depth);
-        c.passed = (c.passed - h.units / memory(secs(self.s.meter_period), plan)).max(0.0);
-    }
-
     /// Forgets customers long quiet.
     fn sweep(&mut self) {
         let (now, s) = (self.now, &self.s);
@@ -1182,10 +1170,15 @@
     /// How much own traffic tells of the whole: near 1 where the store holds many requests of this gateway's
     /// even part, near 0 where it holds a fraction of one and only the meter knows.
     fn local(&self, plan: &Plan, mean: f64) -> f64 {
-        let n = plan.depth / (self.spread * mean.max(1e-9));
+        let n = self.even(plan, mean);
         n / (n + LOCAL)
     }
 
+    /// Requests in the store for each gateway of the set.
+    fn even(&self, plan: &Plan, mean: f64) -> f64 {
+        plan.depth / (self.spread * mean.max(1e-9))
+    }
+
     /// How many units of the store one that passes here stands for: what others pass beside it is known at
     /// once so far as own traffic tells of it.
     fn weight(&self, plan: &Plan, mean: f64) -> f64 {
