--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 /// A client that takes nothing of its answer for so long is let go.
 const UNREAD_TIME: Duration = Duration::from_secs(15);
@@ -21,9 +21,6 @@
 /// How often a client is looked at of which bytes lie behind its request.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// How long a client may take to close its connection too, when bytes lie in it that nobody reads.
-const REST_TIME: Duration = Duration::from_secs(2);
-
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
@@ -33,10 +30,6 @@
     pub unread: Cell<Option<Instant>>,
     /// Its next answer is to be the last.
     pub closing: Cell<bool>,
-    /// An answer has said that it is the last: what still comes is no request.
-    pub last: Cell<bool>,
-    /// It is waited for, so that the end of its last answer reaches it.
-    pub resting: Cell<bool>,
     pub connected: Instant,
     /// Whether a request of it has been read and answered, be it with an error.
     pub known: Cell<bool>,
@@ -48,13 +41,13 @@
 impl Client {
     pub fn new(stream: TcpStream, connected: Instant) -> Self {
         let idle = Cell::new(Some(connected));
-        let (known, begun, unread, closing, last, resting, close) = Default::default();
-        Client { stream, begun, unread, closing, last, resting, connected, known, idle, close }
+        let (known, begun, unread, closing, close) = Default::default();
+        Client { stream, begun, unread, closing, connected, known, idle, close }
     }
 
-    /// Whether it has a request in hand, or an answer that has not left this program or may not reach it.
+    /// Whether it has a request in hand, or an answer that has not left this program.
     pub fn is_owed(&self) -> bool {
-        self.idle.get().is_none() || self.unread.get().is_some() || self.resting.get()
+        self.idle.get().is_none() || self.unread.get().is_some()
     }
 
     /// Whether it has left its answer unread for too long.
@@ -68,23 +61,6 @@
         peeked.is_ok_and(|n| n > 0)
     }
 
-    /// Reads what nobody wants until it has closed its connection too: a close over unread bytes would be a reset, and what
-    /// is still on its way of the last answer would go with it.
-    pub async fn rest(&self) {
-        self.resting.set(true);
-        let mut scrap = [0; 4096];
-        let end = async {
-            while self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut scrap) {
-                    Ok(1..) => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                    _ => return,
-                }
-            }
-        };
-        let _ = timeout(REST_TIME, end).await;
-    }
-
     /// Waits until it has closed its connection. The HTTP layer sees that only where no bytes lie behind the request.
     pub async fn left(&self) {
         loop {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -386,12 +386,7 @@
                 // First, so that a request which has arrived is read before a close.
                 biased;
                 // Errors are the client's: it left, or sent what is no HTTP.
-                ended = connection.as_mut() => {
-                    if ended.is_ok() && client.last.get() && client.has_unread() {
-                        client.rest().await;
-                    }
-                    return;
-                }
+                _ = connection.as_mut() => return,
                 () = client.close.notified() => {
                     if client.takes_nothing(Instant::now()) {
                         return;
@@ -436,7 +431,6 @@
         if last || matches!(reply.status(), StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT) {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        client.last.set(reply.headers().contains_key(CONNECTION));
         reply
     }
 
