--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
-use testkit::{ask, list, ok, say, Ask, Backend, Discovery, Gateway, Setup, LIMIT};
+use testkit::{ask, crowded, list, ok, say, Ask, Backend, Discovery, Gateway, Setup, LIMIT};
 
 const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
 /// What may pass after a client's time before a request without an end counts as lost.
@@ -327,22 +327,6 @@
     }
 }
 
-/// A listener whose queue is full: no further connection to it comes up until it accepts.
-fn crowded() -> (TcpListener, Vec<TcpStream>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let _inside = runtime.enter();
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(1).expect("listens").into_std().expect("a plain listener");
-    listener.set_nonblocking(false).expect("blocking");
-    let (address, mut fill) = (listener.local_addr().expect("an address"), Vec::new());
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        fill.push(stream);
-        assert!(fill.len() < 100, "the queue never fills");
-    }
-    (listener, fill)
-}
-
 /// Its attempt waits for a handshake when the client leaves, also where settings forbid to call off what runs.
 #[test]
 fn a_client_that_left_during_a_handshake_is_not_sent_on() {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use testkit::{ask, config_file, list, ok, say, Backend, Discovery, Gateway, Setup, LIMIT};
+use testkit::{ask, config_file, crowded, list, ok, say, Backend, Discovery, Gateway, Setup, LIMIT};
 
 fn one(backend: &Backend) -> Discovery {
     Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]))
@@ -400,19 +400,8 @@
 
 #[test]
 fn a_send_that_is_still_connecting_does_not_go_out_after_a_drain() {
-    // A listener with a full queue lets no further connection come up until it accepts.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let _inside = runtime.enter();
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(1).expect("listens").into_std().expect("a plain listener");
-    listener.set_nonblocking(false).expect("blocking");
+    let (listener, fill) = crowded();
     let address = listener.local_addr().expect("an address");
-    let mut fill = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        fill.push(stream);
-        assert!(fill.len() < 100, "the queue never fills");
-    }
     let discovery = Discovery::new(list(1, true, &[("s-1", address, "Ready")]));
     let gateway = Gateway::with(&discovery, Setup { connect_ms: 15_000, ..Setup::default() });
     discovery.called(2);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! The real program among scripted neighbours on loopback: discovery, backends, clients. Everything listens
 //! on port 0 and every wait is for an event, with a limit that only a failure reaches.
 
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -112,6 +113,20 @@
     }
 }
 
+/// A listener whose queue is full: no further connection to it comes up until it accepts. And what fills the queue.
+pub fn crowded() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(1).expect("listens");
+    let (listener, mut fill) = (TcpListener::from(socket), Vec::new());
+    let address = listener.local_addr().expect("an address");
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        fill.push(stream);
+        assert!(fill.len() < 100, "the queue never fills");
+    }
+    (listener, fill)
+}
+
 pub fn ok(to: &mut TcpStream, body: &str) -> bool {
     say(to, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
