End a leader's lease by its own word or by time alone, and shorten leases to 141 ms

Cause (by reading): a refused connection made followers vote at once, though a filter may answer for a leader that lives on; two leases ran side by side for up to an election timeout. An identity shown at an address spared a vote in the unanimous election in the same way.

Change: PeerDown is a hint. A follower then stands as soon as all others may vote (pause of votes, margin, in the order of identities), and keeps its refusal until then. PeerReplaced is gone: the unanimous election needs every voter. Votes pause for 150 ms (300 before), leases last 141 ms; the options refuse a margin below 4% (two clocks 2% off). Heartbeats each 50 ms. A restarted process stands after the pause, without a drawn timeout.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,9 +1,12 @@
 //! Elections: pre-votes, votes, and the refusal of both while a leader may hold a lease.
 //!
 //! A restarted process may have answered a leader right before, whose lease then still holds. So it gives no vote for
-//! the least election timeout, unless the election is unanimous: there every voter, and with them whoever could lead,
-//! has to leave all earlier terms, and nobody that leads gives such a vote. A voter whose disk is lost leads no longer
-//! either. After a loss of power on all machines the next leader need not wait for a lease that nobody holds.
+//! the pause of votes, unless the election is unanimous: there every voter, and with them whoever could lead,
+//! has to leave all earlier terms, and nobody that leads gives such a vote. After a loss of power on all machines the
+//! next leader need not wait for a lease that nobody holds.
+//!
+//! Only the leader's word or time ends a lease. What a connection shows, such as a refusal or another identity at the
+//! leader's address, may come from a filter or late, and changes no more than when this process stands for election.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -15,9 +18,9 @@
 /// Whose votes win an election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Rule {
-    /// A majority of the voters, none of which may have answered a leader within the least election timeout.
+    /// A majority of the voters, none of which may have answered a leader within the pause of votes.
     Majority,
-    /// A majority and all other voters that are not gone for good, whenever they answered a leader.
+    /// All voters, whenever they answered a leader.
     Unanimity,
 }
 
@@ -25,6 +28,11 @@
     /// No leader was heard in time, or an election came to nothing.
     pub(crate) fn on_election_timeout(&mut self, out: &mut Vec<Output>) {
         self.reset_election_timer();
+        if self.now < self.vacant_until {
+            // Those that remain take turns.
+            let remaining = self.membership().voters().count().saturating_sub(1).max(1) as u64;
+            self.election_at = self.now + remaining * self.options.succession_step;
+        }
         self.set_leader(None, out);
         self.role = Role::Follower;
         if self.may_stand() {
@@ -98,14 +106,10 @@
             Role::Follower | Role::Leader(_) => return false,
         };
         let membership = self.membership();
-        let majority =
-            membership.voters().filter(|voter| granted.contains(voter)).count() >= membership.quorum();
+        let votes = membership.voters().filter(|voter| granted.contains(voter)).count();
         match rule {
-            Rule::Majority => majority,
-            Rule::Unanimity => {
-                let settled = |voter| granted.contains(&voter) || self.replaced.contains(&voter);
-                majority && membership.voters().all(settled)
-            }
+            Rule::Majority => votes >= membership.quorum(),
+            Rule::Unanimity => votes == membership.voters().count(),
         }
     }
 
@@ -248,27 +252,23 @@
         self.set_leader(None, out);
     }
 
-    /// The leader's process has ended: no lease of it is left to respect. Voters stand for election in the order of
-    /// their identities, so that they do not split the votes.
-    pub(crate) fn on_peer_down(&mut self, peer: NodeId, out: &mut Vec<Output>) {
-        if self.leader != Some(peer) || self.is_leader() {
-            return;
+    /// The leader's process seems to have ended. Voters stand for election once its lease has surely ended, in the
+    /// order of their identities, so that they do not split the votes.
+    pub(crate) fn on_peer_down(&mut self, peer: NodeId) {
+        if self.leader == Some(peer) && !self.is_leader() {
+            self.stand_after_leases();
         }
-        self.quiet_until = self.now;
-        self.set_leader(None, out);
-        let own_id = self.options.id;
-        let ahead = self.membership().voters().filter(|voter| *voter != peer && *voter < own_id).count();
-        let turn = self.now + ahead as u64 * self.options.succession_step;
-        self.election_at = self.election_at.min(turn);
     }
 
-    /// A member's disk is lost and with it the identity: nobody leads under it any more, and no vote of it is missing.
-    /// That a process has ended is told by [`crate::Event::PeerDown`] alone: what shows the other identity may have been
-    /// sent before the member had its own.
-    pub(crate) fn on_peer_replaced(&mut self, peer: NodeId) {
-        if peer != self.options.id && self.membership().contains(peer) {
-            self.replaced.insert(peer);
-        }
+    /// Nobody seems to lead: this process stands for election as soon as the others may vote, without a drawn timeout.
+    pub(crate) fn stand_after_leases(&mut self) {
+        let (own_id, leader) = (self.options.id, self.leader);
+        let ahead =
+            self.membership().voters().filter(|voter| Some(*voter) != leader && *voter < own_id).count();
+        // The margin: clocks of the other voters may run slower, and they may have heard the leader a little later.
+        let lease_end = self.quiet_until.max(self.now) + self.options.lease_margin;
+        self.vacant_until = lease_end + self.options.election_timeout;
+        self.election_at = lease_end + ahead as u64 * self.options.succession_step;
     }
 
     /// A message of the leader of this term has come: votes are refused for a while. False if the term is an old one.
@@ -279,9 +279,10 @@
         if term > self.hard_state.term || self.leader != Some(from) || !matches!(self.role, Role::Follower) {
             self.follow(term, Some(from), out);
         }
-        self.quiet_until = self.now + self.options.election_timeout;
+        self.quiet_until = self.now + self.options.vote_pause;
         self.reset_election_timer();
         self.unanimity_at = None;
+        self.vacant_until = 0;
         true
     }
 }
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -11,10 +11,15 @@
             display("heartbeat of {heartbeat} ns is over a third of the election timeout of {election_timeout} ns: \
                 shorten the heartbeat or lengthen the timeout")
         }
-        /// The lease would never begin.
-        LeaseMargin(margin: u64, election_timeout: u64) {
-            display("lease margin of {margin} ns is not below the election timeout of {election_timeout} ns: \
-                shorten the margin")
+        /// Leases would lapse between two heartbeats, or voters would stand while they give no vote.
+        VotePause(vote_pause: u64, heartbeat: u64, election_timeout: u64) {
+            display("vote pause of {vote_pause} ns is not between two heartbeats of {heartbeat} ns and the election \
+                timeout of {election_timeout} ns: choose one that is")
+        }
+        /// The lease would never begin, or end too late for clocks that run at different rates.
+        LeaseMargin(margin: u64, vote_pause: u64) {
+            display("lease margin of {margin} ns is not between a twenty-fifth of the vote pause of {vote_pause} ns \
+                and all of it: choose one that is")
         }
         /// A bound that must be positive is 0.
         Zero(name: &'static str) {
--- a/crates/consensus/src/interface.rs
+++ b/crates/consensus/src/interface.rs
@@ -182,18 +182,12 @@
         to: NodeId,
     },
     /// Nothing listens at the address of a process that was connected before: its process has ended, or a filter on
-    /// the way refuses connections. If it led, this process stops waiting for it. Where the leader lives on behind
-    /// such a filter, its lease may run beside its successor's for one least election timeout.
+    /// the way answers for it. A hint: if it led, this process stands for election as soon as the lease must have
+    /// ended, and does not wait for a drawn timeout. It ends no lease.
     PeerDown {
         /// The process.
         peer: NodeId,
     },
-    /// Another identity has shown itself at the address of a member: that member's disk is lost, and it never speaks
-    /// again.
-    PeerReplaced {
-        /// The member.
-        peer: NodeId,
-    },
 }
 
 /// What the driver is to do, in this order.
--- a/crates/consensus/src/membership_changes.rs
+++ b/crates/consensus/src/membership_changes.rs
@@ -88,7 +88,7 @@
     fn caught_up_learner(&self) -> Option<&Member> {
         let Role::Leader(leadership) = &self.role else { return None };
         let last_index = self.log.last_index();
-        let lately = self.options.heartbeat.saturating_mul(2);
+        let lately = self.options.election_timeout;
         let ready = |member: &&Member| {
             let progress = leadership.progress.get(&member.id);
             let caught_up = |gap| progress.is_some_and(|progress| progress.is_caught_up(last_index, gap));
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -57,8 +57,8 @@
     pub(crate) election_at: u64,
     /// When a restarted process that has heard no leader asks all voters to elect it at once.
     pub(crate) unanimity_at: Option<u64>,
-    /// Members whose identities are gone for good.
-    pub(crate) replaced: BTreeSet<NodeId>,
+    /// Until then the leader's process is taken to have ended: elections follow one another in short steps.
+    pub(crate) vacant_until: u64,
     /// Whether a membership with this process was in force and its removal has not been told yet.
     pub(crate) was_member: bool,
 }
@@ -87,7 +87,7 @@
             quiet_until: now,
             election_at: now,
             unanimity_at: None,
-            replaced: BTreeSet::new(),
+            vacant_until: 0,
             was_member,
             options,
         };
@@ -95,8 +95,8 @@
             // Nobody can have led yet: no lease to wait for.
             node.election_at = now + node.rng.u64(node.options.heartbeat / 2..=node.options.heartbeat * 2);
         } else {
-            node.quiet_until = now + node.options.election_timeout;
-            node.reset_election_timer();
+            node.quiet_until = now + node.options.vote_pause;
+            node.stand_after_leases();
             node.unanimity_at = Some(now + node.rng.u64(0..=node.options.unanimity_step));
         }
         node
@@ -128,8 +128,7 @@
             Event::Join { member } => self.on_join(member, out),
             Event::Transfer => self.start_transfer(out),
             Event::PeerLost { to } => self.on_peer_lost(to, out),
-            Event::PeerDown { peer } => self.on_peer_down(peer, out),
-            Event::PeerReplaced { peer } => self.on_peer_replaced(peer),
+            Event::PeerDown { peer } => self.on_peer_down(peer),
         }
         self.durability.flush(self.now, self.log.last_index(), out);
     }
@@ -236,7 +235,6 @@
         if from == self.options.id || !message.is_plausible() {
             return;
         }
-        self.replaced.remove(&from);
         match message {
             Message::VoteRequest(request) => self.on_vote_request(from, &request, out),
             Message::VoteReply(reply) => self.on_vote_reply(from, &reply, out),
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -4,6 +4,8 @@
 use crate::types::NodeId;
 
 const MILLISECOND: u64 = 1_000_000;
+/// The least margin is the vote pause divided by this: the leader's clock may run 2% slow, and a voter's 2% fast.
+const CLOCK_RATE_DIVISOR: u64 = 25;
 
 /// Settings of one process. Times are nanoseconds of the steady clock.
 #[derive(Clone, Debug)]
@@ -14,11 +16,14 @@
     pub heartbeat: u64,
     /// Least election timeout; each is drawn from it up to twice it. The same on all processes.
     pub election_timeout: u64,
+    /// How long a process gives no vote after it heard a leader, and after its own start. A lease is shorter by the
+    /// margin. The same on all processes.
+    pub vote_pause: u64,
     /// Time between two attempts of a restarted process to be elected by all voters.
     pub unanimity_step: u64,
     /// Time between two voters that stand for election after the leader's process has ended.
     pub succession_step: u64,
-    /// What the lease is shorter than the least election timeout, for clocks that run at different rates.
+    /// What the lease is shorter than the pause of votes, for clocks that run at different rates.
     pub lease_margin: u64,
     /// Voters the group wants. Learners are promoted up to it, silent voters beyond it removed.
     pub target_voters: usize,
@@ -47,11 +52,12 @@
     pub fn new(id: NodeId) -> Options {
         Options {
             id,
-            heartbeat: 100 * MILLISECOND,
+            heartbeat: 50 * MILLISECOND,
             election_timeout: 300 * MILLISECOND,
+            vote_pause: 150 * MILLISECOND,
             unanimity_step: 40 * MILLISECOND,
             succession_step: 60 * MILLISECOND,
-            lease_margin: 18 * MILLISECOND,
+            lease_margin: 9 * MILLISECOND,
             target_voters: 3,
             max_entries_bytes: 256 * 1024,
             max_inflight_bytes: 1024 * 1024,
@@ -71,8 +77,12 @@
         if self.heartbeat.saturating_mul(3) > election_timeout {
             return Err(OptionsError::Heartbeat(self.heartbeat, election_timeout));
         }
-        if self.lease_margin >= election_timeout {
-            return Err(OptionsError::LeaseMargin(self.lease_margin, election_timeout));
+        if self.vote_pause > election_timeout || self.heartbeat.saturating_mul(2) > self.vote_pause {
+            return Err(OptionsError::VotePause(self.vote_pause, self.heartbeat, election_timeout));
+        }
+        let least_margin = self.vote_pause / CLOCK_RATE_DIVISOR;
+        if self.lease_margin >= self.vote_pause || self.lease_margin < least_margin {
+            return Err(OptionsError::LeaseMargin(self.lease_margin, self.vote_pause));
         }
         let positive = [
             ("heartbeat", self.heartbeat),
@@ -89,6 +99,6 @@
 
     /// How long a lease lasts from the sending of the round that a majority answered.
     pub(crate) fn lease(&self) -> u64 {
-        self.election_timeout.saturating_sub(self.lease_margin)
+        self.vote_pause.saturating_sub(self.lease_margin)
     }
 }
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -243,6 +243,12 @@
     assert_eq!(options.check(), Err(OptionsError::Heartbeat(300, 600)));
     let options = Options { lease_margin: u64::MAX, ..Options::new(1) };
     assert!(matches!(options.check(), Err(OptionsError::LeaseMargin(..))));
+    let options = Options { lease_margin: Options::new(1).vote_pause / 26, ..Options::new(1) };
+    assert!(matches!(options.check(), Err(OptionsError::LeaseMargin(..))), "clocks may differ by 4%");
+    for vote_pause in [Options::new(1).heartbeat, Options::new(1).election_timeout + 1] {
+        let options = Options { vote_pause, ..Options::new(1) };
+        assert!(matches!(options.check(), Err(OptionsError::VotePause(..))));
+    }
     let options = Options { target_voters: 0, ..Options::new(1) };
     assert_eq!(options.check(), Err(OptionsError::Zero("target_voters")));
     assert_eq!(Options::new(1).check(), Ok(()));
--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -3,7 +3,7 @@
 use crate::convert::message_from_wire;
 use crate::driver::Driver;
 use crate::events::{ConnectionId, DriverEvent, OperatorCall, OperatorReply, FIRST_ACCEPTED};
-use consensus::{Event, Member, NodeId};
+use consensus::Event;
 use log_records::{member_from_wire, membership_to_wire};
 use messages::peer::{
     mod_PeerFrame::OneOfbody, ClientRequest, ConsensusMessage, Hello, Join, LeaderNotice, Pong,
@@ -41,7 +41,7 @@
 
     fn take_frame(&mut self, now: u64, connection: ConnectionId, body: OneOfbody) {
         match body {
-            OneOfbody::hello(hello) => self.take_hello(now, connection, &hello),
+            OneOfbody::hello(hello) => self.take_hello(connection, &hello),
             OneOfbody::leader(notice) => self.take_notice(now, &notice),
             OneOfbody::join(Join { member: Some(member) }) => {
                 let member = member_from_wire(member);
@@ -60,26 +60,15 @@
         }
     }
 
-    fn take_hello(&mut self, now: u64, connection: ConnectionId, hello: &Hello) {
+    fn take_hello(&mut self, connection: ConnectionId, hello: &Hello) {
         if hello.node_id != 0 {
             self.links.learn(hello.node_id, &hello.address);
             self.links.note_running(&hello.address);
-            self.note_replaced(now, hello);
         }
         let notice = self.notice();
         self.clients.greeted(connection, &notice);
     }
 
-    /// A member's machine runs a process with another identity: that member's disk is lost.
-    fn note_replaced(&mut self, now: u64, hello: &Hello) {
-        let members = &self.host.node().membership().members;
-        let is_replaced = |member: &&Member| member.address == hello.address && member.id != hello.node_id;
-        let replaced: Vec<NodeId> = members.iter().filter(is_replaced).map(|member| member.id).collect();
-        for peer in replaced {
-            self.host_event(now, Event::PeerReplaced { peer });
-        }
-    }
-
     /// A message for another identity is dropped: that one was here before its disk was lost.
     fn take_message(&mut self, now: u64, message: ConsensusMessage) {
         if message.to != self.host.node().id() || message.from == 0 {
