Give refusals and states to callers under the lease only, by one rule for control and simulation

Cause (by reading): a 400 for a version that is not above the current one, a 429, a 503 without configuration and a 400 for a job of another queue were given by a leader without contact with a majority, though each is decided by the newest state.

Change: scheduler::leader::lease_rules says which answers need the lease; control and simulation use it (two copies less).

--- a/crates/control/src/clients.rs
+++ b/crates/control/src/clients.rs
@@ -114,8 +114,3 @@
 pub fn not_leader(request_id: u64) -> ClientReply {
     ClientReply { request_id, outcome: Outcome::NOT_LEADER, ..ClientReply::default() }
 }
-
-/// Whether an answer tells of state, so that only a leader with a lease may give it.
-pub fn needs_lease(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::STATE | Outcome::COUNT | Outcome::NO_ROUTE | Outcome::NO_SUCH_JOB)
-}
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -1,11 +1,11 @@
 //! Hosts the leader's decisions while this process leads.
 
-use crate::clients::{needs_lease, not_leader};
+use crate::clients::not_leader;
 use crate::clock::time_of_day_ms;
 use crate::driver::Driver;
 use crate::operators::reply_of;
 use crate::worker_client::WorkerCall;
-use scheduler::leader::{Input, Leader, LeaderSettings, Output};
+use scheduler::leader::{client_reply_needs_lease, Input, Leader, LeaderSettings, Output};
 use scheduler::worker::CallOutcome;
 
 impl Driver {
@@ -67,7 +67,7 @@
         match output {
             Output::Propose { batch } => self.propose(now, &batch),
             Output::Reply { token, mut reply } => {
-                if needs_lease(reply.outcome) && !self.host.has_lease(self.clock.now()) {
+                if client_reply_needs_lease(reply.outcome) && !self.host.has_lease(self.clock.now()) {
                     reply = not_leader(0);
                 }
                 self.clients.answer(token, reply);
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -58,13 +58,14 @@
 
 /// The leader's answer as the API gives it. What tells of state needs the lease.
 pub fn reply_of(reply: ConfigurationReply, has_lease: bool) -> OperatorReply {
+    if reply.needs_lease() && !has_lease {
+        return OperatorReply::Unavailable;
+    }
     match reply {
         ConfigurationReply::Accepted => OperatorReply::Accepted,
-        ConfigurationReply::Conflict { text } if has_lease => OperatorReply::Conflict { text },
-        ConfigurationReply::Body { body, .. } if has_lease => OperatorReply::Body(body),
+        ConfigurationReply::Conflict { text } => OperatorReply::Conflict { text },
+        ConfigurationReply::Body { body, .. } => OperatorReply::Body(body),
         ConfigurationReply::Invalid { text } => OperatorReply::Invalid(text),
-        ConfigurationReply::Conflict { .. }
-        | ConfigurationReply::Body { .. }
-        | ConfigurationReply::Unavailable { .. } => OperatorReply::Unavailable,
+        ConfigurationReply::Unavailable { .. } => OperatorReply::Unavailable,
     }
 }
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -16,6 +16,7 @@
 mod history;
 mod instances;
 mod interface;
+mod lease_rules;
 mod notices;
 mod orders;
 mod preemption;
@@ -39,6 +40,7 @@
 use crate::worker::SessionOutput;
 
 pub use interface::{CallId, ConfigurationReply, Input, LeaderSettings, Output};
+pub use lease_rules::client_reply_needs_lease;
 pub use notices::Notice;
 
 use attempts::Attempts;
--- a/crates/simulation/src/core_process/clients.rs
+++ b/crates/simulation/src/core_process/clients.rs
@@ -32,19 +32,17 @@
     ClientReply { request_id, outcome: Outcome::NOT_LEADER, ..ClientReply::default() }
 }
 
-/// Whether an answer tells of state, so that only a leader with a lease may give it.
-pub fn needs_lease(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::STATE | Outcome::COUNT | Outcome::NO_ROUTE | Outcome::NO_SUCH_JOB)
-}
-
 /// The leader's answer as the operator gets it. What tells of state needs the lease.
 pub fn operator_reply(reply: ConfigurationReply, has_lease: bool) -> OperatorReply {
+    if reply.needs_lease() && !has_lease {
+        return OperatorReply::Unavailable;
+    }
     match reply {
         ConfigurationReply::Accepted => OperatorReply::Accepted,
-        ConfigurationReply::Conflict { .. } if has_lease => OperatorReply::Conflict,
-        ConfigurationReply::Body { body, .. } if has_lease => OperatorReply::Body(body),
+        ConfigurationReply::Conflict { .. } => OperatorReply::Conflict,
+        ConfigurationReply::Body { body, .. } => OperatorReply::Body(body),
         ConfigurationReply::Invalid { .. } => OperatorReply::Invalid,
-        _ => OperatorReply::Unavailable,
+        ConfigurationReply::Unavailable { .. } => OperatorReply::Unavailable,
     }
 }
 
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -1,9 +1,9 @@
 //! Hosts the leader's decisions while this process leads.
 
-use scheduler::leader::{Input, Leader, Output};
+use scheduler::leader::{client_reply_needs_lease, Input, Leader, Output};
 use scheduler::worker::CallOutcome;
 
-use super::clients::{needs_lease, not_leader, operator_reply};
+use super::clients::{not_leader, operator_reply};
 use super::{CoreOutput, CoreProcess};
 
 impl CoreProcess {
@@ -66,7 +66,7 @@
                 self.node_event(consensus::Event::Propose { payload: messages::encode(&batch) });
             }
             Output::Reply { token, mut reply } => {
-                if needs_lease(reply.outcome) && !self.has_lease() {
+                if client_reply_needs_lease(reply.outcome) && !self.has_lease() {
                     reply = not_leader(0);
                 }
                 self.answer_client(token, reply);
