Search all placements of faults in a small group, and hold messages against disks

Change: consensus/tests/fault_placements.rs puts each of about 30 faults (loss of power, lost disk, cut, refused connections, frozen process, stalled disk, hand-over, joiner, message lost, late or twice) before each of the next events, alone and in pairs, with the real Node; the cluster of the tests can be cloned for it, so Node is Clone. The cluster now checks what messages promise against the sender's disk (vote, candidacy, acknowledgement) and each change of members (own entry committed, one voter a step, new voter durable).

--- a/crates/consensus/src/durability.rs
+++ b/crates/consensus/src/durability.rs
@@ -6,7 +6,7 @@
 use crate::types::{Entry, HardState, Index, NodeId, Snapshot};
 
 /// What the current call of `handle` adds to the next write.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Write {
     hard_state: Option<HardState>,
     truncate_from: Option<Index>,
@@ -22,7 +22,7 @@
 }
 
 /// A write that was handed out and is not durable yet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct PendingWrite {
     ticket: u64,
     /// The log is durable up to here once the write is, unless it was cut since.
@@ -31,7 +31,7 @@
 }
 
 /// A message that may leave once a write is durable.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct HeldMessage {
     ticket: u64,
     to: NodeId,
@@ -39,7 +39,7 @@
 }
 
 /// Tickets of writes, and how far the log is durable.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Durability {
     write: Write,
     issued: u64,
--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -13,7 +13,7 @@
 const MAX_JOINS: usize = 32;
 
 /// Leadership on its way to another process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Transfer {
     pub target: NodeId,
     /// When to give up.
@@ -23,7 +23,7 @@
 }
 
 /// What a process keeps while it leads.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Leadership {
     pub term: Term,
     /// The first entry of its term; once it is committed, the leader's state is complete.
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -5,7 +5,7 @@
 use crate::types::{Entry, Index, Term};
 
 /// Entries after a base, which is the last entry that was compacted away (0 at first).
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
     base_index: Index,
     base_term: Term,
--- a/crates/consensus/src/memberships.rs
+++ b/crates/consensus/src/memberships.rs
@@ -3,7 +3,7 @@
 use crate::types::{Index, Membership};
 
 /// The membership at the base of the log and those of later entries, in order of their indexes. Never empty.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Memberships {
     base: (Index, Membership),
     later: Vec<(Index, Membership)>,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -19,7 +19,7 @@
 };
 
 /// What a process does at present.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Role {
     Follower,
     /// Asks whether it would be elected.
@@ -36,7 +36,7 @@
 }
 
 /// One process of the group, without input and output: events and the time go in, outputs come out.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Node {
     pub(crate) options: Options,
     pub(crate) now: u64,
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -18,14 +18,14 @@
 }
 
 /// A message with entries under way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Inflight {
     last_index: Index,
     bytes: usize,
 }
 
 /// A snapshot under way to a follower, one chunk at a time.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Transmission {
     snapshot: Snapshot,
     /// Bytes that the follower has.
@@ -34,7 +34,7 @@
     chunk_round: Option<u64>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum State {
     /// Where the logs meet is not known: one message at a time.
     Probe { sent: bool },
@@ -45,7 +45,7 @@
 }
 
 /// What a leader knows of one follower.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Progress {
     state: State,
     next: Index,
--- a/crates/consensus/src/snapshots.rs
+++ b/crates/consensus/src/snapshots.rs
@@ -9,7 +9,7 @@
 use crate::types::{Index, NodeId, Snapshot, SnapshotMeta, Term};
 
 /// A snapshot of which a part has arrived.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct IncomingSnapshot {
     from: NodeId,
     last_index: Index,
--- /dev/null
+++ b/crates/consensus/tests/fault_placements.rs
@@ -0,0 +1,266 @@
+//! An exhaustive search in small bounds: each fault of a list is put before each of the next events of a running group,
+//! alone and in pairs, and the oracle watches every schedule to its end.
+//!
+//! The schedule without faults is fixed (each message and write takes a millisecond), so that a placement is a list of
+//! pairs of fault and event. `CONSENSUS_PLACEMENTS=large cargo test --release -p consensus --test fault_placements`
+//! plays the large bound.
+
+mod support;
+
+use consensus::{Event, Node, Options};
+use std::sync::atomic::{AtomicU64, Ordering};
+use support::cluster::{Cluster, Weather, MILLISECOND, SECOND};
+
+/// Founders of the group, and a machine that stands by.
+const FOUNDERS: usize = 3;
+const MACHINES: usize = 4;
+const SPARE: usize = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// Power is lost and comes back after so many milliseconds.
+    Bounce { slot: usize, milliseconds: u64 },
+    /// The same for all machines at once.
+    BounceAll,
+    /// The disk is lost too.
+    Replace { slot: usize },
+    /// No message passes for so many milliseconds.
+    CutOff { slot: usize, milliseconds: u64 },
+    /// The same, and a filter refuses connections to the machine.
+    Refuse { slot: usize, milliseconds: u64 },
+    /// The process stands still.
+    Freeze { slot: usize, milliseconds: u64 },
+    /// The disk finishes nothing.
+    StallDisk { slot: usize, milliseconds: u64 },
+    /// The leader hands over.
+    Transfer,
+    /// A machine without a disk comes.
+    Join,
+    /// The next message is lost.
+    Lose,
+    /// The next message comes later.
+    Delay { milliseconds: u64 },
+    /// The next message comes a second time.
+    Repeat { milliseconds: u64 },
+}
+
+fn faults(cluster: &Cluster) -> Vec<Fault> {
+    let mut faults = vec![Fault::BounceAll, Fault::Transfer, Fault::Join];
+    for slot in 0..FOUNDERS {
+        faults.extend([0, 500].map(|milliseconds| Fault::Bounce { slot, milliseconds }));
+        faults.extend([100, 400].map(|milliseconds| Fault::CutOff { slot, milliseconds }));
+        faults.extend([100, 400].map(|milliseconds| Fault::Refuse { slot, milliseconds }));
+        faults.push(Fault::Freeze { slot, milliseconds: 160 });
+        faults.push(Fault::StallDisk { slot, milliseconds: 400 });
+        if cluster.voters_are_whole() {
+            faults.push(Fault::Replace { slot });
+        }
+    }
+    if cluster.next_is_message() {
+        faults.push(Fault::Lose);
+        faults.extend([150, 700].map(|milliseconds| Fault::Delay { milliseconds }));
+        faults.extend([150, 700].map(|milliseconds| Fault::Repeat { milliseconds }));
+    }
+    faults
+}
+
+fn put(cluster: &mut Cluster, fault: Fault) {
+    match fault {
+        Fault::Bounce { slot, milliseconds } => cluster.bounce(slot, milliseconds * MILLISECOND),
+        Fault::BounceAll => (0..MACHINES)
+            .filter(|slot| cluster.node(*slot).is_some())
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|slot| cluster.bounce(slot, 10 * MILLISECOND)),
+        Fault::Replace { slot } => cluster.replace_disk(slot, 100 * MILLISECOND),
+        Fault::CutOff { slot, milliseconds } => {
+            cluster.cut_off(slot);
+            cluster.heal_after(milliseconds * MILLISECOND);
+        }
+        Fault::Refuse { slot, milliseconds } => {
+            cluster.cut_off(slot);
+            cluster.heal_after(milliseconds * MILLISECOND);
+            let peer = cluster.id(slot);
+            for other in (0..FOUNDERS).filter(|other| *other != slot) {
+                cluster.hand_in(other, Event::PeerDown { peer });
+                let to = cluster.id(other);
+                cluster.hand_in(slot, Event::PeerDown { peer: to });
+            }
+        }
+        Fault::Freeze { slot, milliseconds } => cluster.freeze(slot, milliseconds * MILLISECOND),
+        Fault::StallDisk { slot, milliseconds } => cluster.stall_disk(slot, milliseconds * MILLISECOND),
+        Fault::Transfer => {
+            if let Some(leader) = cluster.leader() {
+                cluster.hand_in(leader, Event::Transfer);
+            }
+        }
+        Fault::Join => cluster.start(SPARE),
+        Fault::Lose => cluster.lose_next(),
+        Fault::Delay { milliseconds } => cluster.delay_next(milliseconds * MILLISECOND),
+        Fault::Repeat { milliseconds } => cluster.repeat_next(milliseconds * MILLISECOND),
+    }
+}
+
+/// Tells which faults were put where if a schedule breaks a promise.
+struct Placement(Vec<(usize, Fault)>);
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("faults by the number of the event they come before: {:?}", self.0);
+        }
+    }
+}
+
+/// How far the search goes.
+#[derive(Clone, Copy)]
+struct Bounds {
+    /// Events before which the first fault is put.
+    first: usize,
+    /// Events after the first fault before which the second is put; none if 0.
+    second: usize,
+}
+
+/// What the search visited.
+#[derive(Default)]
+struct Visited {
+    schedules: AtomicU64,
+    events: AtomicU64,
+}
+
+/// A proposal comes before every so many events.
+const PROPOSAL_EVERY: usize = 12;
+
+fn step(cluster: &mut Cluster, number: usize, visited: &Visited) {
+    if number % PROPOSAL_EVERY == 0 {
+        cluster.propose(8);
+    }
+    cluster.step();
+    visited.events.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Plays on while the faults last; then the group must go on with all that it had acknowledged.
+fn play_to_the_end(mut cluster: Cluster, visited: &Visited) {
+    for number in 0..400 {
+        step(&mut cluster, number, visited);
+    }
+    cluster.heal();
+    (0..FOUNDERS).for_each(|slot| cluster.start(slot));
+    let before = cluster.oracle.last_committed();
+    let led = cluster
+        .run_until(4 * SECOND, |cluster| cluster.leader().is_some_and(|leader| cluster.holds_lease(leader)));
+    assert!(led, "no leader 4 s after the last fault");
+    assert!(cluster.propose(8));
+    assert!(cluster.run_until(SECOND, |cluster| cluster.oracle.last_committed() > before));
+    let leader = cluster.leader().expect("a leader");
+    let commit = cluster.node(leader).map(Node::commit_index);
+    assert_eq!(commit, Some(cluster.oracle.last_committed()));
+    visited.schedules.fetch_add(1, Ordering::Relaxed);
+}
+
+fn place_second(after_first: &Cluster, placement: &mut Placement, events: usize, visited: &Visited) {
+    let mut base = after_first.clone();
+    for number in 0..events {
+        for fault in faults(&base) {
+            let mut branch = base.clone();
+            placement.0.push((number, fault));
+            put(&mut branch, fault);
+            play_to_the_end(branch, visited);
+            placement.0.pop();
+        }
+        step(&mut base, number, visited);
+    }
+}
+
+fn place_first(base: &Cluster, number: usize, bounds: Bounds, visited: &Visited) {
+    for fault in faults(base) {
+        let mut placement = Placement(vec![(number, fault)]);
+        let mut branch = base.clone();
+        put(&mut branch, fault);
+        place_second(&branch, &mut placement, bounds.second, visited);
+        play_to_the_end(branch, visited);
+    }
+}
+
+/// A group that has just committed something.
+fn running_group(configure: fn(&mut Options)) -> Cluster {
+    let mut cluster = Cluster::new(FOUNDERS, MACHINES, 7);
+    cluster.weather = Weather::EVEN;
+    cluster.configure = configure;
+    (0..FOUNDERS).for_each(|slot| cluster.start(slot));
+    cluster.run_for(2 * SECOND);
+    assert!(cluster.propose(8), "a leader");
+    cluster.run_for(300 * MILLISECOND);
+    cluster
+}
+
+/// All placements of first faults, shared among threads by the event they come before.
+fn search(base: Cluster, bounds: Bounds) -> Visited {
+    let visited = Visited::default();
+    let mut starts = Vec::new();
+    let mut cluster = base;
+    for number in 0..bounds.first {
+        starts.push((number, cluster.clone()));
+        step(&mut cluster, number, &Visited::default());
+    }
+    let next = AtomicU64::new(0);
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let taken = next.fetch_add(1, Ordering::Relaxed) as usize;
+                let Some((number, start)) = starts.get(taken) else { return };
+                place_first(start, *number, bounds, &visited);
+            });
+        }
+    });
+    visited
+}
+
+fn is_large() -> bool {
+    std::env::var("CONSENSUS_PLACEMENTS").is_ok_and(|bound| bound == "large")
+}
+
+fn report(name: &str, visited: &Visited) {
+    let (schedules, events) = (&visited.schedules, &visited.events);
+    println!(
+        "{name}: {} schedules, {} events, none breaks a promise",
+        schedules.load(Ordering::Relaxed),
+        events.load(Ordering::Relaxed)
+    );
+}
+
+#[test]
+fn every_single_fault_before_every_event_is_survived() {
+    let bounds = Bounds { first: if is_large() { 400 } else { 90 }, second: 0 };
+    report("one fault", &search(running_group(|_| {}), bounds));
+}
+
+#[test]
+fn every_pair_of_faults_close_together_is_survived() {
+    let bounds = if is_large() { Bounds { first: 60, second: 60 } } else { Bounds { first: 3, second: 3 } };
+    report("two faults", &search(running_group(|_| {}), bounds));
+}
+
+#[test]
+fn every_pair_of_faults_around_the_first_election_is_survived() {
+    let bounds = if is_large() { Bounds { first: 40, second: 60 } } else { Bounds { first: 4, second: 2 } };
+    let mut cluster = Cluster::new(FOUNDERS, MACHINES, 9);
+    cluster.weather = Weather::EVEN;
+    (0..FOUNDERS).for_each(|slot| cluster.start(slot));
+    report("two faults at the start", &search(cluster, bounds));
+}
+
+#[test]
+fn every_pair_of_faults_while_a_disk_is_replaced_is_survived() {
+    let bounds = if is_large() { Bounds { first: 60, second: 30 } } else { Bounds { first: 12, second: 0 } };
+    let mut cluster = running_group(|options| options.kept_entries = 1);
+    for _ in 0..30 {
+        cluster.propose(40);
+        cluster.run_for(5 * MILLISECOND);
+    }
+    let follower = (cluster.leader().expect("a leader") + 1) % FOUNDERS;
+    cluster.replace_disk(follower, 50 * MILLISECOND);
+    cluster.run_for(300 * MILLISECOND);
+    report("faults beside a replaced disk", &search(cluster, bounds));
+}
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -1,7 +1,7 @@
 //! The processes, their links and their clocks.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
 
 use consensus::{
@@ -12,6 +12,7 @@
 
 use super::disk::{Disk, Write};
 use super::oracle::Oracle;
+use super::promises;
 
 pub const MILLISECOND: u64 = 1_000_000;
 pub const SECOND: u64 = 1_000 * MILLISECOND;
@@ -20,6 +21,7 @@
 const LEAST_DISK_DELAY: u64 = MILLISECOND;
 const MAX_DRIFT_PER_MILLE: u64 = 10;
 const SNAPSHOT_BYTES: usize = 300;
+const PROMOTION_GAP: u64 = 8;
 
 /// How links and disks behave.
 #[derive(Clone, Copy, Debug)]
@@ -55,11 +57,15 @@
         most_delay: 900 * MILLISECOND,
         most_disk_delay: 2 * MILLISECOND,
     };
+    /// Every message and every write takes a millisecond.
+    pub const EVEN: Weather =
+        Weather { most_delay: MILLISECOND, most_disk_delay: MILLISECOND, ..Weather::CALM };
     /// Writes take longer than messages.
     pub const SLOW_DISKS: Weather = Weather { most_disk_delay: 200 * MILLISECOND, ..Weather::CALM };
 }
 
 /// One process on one machine.
+#[derive(Clone)]
 struct Process {
     node: Option<Node>,
     id: NodeId,
@@ -74,20 +80,27 @@
     applied: Index,
     digest: u64,
     snapshot_at: Index,
+    /// The members that it knew last.
+    membership: Membership,
+    /// Term and index of the last change of members that it made as leader.
+    changed_at: (Term, Index),
     pub history: Vec<Output>,
 }
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Kind {
     Timer,
     DiskDone,
     Deliver { id: NodeId, number: u64 },
     AskToJoin,
+    Start,
+    Heal,
 }
 
 type Scheduled = Reverse<(u64, u64, usize, u64, Kind)>;
 
 /// Machines of one group. Machine `slot` has the address `machine-SLOT`.
+#[derive(Clone)]
 pub struct Cluster {
     pub now: u64,
     pub rng: Rng,
@@ -172,6 +185,8 @@
         let local = process.local(self.now);
         let node = Node::new(options, restored, local, seed);
         process.timer = self.now + node.next_timer().saturating_sub(local);
+        process.membership = node.membership().clone();
+        process.changed_at = (0, 0);
         let (timer, life) = (process.timer, process.life);
         process.node = Some(node);
         self.slots.insert(self.processes[slot].id, slot);
@@ -193,6 +208,25 @@
         process.node = None;
     }
 
+    /// A machine loses power before any write that waits has come through, and starts again after a span.
+    pub fn bounce(&mut self, slot: usize, span: u64) {
+        let process = &mut self.processes[slot];
+        process.disk.lose_all_writes();
+        process.node = None;
+        self.schedule(self.now + span, slot, 0, Kind::Start);
+    }
+
+    /// A machine loses its disk, and starts again after a span.
+    pub fn replace_disk(&mut self, slot: usize, span: u64) {
+        self.wipe(slot);
+        self.schedule(self.now + span, slot, 0, Kind::Start);
+    }
+
+    /// All cuts end after a span.
+    pub fn heal_after(&mut self, span: u64) {
+        self.schedule(self.now + span, 0, 0, Kind::Heal);
+    }
+
     /// A machine loses its disk.
     pub fn wipe(&mut self, slot: usize) {
         let process = &mut self.processes[slot];
@@ -286,7 +320,11 @@
         if node.is_leader() {
             self.oracle.note_leader(node.term(), node.id());
         }
+        let mut changes = membership_indexes(&outputs);
         for output in outputs {
+            if let Output::MembershipChanged { membership } = &output {
+                self.note_membership(slot, membership.clone(), changes.pop_front());
+            }
             self.carry_out(slot, output);
         }
         self.schedule_timer(slot);
@@ -323,13 +361,46 @@
         true
     }
 
-    fn step(&mut self) {
+    /// Whether the next event is the arrival of a message.
+    pub fn next_is_message(&self) -> bool {
+        self.queue.peek().is_some_and(|Reverse(next)| matches!(next.4, Kind::Deliver { .. }))
+    }
+
+    /// The next message is lost.
+    pub fn lose_next(&mut self) {
+        if let Some(Reverse((.., Kind::Deliver { number, .. }))) = self.queue.pop() {
+            self.mail.remove(&number);
+        }
+    }
+
+    /// The next message arrives later by a span.
+    pub fn delay_next(&mut self, span: u64) {
+        if let Some(Reverse((at, sequence, slot, life, kind))) = self.queue.pop() {
+            self.queue.push(Reverse((at + span, sequence, slot, life, kind)));
+        }
+    }
+
+    /// The next message arrives once more, later by a span.
+    pub fn repeat_next(&mut self, span: u64) {
+        let Some(Reverse((at, _, slot, life, Kind::Deliver { id, number }))) = self.queue.peek() else {
+            return;
+        };
+        let (at, slot, life, id) = (*at, *slot, *life, *id);
+        let Some(event) = self.mail.get(number).cloned() else { return };
+        self.sequence += 1;
+        let number = self.sequence;
+        self.mail.insert(number, event);
+        self.schedule(at + span, slot, life, Kind::Deliver { id, number });
+    }
+
+    /// Carries out the next event.
+    pub fn step(&mut self) {
         let Some(Reverse((at, _, slot, life, kind))) = self.queue.pop() else { return };
         self.now = self.now.max(at);
         let process = &self.processes[slot];
         let thaws_at = process.frozen_until;
-        let is_delivery = matches!(kind, Kind::Deliver { .. });
-        if !is_delivery && process.life != life {
+        let is_of_this_life = matches!(kind, Kind::Timer | Kind::DiskDone | Kind::AskToJoin);
+        if is_of_this_life && process.life != life {
             return;
         }
         if thaws_at > self.now && process.node.is_some() {
@@ -341,6 +412,8 @@
             Kind::DiskDone => self.on_disk(slot),
             Kind::Deliver { id, number } => self.on_delivery(slot, id, number),
             Kind::AskToJoin => self.on_ask_to_join(slot),
+            Kind::Start => self.start(slot),
+            Kind::Heal => self.heal(),
         }
     }
 
@@ -440,14 +513,15 @@
                 assert!(commit >= self.oracle.last_committed(), "a leader lacks committed entries");
             }
             Output::LeaderChanged { .. }
-            | Output::SteppedDown
             | Output::MembershipChanged { .. }
+            | Output::SteppedDown
             | Output::Removed
             | Output::ProposalDropped => {}
         }
     }
 
     fn send(&mut self, from: usize, to: NodeId, message: Message) {
+        promises::check_message(to, &message, &self.processes[from].disk);
         let Some(&slot) = self.slots.get(&to) else { return };
         let id = self.id(from);
         if self.cuts.contains(&(from, slot)) || self.rng.u8(0..100) < self.weather.loss_percent {
@@ -459,6 +533,29 @@
         self.deliver(slot, to, Event::Message { from: id, message });
     }
 
+    /// Other members are in force at a process. What a leader changes is held against the rules for changes.
+    fn note_membership(&mut self, slot: usize, membership: Membership, index: Option<Index>) {
+        let process = &mut self.processes[slot];
+        let before = std::mem::replace(&mut process.membership, membership.clone());
+        let Some(node) = process.node.as_ref().filter(|node| node.is_leader()) else { return };
+        let index = index.expect("a leader writes the change that it makes");
+        let earlier = std::mem::replace(&mut process.changed_at, (node.term(), index));
+        let change = promises::Change {
+            leader: node.id(),
+            term: node.term(),
+            index,
+            commit: node.commit_index(),
+            commit_term: self.oracle.committed_term(node.commit_index()),
+            earlier,
+        };
+        let durable_last = |id: NodeId| {
+            let disk =
+                self.slots.get(&id).map(|slot| &self.processes[*slot]).filter(|process| process.id == id);
+            disk.map_or(0, |process| process.disk.durable_last_index())
+        };
+        promises::check_change(&change, &before, &membership, PROMOTION_GAP, durable_last);
+    }
+
     fn write(&mut self, slot: usize, write: Write) {
         let delay = self.rng.u64(LEAST_DISK_DELAY..=self.weather.most_disk_delay);
         let process = &mut self.processes[slot];
@@ -529,6 +626,8 @@
             applied: 0,
             digest: 0,
             snapshot_at: 0,
+            membership: Membership::default(),
+            changed_at: (0, 0),
             history: Vec::new(),
         }
     }
@@ -546,7 +645,7 @@
     options.max_inflight_bytes = 1024;
     options.snapshot_chunk_bytes = 64;
     options.kept_entries = 5;
-    options.promotion_gap = 8;
+    options.promotion_gap = PROMOTION_GAP;
     options
 }
 
@@ -554,6 +653,17 @@
     Member { id, address: format!("machine-{slot}"), control: format!("control-{slot}"), voter: false }
 }
 
+/// Indexes of the changes of members among the entries that are to be written.
+fn membership_indexes(outputs: &[Output]) -> VecDeque<Index> {
+    let mut indexes = VecDeque::new();
+    for output in outputs {
+        let Output::Persist { entries, .. } = output else { continue };
+        let changes = entries.iter().filter(|entry| matches!(entry.payload, Payload::Membership(_)));
+        indexes.extend(changes.map(|entry| entry.index));
+    }
+    indexes
+}
+
 fn digest_of(snapshot: &Snapshot) -> u64 {
     let digest = snapshot.data.first_chunk().expect("a snapshot begins with its digest");
     u64::from_le_bytes(*digest)
--- a/crates/consensus/tests/support/disk.rs
+++ b/crates/consensus/tests/support/disk.rs
@@ -16,7 +16,7 @@
     pub entries: Vec<Entry>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Disk {
     durable: Restored,
     queue: VecDeque<Write>,
@@ -37,6 +37,17 @@
         self.durable.clone()
     }
 
+    /// Term and vote that a loss of power leaves.
+    pub fn durable_hard_state(&self) -> HardState {
+        self.durable.hard_state
+    }
+
+    /// The last entry that a loss of power leaves.
+    pub fn durable_last_index(&self) -> u64 {
+        let base = self.durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index);
+        self.durable.entries.last().map_or(base, |last| last.index)
+    }
+
     pub fn push(&mut self, write: Write) {
         self.queue.push_back(write);
     }
@@ -64,6 +75,11 @@
         self.queue.clear();
     }
 
+    /// Power is lost before any write that waits has come through.
+    pub fn lose_all_writes(&mut self) {
+        self.queue.clear();
+    }
+
     fn tear(&mut self, mut torn: Write, rng: &mut Rng) {
         let parts = rng.usize(0..=4);
         if parts < 1 {
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod cluster;
 mod disk;
 mod oracle;
+mod promises;
 pub mod single;
--- a/crates/consensus/tests/support/oracle.rs
+++ b/crates/consensus/tests/support/oracle.rs
@@ -4,7 +4,7 @@
 
 use consensus::{Entry, Index, Node, NodeId, Payload, Term};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Oracle {
     leaders: BTreeMap<Term, NodeId>,
     committed: BTreeMap<Index, (Term, Payload)>,
