--- a/crates/control/src/admin/serve.rs
+++ b/crates/control/src/admin/serve.rs
@@ -102,7 +102,7 @@
         let versions = self.host.state().configurations().map(|taken| ConfigurationVersion {
             version: taken.version,
             builds_on: taken.builds_on,
-            digest: format!("{:032x}", taken.digest.0),
+            digest: taken.digest.to_string(),
         });
         ConfigurationHistory { versions: versions.collect() }
     }
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -97,7 +97,7 @@
         let writer = Writer::start(store, sender)?;
         let (clock, events) = (surroundings.clock, &surroundings.sender);
         let now = clock.now();
-        let host = Host::new(hosting::options(&settings, id), restored, writer, now);
+        let host = Host::new(hosting::options(&settings, id), restored, writer, now)?;
         let own = identity::own_member(&settings, id)?;
         let seeds = identity::seed_addresses(&settings);
         let platform_address = settings.cloud_api.as_ref().map(|platform| platform.address);
@@ -254,7 +254,12 @@
                         self.tell_leader(now, Input::Applied { applied, batch });
                     }
                 }
-                Effect::Restore(snapshot) => self.host.restore(&snapshot),
+                Effect::Restore(snapshot) => {
+                    if let Err(error) = self.host.restore(&snapshot) {
+                        self.ending = Some(Ending::Failed(error));
+                        return true;
+                    }
+                }
                 Effect::ProposalDropped => {
                     self.metrics.proposal_dropped();
                     self.tell_leader(now, Input::ProposalDropped);
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -3,6 +3,7 @@
 use crate::operator_api::ApiError;
 use messages::FrameError;
 use quick_error::quick_error;
+use scheduler::state::SnapshotError;
 use std::io;
 use std::net::SocketAddr;
 use storage::StorageError;
@@ -32,6 +33,10 @@
         Stored(error: FrameError) {
             display("the stored log cannot be read ({error}): run the version that wrote it, or clear DataDir so that the machine joins anew")
         }
+        /// The state in a snapshot cannot be taken up.
+        Snapshot(index: u64, error: SnapshotError) {
+            display("the snapshot at entry {index}: {error}")
+        }
         /// The runtime cannot start.
         Runtime(error: io::Error) {
             display("the runtime cannot start ({error}): see whether descriptors or threads run out")
--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -1,5 +1,6 @@
 //! Hosts the replicated log and the state machine on top of it.
 
+use crate::error::ControlError;
 use crate::writer::{Write, Writer};
 use configuration::ProcessSettings;
 use consensus::{
@@ -67,7 +68,7 @@
 
 impl Host {
     /// Begins with what the disk held.
-    pub fn new(options: Options, restored: Restored, writer: Writer, now: u64) -> Self {
+    pub fn new(options: Options, restored: Restored, writer: Writer, now: u64) -> Result<Self, ControlError> {
         let mut host = Host {
             node: Node::new(options, restored.clone(), now, fastrand::u64(..)),
             state: State::new(),
@@ -81,9 +82,9 @@
             entries_since_snapshot: restored.entries.len(),
         };
         if let Some(snapshot) = &restored.snapshot {
-            host.restore(snapshot);
+            host.restore(snapshot)?;
         }
-        host
+        Ok(host)
     }
 
     /// Consensus, to be asked.
@@ -213,19 +214,20 @@
         }
     }
 
-    /// Replaces the state by that of a snapshot.
-    pub fn restore(&mut self, snapshot: &Snapshot) {
-        self.applied_index = snapshot.meta.index;
-        self.snapshot_index = snapshot.meta.index;
+    /// Replaces the state by that of a snapshot, as a whole or not at all. After an error the process must end: its
+    /// state is not that of the group.
+    pub fn restore(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
+        let index = snapshot.meta.index;
+        self.state = if snapshot.data.is_empty() {
+            State::new()
+        } else {
+            let saved: SchedulerSnapshot = decode(&snapshot.data).map_err(ControlError::Stored)?;
+            State::restore(&saved).map_err(|error| ControlError::Snapshot(index, error))?
+        };
+        self.applied_index = index;
+        self.snapshot_index = index;
         self.bytes_since_snapshot = 0;
         self.entries_since_snapshot = 0;
-        if snapshot.data.is_empty() {
-            self.state = State::new();
-            return;
-        }
-        match decode::<SchedulerSnapshot>(&snapshot.data) {
-            Ok(saved) => self.state = State::restore(&saved),
-            Err(error) => log::error!("the snapshot at entry {}: {error}", snapshot.meta.index),
-        }
+        Ok(())
     }
 }
--- a/crates/control/tests/hosting.rs
+++ b/crates/control/tests/hosting.rs
@@ -1,13 +1,17 @@
 //! A process that leads after a restart has a long log to apply: its heartbeats do not wait for that.
 
 use consensus::{
-    AppendReply, Entry, Event, Member, Membership, Message, Node, NodeId, Options, Payload, VoteReply,
+    AppendReply, Entry, Event, Member, Membership, Message, Node, NodeId, Options, Payload, Snapshot,
+    SnapshotMeta, VoteReply,
 };
 use control::hosting::{Effect, Host};
 use control::writer::{Writer, Written};
 use log_records::{entry_to_stored, hard_state_to_stored};
+use messages::encode;
+use messages::job::SchedulerSnapshot;
 use std::collections::VecDeque;
 use std::path::PathBuf;
+use std::sync::Arc;
 use storage::{FileDirectory, Store, StoreOptions, WriteBatch};
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
@@ -26,8 +30,8 @@
 }
 
 impl Restarted {
-    fn new() -> Self {
-        let folder = std::env::temp_dir().join(format!("hosting-{}", std::process::id()));
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("hosting-{name}-{}", std::process::id()));
         let directory = FileDirectory::new(&folder).expect("a folder");
         let (mut store, _) = Store::open(directory, StoreOptions::default()).expect("an empty store");
         let member = |id| Member { id, address: String::new(), control: String::new(), voter: true };
@@ -43,7 +47,7 @@
         store.write(&batch).expect("a disk with room");
         let (sender, written) = mpsc::unbounded_channel();
         let writer = Writer::start(store, sender).expect("a thread");
-        let host = Host::new(Options::new(OWN), restored, writer, 0);
+        let host = Host::new(Options::new(OWN), restored, writer, 0).expect("no snapshot");
         Restarted { host, now: 0, effects: VecDeque::new(), written, folder }
     }
 
@@ -94,7 +98,7 @@
 
 #[test]
 fn heartbeats_do_not_wait_until_a_long_log_is_applied() {
-    let mut process = Restarted::new();
+    let mut process = Restarted::new("long-log");
     process.win();
     process.acknowledge_all();
     let committed = process.effects.iter().filter(|effect| matches!(effect, Effect::Committed(_))).count();
@@ -107,3 +111,19 @@
         assert!(messages.iter().any(|(to, message)| *to == other && is_heartbeat(message)), "{messages:?}");
     }
 }
+
+#[test]
+fn a_snapshot_that_cannot_be_taken_up_is_an_error_and_changes_nothing() {
+    let mut process = Restarted::new("snapshot");
+    process.win();
+    process.acknowledge_all();
+    let whole = encode(&process.host.state().snapshot());
+    let later_format = encode(&SchedulerSnapshot { format: u32::MAX, ..SchedulerSnapshot::default() });
+    for data in [vec![0xff; 40], later_format] {
+        let meta = SnapshotMeta { index: 5, term: 1, membership: Membership::default() };
+        let error = process.host.restore(&Snapshot { meta, data: Arc::new(data) });
+        assert!(error.is_err(), "a process without the group's state must not go on");
+        assert_eq!(encode(&process.host.state().snapshot()), whole);
+        assert_eq!(process.host.applied_index(), 0);
+    }
+}
--- a/crates/ctl/src/inspect.rs
+++ b/crates/ctl/src/inspect.rs
@@ -89,7 +89,7 @@
         FileDirectory::existing(path).map_err(|error| CtlError::ReadFile(path.to_owned(), error))?;
     let damaged = |error: storage::StorageError| CtlError::Damaged(path.to_owned(), error.to_string());
     let log = storage::inspect(&directory).and_then(|inspection| inspection.log).map_err(damaged)?;
-    let state = replay(&log);
+    let state = replay(&log).map_err(|reason| CtlError::Damaged(path.to_owned(), reason))?;
     match state.configuration() {
         Some(newest) => {
             out.write_all(&newest.body).and_then(|()| out.write_all(b"\n")).map_err(CtlError::Output)
@@ -100,16 +100,21 @@
     }
 }
 
-/// The state that the log leads to. What cannot be read is skipped, as by the processes themselves.
-fn replay(log: &InspectedLog) -> State {
-    let saved =
-        log.snapshot.as_ref().and_then(|snapshot| decode::<job::SchedulerSnapshot>(&snapshot.data).ok());
-    let mut state = saved.map_or_else(State::new, |saved| State::restore(&saved));
+/// The state that the log leads to. Entries that cannot be read are skipped, as by the processes themselves; a snapshot
+/// that cannot be read is an error, as for them.
+fn replay(log: &InspectedLog) -> Result<State, String> {
+    let mut state = match &log.snapshot {
+        Some(snapshot) => {
+            let saved: job::SchedulerSnapshot = decode(&snapshot.data).map_err(|error| error.to_string())?;
+            State::restore(&saved).map_err(|error| error.to_string())?
+        }
+        None => State::new(),
+    };
     let commands = log.entries.iter().filter(|entry| i32::from(entry.kind) == EntryKind::COMMAND as i32);
     for batch in commands.filter_map(|entry| decode::<job::CommandBatch>(&entry.payload).ok()) {
         state.apply(&batch);
     }
-    state
+    Ok(state)
 }
 
 fn file_line(file: &InspectedFile) -> FileLine {
--- a/crates/scale/src/memory.rs
+++ b/crates/scale/src/memory.rs
@@ -35,9 +35,10 @@
     lead: impl Fn(&State) -> Leader,
 ) -> Memory {
     let process_mb = resident_mb();
-    let fillers: Vec<State> = (0..FILLERS).map(|_| State::restore(snapshot)).collect();
+    let restore = |_| State::restore(snapshot).expect("a snapshot that was just taken is whole");
+    let fillers: Vec<State> = (0..FILLERS).map(restore).collect();
     let before = resident_mb();
-    let states: Vec<State> = (0..COPIES).map(|_| State::restore(snapshot)).collect();
+    let states: Vec<State> = (0..COPIES).map(restore).collect();
     let with_states = resident_mb();
     let leaders: Vec<Leader> = states.iter().map(|state| led(state, instances, now, &lead)).collect();
     let with_leaders = resident_mb();
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -43,7 +43,7 @@
         body: Vec<u8>,
     ) -> Option<ConfigurationReply> {
         let key = ConfigurationKey::of(&body, if_match.unwrap_or(0));
-        if state.was_configuration_taken(key.digest) {
+        if state.was_configuration_taken(&body) {
             return Some(ConfigurationReply::Accepted);
         }
         if let Some(tokens) = self.pending_orders.tokens.get_mut(&key) {
--- a/crates/scheduler/src/state/configuration.rs
+++ b/crates/scheduler/src/state/configuration.rs
@@ -4,31 +4,12 @@
 
 use messages::job::PutConfiguration;
 
+use super::digest::ConfigurationDigest;
+use super::error::SnapshotError;
 use super::Applied;
 
 /// Configurations whose repeats are still known. A day holds hundreds of changes.
 const KEPT_DIGESTS: usize = 16_384;
-/// Offset basis of the 128 bit FNV-1a hash.
-const FNV_OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
-/// Prime of the 128 bit FNV-1a hash.
-const FNV_PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
-
-/// Hash of a configuration's bytes, the same in every build (FNV-1a, 128 bits).
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ConfigurationDigest(pub u128);
-
-impl ConfigurationDigest {
-    /// The digest of `body`.
-    pub fn of(body: &[u8]) -> Self {
-        let mut hash = FNV_OFFSET;
-        for byte in body {
-            hash ^= u128::from(*byte);
-            hash = hash.wrapping_mul(FNV_PRIME);
-        }
-        Self(hash)
-    }
-}
-
 /// One order of the operator: the same body on top of the same version is the same order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ConfigurationKey {
@@ -70,6 +51,8 @@
     newest: Option<PutConfiguration>,
     replaced: VecDeque<Replaced>,
     taken: HashSet<ConfigurationDigest>,
+    /// Some digests come from a snapshot of format 0.
+    holds_earlier_digests: bool,
 }
 
 impl ConfigurationHistory {
@@ -99,15 +82,17 @@
     }
 
     /// Whether exactly this body was ever taken.
-    pub(super) fn was_taken(&self, digest: ConfigurationDigest) -> bool {
-        self.taken.contains(&digest)
+    pub(super) fn was_taken(&self, body: &[u8]) -> bool {
+        let known = |digest| self.taken.contains(&digest);
+        known(ConfigurationDigest::of(body))
+            || self.holds_earlier_digests && known(ConfigurationDigest::earlier_of(body))
     }
 
     /// Takes `put` if it builds on the newest version and is above it.
     pub(super) fn put(&mut self, put: &PutConfiguration) -> Applied {
         let key = ConfigurationKey::of(&put.body, put.builds_on);
         let current = self.version();
-        if self.was_taken(key.digest) {
+        if self.was_taken(&put.body) {
             return Applied::ConfigurationRepeated { key };
         }
         if put.builds_on != current {
@@ -129,6 +114,7 @@
 
     fn keep(&mut self, replaced: Replaced) {
         self.taken.insert(replaced.digest);
+        self.holds_earlier_digests |= matches!(replaced.digest, ConfigurationDigest::Fnv(_));
         self.replaced.push_back(replaced);
         if self.replaced.len() <= KEPT_DIGESTS {
             return;
@@ -138,12 +124,12 @@
         }
     }
 
-    /// Replaced configurations with the 16 bytes of their digest as body, then the newest in full.
+    /// Replaced configurations with their digest as body, then the newest in full.
     pub(super) fn snapshot(&self) -> Vec<PutConfiguration> {
         let mut configurations = Vec::with_capacity(self.replaced.len() + 1);
         for replaced in &self.replaced {
             configurations.push(PutConfiguration {
-                body: replaced.digest.0.to_le_bytes().to_vec(),
+                body: replaced.digest.to_bytes(),
                 version: replaced.version,
                 builds_on: replaced.builds_on,
             });
@@ -153,15 +139,15 @@
     }
 
     /// The inverse of `snapshot`.
-    pub(super) fn restore(configurations: &[PutConfiguration]) -> Self {
+    pub(super) fn restore(configurations: &[PutConfiguration]) -> Result<Self, SnapshotError> {
         let mut history = Self::default();
-        let Some((newest, replaced)) = configurations.split_last() else { return history };
+        let Some((newest, replaced)) = configurations.split_last() else { return Ok(history) };
         for put in replaced {
-            let Some(bytes) = put.body.first_chunk::<16>() else { continue };
-            let digest = ConfigurationDigest(u128::from_le_bytes(*bytes));
+            let digest = ConfigurationDigest::from_bytes(&put.body)
+                .ok_or(SnapshotError::Digest(put.version, put.body.len()))?;
             history.keep(Replaced { digest, version: put.version, builds_on: put.builds_on });
         }
         history.take(newest.clone(), ConfigurationDigest::of(&newest.body));
-        history
+        Ok(history)
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/state/digest.rs
@@ -0,0 +1,61 @@
+//! Digests by which configurations that were taken are known again.
+
+use sha2::{Digest, Sha256};
+
+/// Bytes of a SHA-256 digest.
+const SHA256_BYTES: usize = 32;
+/// Bytes of a 128 bit FNV-1a hash.
+const FNV_BYTES: usize = 16;
+/// Offset basis of the 128 bit FNV-1a hash.
+const FNV_OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+/// Prime of the 128 bit FNV-1a hash.
+const FNV_PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+
+/// Digest of a configuration's bytes, the same in every build.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ConfigurationDigest {
+    /// SHA-256.
+    Sha256([u8; SHA256_BYTES]),
+    /// The 128 bit FNV-1a hash that snapshots of format 0 hold. No body is given one any more.
+    Fnv([u8; FNV_BYTES]),
+}
+
+impl ConfigurationDigest {
+    /// The digest of `body`.
+    pub fn of(body: &[u8]) -> Self {
+        ConfigurationDigest::Sha256(Sha256::digest(body).into())
+    }
+
+    /// The digest by which `body` is known in what was stored in format 0.
+    pub(super) fn earlier_of(body: &[u8]) -> Self {
+        let mut hash = FNV_OFFSET;
+        for byte in body {
+            hash ^= u128::from(*byte);
+            hash = hash.wrapping_mul(FNV_PRIME);
+        }
+        ConfigurationDigest::Fnv(hash.to_le_bytes())
+    }
+
+    /// The digest as it is stored.
+    pub(super) fn to_bytes(self) -> Vec<u8> {
+        match self {
+            ConfigurationDigest::Sha256(bytes) => bytes.to_vec(),
+            ConfigurationDigest::Fnv(bytes) => bytes.to_vec(),
+        }
+    }
+
+    /// A stored digest; `None` if its length is none of a digest.
+    pub(super) fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        if let Ok(bytes) = bytes.try_into() {
+            return Some(ConfigurationDigest::Sha256(bytes));
+        }
+        bytes.try_into().ok().map(ConfigurationDigest::Fnv)
+    }
+}
+
+impl std::fmt::Display for ConfigurationDigest {
+    /// Hexadecimal digits.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.to_bytes().iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -1,8 +1,10 @@
 //! Replicated state of configuration, jobs and workers: deterministic, the same on every core process.
 
 mod configuration;
+mod digest;
 mod effect;
 mod ends;
+mod error;
 mod job;
 mod snapshot;
 mod starts;
@@ -18,8 +20,10 @@
 
 use crate::ids::{AttemptKey, StepKey};
 
-pub use configuration::{ConfigurationDigest, ConfigurationKey, TakenConfiguration};
+pub use configuration::{ConfigurationKey, TakenConfiguration};
+pub use digest::ConfigurationDigest;
 pub use effect::{Applied, Over};
+pub use error::SnapshotError;
 pub use job::{Job, JobTime, Work};
 pub use task::{Active, Task};
 pub use workers::Worker;
@@ -94,8 +98,8 @@
     }
 
     /// Whether exactly this body was ever taken as a configuration.
-    pub fn was_configuration_taken(&self, digest: ConfigurationDigest) -> bool {
-        self.configuration.was_taken(digest)
+    pub fn was_configuration_taken(&self, body: &[u8]) -> bool {
+        self.configuration.was_taken(body)
     }
 
     /// A job by its identity.
--- a/crates/scheduler/src/state/snapshot.rs
+++ b/crates/scheduler/src/state/snapshot.rs
@@ -9,11 +9,14 @@
 use messages::job::{ActiveAttempt, JobPhase, JobState, SchedulerSnapshot, SubmitJob, TaskState};
 
 use super::configuration::ConfigurationHistory;
+use super::error::SnapshotError;
 use super::job::{Job, Work};
 use super::task::{Active, Step, Task};
 use super::workers::Workers;
 use super::State;
 
+/// Format of the snapshots that are written: 1 knows configurations by SHA-256, 0 knew them by FNV-1a.
+const FORMAT: u32 = 1;
 /// Step of an entry that stands for a range of done times.
 const DONE_TIMES: u32 = u32::MAX;
 /// Index of an entry that stands for a gang.
@@ -27,29 +30,37 @@
             jobs: self.jobs.iter().map(|(id, job)| job_state(*id, job)).collect(),
             workers: self.workers.snapshot(),
             clock_ms: self.clock_ms,
+            format: FORMAT,
         }
     }
 
-    /// The state that `snapshot` was taken of.
-    pub fn restore(snapshot: &SchedulerSnapshot) -> Self {
+    /// The state that `snapshot` was taken of, as a whole or not at all.
+    pub fn restore(snapshot: &SchedulerSnapshot) -> Result<Self, SnapshotError> {
+        if snapshot.format > FORMAT {
+            return Err(SnapshotError::Format(snapshot.format, FORMAT));
+        }
         let mut state = Self {
-            configuration: ConfigurationHistory::restore(&snapshot.configurations),
-            workers: Workers::restore(&snapshot.workers),
+            configuration: ConfigurationHistory::restore(&snapshot.configurations)?,
+            workers: Workers::restore(&snapshot.workers)?,
             clock_ms: snapshot.clock_ms,
             ..Self::default()
         };
         for job in &snapshot.jobs {
-            state.restore_job(job);
+            state.restore_job(job)?;
         }
-        state
+        Ok(state)
     }
 
-    fn restore_job(&mut self, saved: &JobState) {
-        let Some(submit) = saved.submit.as_ref() else { return };
+    fn restore_job(&mut self, saved: &JobState) -> Result<(), SnapshotError> {
+        let submit = saved.submit.as_ref().ok_or(SnapshotError::Job(0))?;
         let id = submit.id;
         let prefix_key = self.add_pending(&submit.prefix_key);
-        let work =
-            submit.job.is_some().then(|| restore_work(submit, &saved.tasks, &mut self.workers)).flatten();
+        let work = match submit.job {
+            Some(_) => {
+                Some(restore_work(submit, &saved.tasks, &mut self.workers).ok_or(SnapshotError::Job(id))?)
+            }
+            None => None,
+        };
         let job =
             Job { prefix_key, phase: saved.phase, ended_at_ms: saved.ended_at_ms, work: work.map(Box::new) };
         if !job.is_pending() {
@@ -59,6 +70,7 @@
             self.ended.insert((job.ended_at_ms, id));
         }
         self.jobs.insert(id, job);
+        Ok(())
     }
 }
 
--- a/crates/scheduler/src/state/workers.rs
+++ b/crates/scheduler/src/state/workers.rs
@@ -5,6 +5,8 @@
 
 use messages::job::{WorkerLife, WorkerState};
 
+use super::error::SnapshotError;
+
 /// One life of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
@@ -98,13 +100,13 @@
     }
 
     /// The inverse of `snapshot`; active attempts are added by the caller.
-    pub(super) fn restore(workers: &[WorkerState]) -> Self {
+    pub(super) fn restore(workers: &[WorkerState]) -> Result<Self, SnapshotError> {
         let mut restored = Self::default();
         for worker in workers {
-            let Some(life) = worker.life.as_ref() else { continue };
+            let life = worker.life.as_ref().ok_or(SnapshotError::Worker)?;
             restored.learn(life);
             restored.note(&life.instance, worker.noted);
         }
-        restored
+        Ok(restored)
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/configuration_orders.rs
@@ -0,0 +1,142 @@
+//! The identity of the operator's orders: at most one of two under one number is taken, and one that was taken is known
+//! again for good.
+
+mod cluster;
+mod commands;
+
+use cluster::{configuration, Cluster};
+use commands::{apply, job, put, stage, submit};
+use messages::job::{PutConfiguration, SchedulerSnapshot};
+use scheduler::leader::ConfigurationReply;
+use scheduler::state::{Applied, ConfigurationDigest, SnapshotError, State};
+
+const JOB: u64 = 0x5c0e_7a21_d94b_36f8;
+
+fn restored(state: &State) -> State {
+    State::restore(&state.snapshot()).expect("a whole snapshot")
+}
+
+fn is_repeat(applied: &[Applied]) -> bool {
+    matches!(applied, [Applied::ConfigurationRepeated { .. }])
+}
+
+/// The hash by which snapshots of format 0 know configurations, as the well-known definition has it.
+fn fnv_1a_128(body: &[u8]) -> Vec<u8> {
+    let start = 144_066_263_297_769_815_596_495_629_667_062_367_629_u128;
+    let prime = (1_u128 << 88) + (1 << 8) + 0x3b;
+    let hash = body.iter().fold(start, |hash, byte| (hash ^ u128::from(*byte)).wrapping_mul(prime));
+    hash.to_le_bytes().to_vec()
+}
+
+#[test]
+fn of_two_orders_under_one_number_one_is_taken_whatever_comes_again() {
+    let mut state = State::new();
+    apply(&mut state, put("first", 1, 0));
+    assert!(matches!(apply(&mut state, put("winner", 4, 1))[..], [Applied::ConfigurationTaken { .. }]));
+    for _ in 0..3 {
+        let refused = apply(&mut state, put("loser", 4, 1));
+        assert!(matches!(refused[..], [Applied::ConfigurationConflict { current: 4, .. }]), "{refused:?}");
+        assert!(is_repeat(&apply(&mut state, put("winner", 4, 1))));
+        state = restored(&state);
+    }
+    let refused = apply(&mut state, put("loser", 4, 4));
+    assert!(
+        matches!(refused[..], [Applied::ConfigurationNotAbove { .. }]),
+        "the number is used up: {refused:?}"
+    );
+    assert_eq!(state.configuration().expect("one is in force").body, b"winner");
+}
+
+#[test]
+fn an_order_is_known_again_after_hundreds_of_changes_and_snapshots() {
+    let mut state = State::new();
+    let order = |number: u64| put(&format!("body {number}"), number * 3, number.saturating_sub(1) * 3);
+    for number in 1..=700 {
+        assert!(matches!(apply(&mut state, order(number))[..], [Applied::ConfigurationTaken { .. }]));
+        if number % 90 == 0 {
+            state = restored(&state);
+        }
+    }
+    for number in 1..=700 {
+        assert!(is_repeat(&apply(&mut state, order(number))), "order {number} is refused");
+    }
+    assert_eq!(state.configuration_version(), 2_100);
+}
+
+#[test]
+fn an_order_that_comes_again_while_its_first_copy_is_in_flight_gets_the_same_answer() {
+    let mut cluster = Cluster::new(1);
+    let body = configuration(7, &[("/a/", 1)]);
+    let first = cluster.send_configuration(body.clone(), Some(1));
+    let again = cluster.send_configuration(body.clone(), Some(1));
+    let is_told = |cluster: &Cluster, token| cluster.orders.contains_key(&token);
+    assert!(!is_told(&cluster, first) && !is_told(&cluster, again), "nothing is committed yet");
+    assert!(cluster.run_until(200, |cluster| cluster.orders.contains_key(&again)));
+    assert_eq!(cluster.orders.get(&first).cloned(), Some(ConfigurationReply::Accepted));
+    assert_eq!(cluster.orders.get(&again).cloned(), Some(ConfigurationReply::Accepted));
+    assert_eq!(cluster.configure(body, Some(1)), Some(ConfigurationReply::Accepted), "and after it");
+}
+
+#[test]
+fn two_orders_in_flight_on_one_version_get_one_confirmation() {
+    let mut cluster = Cluster::new(1);
+    let one = cluster.send_configuration(configuration(7, &[("/a/", 1)]), Some(1));
+    let other = cluster.send_configuration(configuration(7, &[("/b/", 1)]), Some(1));
+    assert!(cluster.run_until(200, |cluster| cluster.orders.contains_key(&other)));
+    assert_eq!(cluster.orders.get(&one).cloned(), Some(ConfigurationReply::Accepted));
+    assert!(matches!(cluster.orders.get(&other).cloned(), Some(ConfigurationReply::Conflict { .. })));
+}
+
+#[test]
+fn orders_of_a_snapshot_of_format_0_are_known_again() {
+    let stored = SchedulerSnapshot {
+        configurations: vec![
+            PutConfiguration { body: fnv_1a_128(b"oldest"), version: 2, builds_on: 0 },
+            PutConfiguration { body: b"newest".to_vec(), version: 5, builds_on: 2 },
+        ],
+        ..SchedulerSnapshot::default()
+    };
+    let mut state = State::restore(&stored).expect("format 0 is read");
+    for _ in 0..2 {
+        assert!(is_repeat(&apply(&mut state, put("oldest", 2, 0))));
+        assert!(is_repeat(&apply(&mut state, put("newest", 5, 2))));
+        let refused = apply(&mut state, put("other", 2, 0));
+        assert!(matches!(refused[..], [Applied::ConfigurationConflict { .. }]));
+        let next = state.configuration_version() + 1;
+        apply(&mut state, put(&format!("later {next}"), next, next - 1));
+        state = restored(&state);
+    }
+}
+
+#[test]
+fn digests_are_sha_256() {
+    // FIPS 180-2, appendix B.1.
+    let expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    assert_eq!(ConfigurationDigest::of(b"abc").to_string(), expected);
+}
+
+#[test]
+fn a_snapshot_that_is_not_whole_is_refused_with_a_remedy() {
+    let mut state = State::new();
+    apply(&mut state, put("a", 3, 0));
+    apply(&mut state, put("b", 5, 3));
+    apply(&mut state, submit(JOB, job(vec![stage(1)])));
+    apply(&mut state, commands::start(&[commands::task(JOB, 0, 0)], 1, "w"));
+    let whole = state.snapshot();
+    assert!(State::restore(&whole).is_ok());
+
+    let mut cut = whole.clone();
+    cut.configurations[0].body.pop();
+    assert_eq!(State::restore(&cut).expect_err("a digest is cut short"), SnapshotError::Digest(3, 31));
+    let mut later = whole.clone();
+    later.format = 9;
+    assert_eq!(State::restore(&later).expect_err("a later format"), SnapshotError::Format(9, 1));
+    let mut without = whole.clone();
+    without.jobs[0].submit = None;
+    assert!(matches!(State::restore(&without), Err(SnapshotError::Job(_))));
+    let mut without = whole.clone();
+    without.workers[0].life = None;
+    assert_eq!(State::restore(&without).expect_err("no life"), SnapshotError::Worker);
+    let remedy = SnapshotError::Digest(3, 31).to_string();
+    assert!(remedy.contains("joins the group anew"), "{remedy}");
+}
--- a/crates/scheduler/tests/state_commands.rs
+++ b/crates/scheduler/tests/state_commands.rs
@@ -248,7 +248,7 @@
             sequence += 1;
             apply(&mut state, end("w", sequence, key, 1, EndKind::DONE));
         }
-        let restored = State::restore(&state.snapshot());
+        let restored = State::restore(&state.snapshot()).expect("a whole snapshot");
         assert_eq!(restored.snapshot(), state.snapshot());
     }
     assert_eq!(state_of(&state, JOB), Some("completed"));
@@ -313,7 +313,7 @@
         apply(&mut state, put("b", 5, 3))[..],
         [Applied::ConfigurationTaken { version: 5, .. }]
     ));
-    let mut state = State::restore(&state.snapshot());
+    let mut state = State::restore(&state.snapshot()).expect("a whole snapshot");
     assert!(matches!(apply(&mut state, put("a", 3, 0))[..], [Applied::ConfigurationRepeated { .. }]));
     assert!(matches!(apply(&mut state, put("b", 5, 3))[..], [Applied::ConfigurationRepeated { .. }]));
     assert_eq!(state.configuration().unwrap().body, b"b");
--- a/crates/scheduler/tests/state_scripts.rs
+++ b/crates/scheduler/tests/state_scripts.rs
@@ -160,7 +160,7 @@
     let snapshot = state.snapshot();
     let decoded: SchedulerSnapshot =
         messages::decode(&messages::encode(&snapshot)).map_err(|error| error.to_string())?;
-    let restored = State::restore(&decoded);
+    let restored = State::restore(&decoded).expect("a whole snapshot");
     if restored.snapshot() != snapshot {
         return Err(format!("{snapshot:?} was restored as {:?}", restored.snapshot()));
     }
--- a/crates/simulation/src/core_process/mod.rs
+++ b/crates/simulation/src/core_process/mod.rs
@@ -495,9 +495,10 @@
             self.state = State::new();
             return;
         }
-        match decode::<SchedulerSnapshot>(&snapshot.data) {
-            Ok(saved) => self.state = State::restore(&saved),
-            Err(error) => self.out.push(CoreOutput::Failed(error.to_string())),
+        let saved = decode::<SchedulerSnapshot>(&snapshot.data).map_err(|error| error.to_string());
+        match saved.and_then(|saved| State::restore(&saved).map_err(|error| error.to_string())) {
+            Ok(state) => self.state = state,
+            Err(text) => self.out.push(CoreOutput::Failed(text)),
         }
     }
 
