--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -94,6 +94,13 @@
         }
     }
 
+    /// The least index up to which one of the followers heard lately has, or is receiving, the log; of those that need
+    /// no snapshot first, given the base of the log.
+    pub fn least_index_of_followers(&self, heard_since: u64, base: Index) -> Option<Index> {
+        let lately = self.progress.values().filter(|progress| progress.heard_at >= heard_since);
+        lately.map(Progress::index_in_reach).filter(|index| *index >= base).min()
+    }
+
     /// When a majority was last heard from.
     pub fn majority_heard_at(&self, own: NodeId, now: u64, membership: &Membership) -> u64 {
         let heard = membership.voters().map(|voter| match self.progress.get(&voter) {
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -56,6 +56,21 @@
         self.entries.truncate(usize::try_from(kept).unwrap_or(usize::MAX));
     }
 
+    /// The index up to which entries can go if, up to `last`, this many of them and these bytes are kept.
+    pub fn compaction_point(&self, last: Index, kept_entries: u64, kept_bytes: usize) -> Index {
+        let earliest = last.saturating_sub(kept_entries).max(self.base_index);
+        let mut point = last.min(self.last_index());
+        let mut bytes = 0;
+        while point > earliest {
+            bytes += self.get(point).map_or(0, Entry::size);
+            if bytes > kept_bytes {
+                break;
+            }
+            point -= 1;
+        }
+        point
+    }
+
     /// Drops entries up to this index, which must be held.
     pub fn compact_to(&mut self, index: Index) {
         let Some(term) = self.term_at(index) else { return };
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -263,13 +263,24 @@
         }
         self.snapshot = Some(snapshot);
         self.durability.note_snapshot(index);
-        let compact_to = index.saturating_sub(self.options.kept_entries);
+        let compact_to = self.compaction_point(index);
         if compact_to > self.log.base_index() {
             self.log.compact_to(compact_to);
             self.memberships.compact_to(compact_to);
         }
     }
 
+    /// Up to where the log can go now that a snapshot covers it up to `index`, and no follower that answers needs more.
+    fn compaction_point(&self, index: Index) -> Index {
+        let options = &self.options;
+        let usual = self.log.compaction_point(index, options.kept_entries, options.kept_bytes);
+        let Role::Leader(leadership) = &self.role else { return usual };
+        let heard_since = self.now.saturating_sub(options.voter_silence);
+        let needed = leadership.least_index_of_followers(heard_since, self.log.base_index());
+        let furthest = self.log.compaction_point(index, u64::MAX, options.kept_bytes_for_followers);
+        usual.min(needed.unwrap_or(usual).max(furthest))
+    }
+
     /// Draws when this process stands for election unless it hears from a leader.
     pub(crate) fn reset_election_timer(&mut self) {
         let least = self.options.election_timeout;
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -37,6 +37,11 @@
     pub snapshot_chunk_bytes: usize,
     /// Entries kept behind a snapshot, so that a follower a little behind needs no snapshot.
     pub kept_entries: u64,
+    /// Bytes of entries kept behind a snapshot: large entries must not fill the memory.
+    pub kept_bytes: usize,
+    /// Bytes of entries kept for followers that are behind but answer, or are receiving an older snapshot: else they
+    /// would be sent one snapshot after the other.
+    pub kept_bytes_for_followers: usize,
     /// Entries that a learner may lack when it is promoted.
     pub promotion_gap: u64,
     /// Silence after which a voter may be replaced.
@@ -62,8 +67,10 @@
             max_entries_bytes: 256 * 1024,
             max_inflight_bytes: 1024 * 1024,
             max_inflight_messages: 4,
-            snapshot_chunk_bytes: 128 * 1024,
+            snapshot_chunk_bytes: 64 * 1024,
             kept_entries: 1024,
+            kept_bytes: 2 * 1024 * 1024,
+            kept_bytes_for_followers: 16 * 1024 * 1024,
             promotion_gap: 64,
             voter_silence: 2_000 * MILLISECOND,
             learner_silence: 5_000 * MILLISECOND,
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -51,6 +51,8 @@
     next: Index,
     /// Its durable log is the leader's up to here.
     pub match_index: Index,
+    /// The last entry of the newest snapshot that it has received, perhaps not durably yet.
+    received_snapshot: Index,
     /// When something of it last arrived.
     pub heard_at: u64,
     /// Sending time of the newest round it answered; 0 before the first.
@@ -66,6 +68,7 @@
             state: State::Probe { sent: false },
             next,
             match_index: 0,
+            received_snapshot: 0,
             heard_at: now,
             acknowledged_round: 0,
             sent_at: 0,
@@ -84,6 +87,14 @@
         }
     }
 
+    /// Up to where it has the log, or will have it with the snapshot that it is receiving.
+    pub fn index_in_reach(&self) -> Index {
+        match &self.state {
+            State::Snapshot(transmission) => transmission.snapshot.meta.index,
+            State::Probe { .. } | State::Replicate { .. } => self.match_index.max(self.received_snapshot),
+        }
+    }
+
     /// Whether it has answered in this term and lacks at most this many of the leader's entries.
     pub fn is_caught_up(&self, last_index: Index, gap: u64) -> bool {
         matches!(self.state, State::Replicate { .. }) && self.match_index.saturating_add(gap) >= last_index
@@ -184,7 +195,8 @@
         }
         let total = transmission.snapshot.data.len() as u64;
         if reply.received >= total {
-            self.next = transmission.snapshot.meta.index + 1;
+            self.received_snapshot = transmission.snapshot.meta.index;
+            self.next = self.received_snapshot + 1;
             self.state = State::Probe { sent: false };
             return;
         }
--- /dev/null
+++ b/crates/consensus/tests/compaction.rs
@@ -0,0 +1,151 @@
+//! What the log keeps in memory behind a snapshot, and followers that receive a snapshot while the log goes on.
+
+mod support;
+
+use consensus::{Event, Message, Node, Output, Payload, Snapshot, SnapshotReply};
+use std::sync::Arc;
+use support::cluster::{Cluster, MILLISECOND, SECOND};
+use support::single::{append_refusal, sent, Single};
+
+const LARGE: usize = 300 * 1024;
+
+/// A leader of two that has committed this many large entries.
+fn leader_of_large_entries(count: usize) -> Single {
+    let mut leader = Single::leader(2);
+    for _ in 0..count {
+        leader.hand_in(Event::Propose { payload: vec![1; LARGE] });
+        leader.persist();
+        leader.acknowledge(2);
+    }
+    leader
+}
+
+fn take_snapshot(leader: &mut Single) -> u64 {
+    let index = leader.node.commit_index();
+    let meta = leader.node.snapshot_meta(index).expect("it is committed");
+    let data = Arc::new(vec![7; 200 * 1024]);
+    leader.hand_in(Event::SnapshotTaken { snapshot: Snapshot { meta, data } });
+    index
+}
+
+fn held_entries(node: &Node) -> u64 {
+    let last = node.last_index();
+    (1..=last).filter(|index| node.snapshot_meta(*index).is_some()).count() as u64
+}
+
+#[test]
+fn large_entries_behind_a_snapshot_are_kept_by_their_bytes() {
+    let mut leader = leader_of_large_entries(100);
+    assert!(held_entries(&leader.node) > 100);
+    take_snapshot(&mut leader);
+    let held = held_entries(&leader.node);
+    assert!((2..=8).contains(&held), "{held} entries of 300 KiB are held");
+}
+
+#[test]
+fn what_follows_a_snapshot_under_way_is_kept_within_a_bound() {
+    let mut leader = leader_of_large_entries(20);
+    let sent_index = take_snapshot(&mut leader);
+    leader.wait(10);
+    leader.hand_in(Event::PeerLost { to: 2 });
+    let refusal = append_refusal(leader.node.term(), 2, leader.now);
+    let outputs = leader.receive(2, refusal);
+    let is_chunk = |(_, message): &(u64, Message)| matches!(message, Message::SnapshotChunk(_));
+    assert!(sent(&outputs).iter().any(is_chunk), "the follower needs the snapshot: {:?}", sent(&outputs));
+    for _ in 0..20 {
+        leader.hand_in(Event::Propose { payload: vec![2; LARGE] });
+        leader.persist();
+    }
+    assert!(leader.node.snapshot_meta(sent_index).is_some());
+}
+
+#[test]
+fn a_follower_on_a_slow_link_needs_one_snapshot_though_others_are_taken_meanwhile() {
+    let mut cluster = Cluster::started(3, 3, 4);
+    cluster.configure = |options| {
+        options.kept_entries = 2;
+        options.kept_bytes_for_followers = 1024 * 1024;
+        options.snapshot_chunk_bytes = 8;
+    };
+    (0..3).for_each(|slot| cluster.lose_power(slot));
+    (0..3).for_each(|slot| cluster.start(slot));
+    cluster.run_for(2 * SECOND);
+    cluster.keep_history = true;
+    let behind = (cluster.leader().expect("a leader") + 1) % 3;
+    cluster.lose_power(behind);
+    for _ in 0..60 {
+        assert!(cluster.propose(20));
+        cluster.run_for(50 * MILLISECOND);
+    }
+    cluster.clear_history();
+    cluster.start(behind);
+    // The snapshot takes forty round trips; meanwhile the log grows by more than two snapshots' worth.
+    for _ in 0..200 {
+        assert!(cluster.propose(20));
+        cluster.run_for(2 * MILLISECOND);
+    }
+    cluster.run_for(500 * MILLISECOND);
+    let restored = |output: &&Output| matches!(output, Output::Restore { .. });
+    assert_eq!(cluster.history(behind).iter().filter(restored).count(), 1);
+    assert_eq!(cluster.node(behind).map(Node::commit_index), Some(cluster.oracle.last_committed()));
+}
+
+#[test]
+fn chunks_that_are_lost_repeated_or_of_another_leader_never_make_a_wrong_snapshot() {
+    let mut follower = Single::founder(3);
+    let meta = consensus::SnapshotMeta { index: 50, term: 4, membership: support::single::voters(3) };
+    let data: Vec<u8> = (0..100).collect();
+    let chunk = |from: u64, term: u64, offset: usize, byte_shift: u8| {
+        let part: Vec<u8> = data[offset..offset + 25].iter().map(|byte| byte + byte_shift).collect();
+        let chunk = consensus::SnapshotChunk {
+            term,
+            last_index: meta.index,
+            last_term: meta.term,
+            membership: meta.membership.clone(),
+            offset: offset as u64,
+            total: 100,
+            data: part,
+            round: 1,
+        };
+        (from, Message::SnapshotChunk(chunk))
+    };
+    let script = [
+        chunk(2, 4, 0, 0),
+        chunk(2, 4, 0, 0),
+        chunk(2, 4, 50, 0),
+        chunk(2, 4, 25, 0),
+        // Another leader sends another encoding of the same state: nothing of the first may be mixed with it.
+        chunk(3, 5, 0, 100),
+        chunk(2, 4, 50, 0),
+        chunk(3, 5, 25, 100),
+        chunk(3, 5, 25, 100),
+        chunk(3, 5, 75, 100),
+        chunk(3, 5, 50, 100),
+        chunk(2, 4, 75, 0),
+        chunk(3, 5, 75, 100),
+    ];
+    let mut restored = Vec::new();
+    let mut replies: Vec<SnapshotReply> = Vec::new();
+    for (from, message) in script {
+        let mut outputs = follower.receive(from, message);
+        outputs.extend(follower.persist());
+        for (_, message) in sent(&outputs) {
+            if let Message::SnapshotReply(reply) = message {
+                replies.push(reply);
+            }
+        }
+        restored.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Restore { snapshot } => Some(snapshot),
+            _ => None,
+        }));
+    }
+    let expected: Vec<u8> = data.iter().map(|byte| byte + 100).collect();
+    assert_eq!(restored.len(), 1);
+    assert_eq!(*restored[0].data, expected);
+    let of_second: Vec<u64> =
+        replies.iter().filter(|reply| reply.term == 5).map(|reply| reply.received).collect();
+    assert_eq!(of_second, [25, 50, 50, 50, 75, 100]);
+    let entry = consensus::Entry { index: 51, term: 5, payload: Payload::Noop };
+    let outputs = follower.receive(3, support::single::append_request(5, (4, 50), vec![entry], 50));
+    assert!(!outputs.is_empty(), "the log goes on behind the snapshot");
+}
--- a/crates/consensus/tests/support/oracle.rs
+++ b/crates/consensus/tests/support/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use consensus::{Entry, Index, Node, NodeId, Payload, Term};
+use consensus::{Entry, Index, Membership, Node, NodeId, Payload, Term};
 
 #[derive(Clone, Default)]
 pub struct Oracle {
@@ -16,6 +16,14 @@
         self.committed.keys().next_back().copied().unwrap_or(0)
     }
 
+    /// The newest members that are committed.
+    pub fn committed_membership(&self) -> Option<&Membership> {
+        self.committed.values().rev().find_map(|(_, payload)| match payload {
+            Payload::Membership(membership) => Some(membership),
+            Payload::Noop | Payload::Command(_) => None,
+        })
+    }
+
     pub fn committed_term(&self, index: Index) -> Option<Term> {
         self.committed.get(&index).map(|(term, _)| *term)
     }
