Hold every call to a worker against the log, and test a leader without its majority

Change: State::check_call says whether a hold's LastSeen and a start's intent are in the log. The cluster of the scheduler's tests and the simulation report a call that is not as a breach; control logs it and does not send it. Answers under the lease are made by one function for control and simulation.

--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -1,11 +1,10 @@
 //! Hosts the leader's decisions while this process leads.
 
-use crate::clients::not_leader;
 use crate::clock::time_of_day_ms;
 use crate::driver::Driver;
 use crate::operators::reply_of;
 use crate::worker_client::WorkerCall;
-use scheduler::leader::{client_reply_needs_lease, Input, Leader, LeaderSettings, Output};
+use scheduler::leader::{client_reply_under_lease, Input, Leader, LeaderSettings, Output};
 use scheduler::worker::CallOutcome;
 
 impl Driver {
@@ -66,18 +65,19 @@
     pub(crate) fn carry_out(&mut self, now: u64, output: Output) {
         match output {
             Output::Propose { batch } => self.propose(now, &batch),
-            Output::Reply { token, mut reply } => {
-                if client_reply_needs_lease(reply.outcome) && !self.host.has_lease(self.clock.now()) {
-                    reply = not_leader(0);
-                }
-                self.clients.answer(token, reply);
+            Output::Reply { token, reply } => {
+                let has_lease = self.host.has_lease(self.clock.now());
+                self.clients.answer(token, client_reply_under_lease(reply, has_lease));
             }
             Output::ConfigurationReply { token, reply } => {
                 let has_lease = self.host.has_lease(self.clock.now());
-                self.operators.answer(token, reply_of(reply, has_lease));
+                self.operators.answer(token, reply_of(reply.under_lease(has_lease)));
             }
             Output::Call { call, address, instance, request } => {
-                if self.host.has_lease(self.clock.now()) {
+                if let Err(error) = self.host.state().check_call(&instance, &request) {
+                    log::error!("{error}");
+                    self.tell_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
+                } else if self.host.has_lease(self.clock.now()) {
                     self.workers.start(WorkerCall { call, address, instance, request });
                 } else {
                     self.tell_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -56,11 +56,8 @@
     }
 }
 
-/// The leader's answer as the API gives it. What tells of state needs the lease.
-pub fn reply_of(reply: ConfigurationReply, has_lease: bool) -> OperatorReply {
-    if reply.needs_lease() && !has_lease {
-        return OperatorReply::Unavailable;
-    }
+/// The leader's answer as the API gives it.
+pub fn reply_of(reply: ConfigurationReply) -> OperatorReply {
     match reply {
         ConfigurationReply::Accepted => OperatorReply::Accepted,
         ConfigurationReply::Conflict { text } => OperatorReply::Conflict { text },
--- a/crates/scheduler/src/leader/lease_rules.rs
+++ b/crates/scheduler/src/leader/lease_rules.rs
@@ -4,12 +4,15 @@
 //! speaks of the newest state (a version, a queue, a job that is not there, a job that will never run) and is wrong
 //! once another leader has changed it, so it needs contact with a majority.
 
-use messages::peer::Outcome;
+use messages::peer::{ClientReply, Outcome};
 
 use super::ConfigurationReply;
 
+/// When the operator may ask again where contact with a majority is missing, in milliseconds.
+const RETRY_WITHOUT_LEASE_MS: u32 = 1_000;
+
 /// Whether a client may be given this outcome under the leader's lease only.
-pub fn client_reply_needs_lease(outcome: Outcome) -> bool {
+fn client_reply_needs_lease(outcome: Outcome) -> bool {
     match outcome {
         Outcome::ACCEPTED | Outcome::CANCEL_DONE => false,
         Outcome::UNSURE | Outcome::OUTCOME_UNKNOWN | Outcome::NOT_LEADER => false,
@@ -18,9 +21,26 @@
     }
 }
 
+/// An answer to a client as it may leave: without the lease, one that needs it says that this process does not lead, so
+/// that the request goes to the one that does.
+pub fn client_reply_under_lease(reply: ClientReply, has_lease: bool) -> ClientReply {
+    if has_lease || !client_reply_needs_lease(reply.outcome) {
+        return reply;
+    }
+    ClientReply { outcome: Outcome::NOT_LEADER, ..ClientReply::default() }
+}
+
 impl ConfigurationReply {
+    /// The answer as it may leave: without the lease, one that needs it says nothing of the state.
+    pub fn under_lease(self, has_lease: bool) -> ConfigurationReply {
+        if has_lease || !self.needs_lease() {
+            return self;
+        }
+        ConfigurationReply::Unavailable { retry_after_ms: RETRY_WITHOUT_LEASE_MS }
+    }
+
     /// Whether the operator may be given this answer under the leader's lease only.
-    pub fn needs_lease(&self) -> bool {
+    fn needs_lease(&self) -> bool {
         match self {
             ConfigurationReply::Accepted | ConfigurationReply::Unavailable { .. } => false,
             // A version is too low, or not the one built on, by the newest configuration.
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -40,7 +40,7 @@
 use crate::worker::SessionOutput;
 
 pub use interface::{CallId, ConfigurationReply, Input, LeaderSettings, Output};
-pub use lease_rules::client_reply_needs_lease;
+pub use lease_rules::client_reply_under_lease;
 pub use notices::Notice;
 
 use attempts::Attempts;
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! Replicated state of configuration, jobs and workers: deterministic, the same on every core process.
 
+mod calls;
 mod configuration;
 mod digest;
 mod effect;
@@ -20,6 +21,7 @@
 
 use crate::ids::{AttemptKey, StepKey};
 
+pub use calls::UnbackedCall;
 pub use configuration::{ConfigurationKey, TakenConfiguration};
 pub use digest::ConfigurationDigest;
 pub use effect::{Applied, Over};
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -232,6 +232,9 @@
             }
             Output::Call { call, instance, request, .. } => {
                 self.calls += 1;
+                if let Err(error) = self.state.check_call(&instance, &request) {
+                    self.broken_rules.push(format!("UNBACKED: {error}"));
+                }
                 let arrive = Event::Arrive { term, call, instance, request };
                 match self.random.u8(..100) {
                     luck if luck >= self.loss_percent => self.at(now + LATENCY, arrive),
--- a/crates/scheduler/tests/lease_rules.rs
+++ b/crates/scheduler/tests/lease_rules.rs
@@ -1,7 +1,11 @@
 //! Answers that tell of the newest state need the leader's lease; what is committed does not.
 
-use messages::peer::Outcome;
-use scheduler::leader::{client_reply_needs_lease, ConfigurationReply};
+use messages::peer::{ClientReply, Outcome};
+use scheduler::leader::{client_reply_under_lease, ConfigurationReply};
+
+fn reply(outcome: Outcome) -> ClientReply {
+    ClientReply { outcome, text: "text".to_owned(), request_id: 7, ..ClientReply::default() }
+}
 
 #[test]
 fn refusals_and_states_for_clients_need_the_lease() {
@@ -15,7 +19,9 @@
         Outcome::UNAVAILABLE,
     ];
     for outcome in told_of_state {
-        assert!(client_reply_needs_lease(outcome), "{outcome:?}");
+        let without = client_reply_under_lease(reply(outcome), false);
+        assert_eq!((without.outcome, without.text.as_str()), (Outcome::NOT_LEADER, ""), "{outcome:?}");
+        assert_eq!(client_reply_under_lease(reply(outcome), true), reply(outcome));
     }
 }
 
@@ -23,19 +29,23 @@
 fn what_is_committed_or_not_certain_needs_no_lease() {
     let lasting = [Outcome::ACCEPTED, Outcome::CANCEL_DONE, Outcome::UNSURE, Outcome::NOT_LEADER];
     for outcome in lasting {
-        assert!(!client_reply_needs_lease(outcome), "{outcome:?}");
+        assert_eq!(client_reply_under_lease(reply(outcome), false), reply(outcome));
     }
 }
 
 #[test]
 fn refusals_and_bodies_for_the_operator_need_the_lease() {
-    let text = String::new;
-    assert!(ConfigurationReply::Conflict { text: text() }.needs_lease());
-    assert!(
-        ConfigurationReply::Invalid { text: text() }.needs_lease(),
-        "a version may be above the newest elsewhere"
-    );
-    assert!(ConfigurationReply::Body { version: 1, body: Vec::new() }.needs_lease());
-    assert!(!ConfigurationReply::Accepted.needs_lease());
-    assert!(!ConfigurationReply::Unavailable { retry_after_ms: 1 }.needs_lease());
+    let text = || "text".to_owned();
+    let told_of_state = [
+        ConfigurationReply::Conflict { text: text() },
+        // A version may be above the newest elsewhere.
+        ConfigurationReply::Invalid { text: text() },
+        ConfigurationReply::Body { version: 1, body: Vec::new() },
+    ];
+    for reply in told_of_state {
+        let without = reply.clone().under_lease(false);
+        assert!(matches!(without, ConfigurationReply::Unavailable { .. }), "{reply:?} leaves as {without:?}");
+        assert_eq!(reply.clone().under_lease(true), reply);
+    }
+    assert_eq!(ConfigurationReply::Accepted.under_lease(false), ConfigurationReply::Accepted);
 }
--- a/crates/simulation/src/core_process/clients.rs
+++ b/crates/simulation/src/core_process/clients.rs
@@ -32,11 +32,8 @@
     ClientReply { request_id, outcome: Outcome::NOT_LEADER, ..ClientReply::default() }
 }
 
-/// The leader's answer as the operator gets it. What tells of state needs the lease.
-pub fn operator_reply(reply: ConfigurationReply, has_lease: bool) -> OperatorReply {
-    if reply.needs_lease() && !has_lease {
-        return OperatorReply::Unavailable;
-    }
+/// The leader's answer as the operator gets it.
+pub fn operator_reply(reply: ConfigurationReply) -> OperatorReply {
     match reply {
         ConfigurationReply::Accepted => OperatorReply::Accepted,
         ConfigurationReply::Conflict { .. } => OperatorReply::Conflict,
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -1,9 +1,9 @@
 //! Hosts the leader's decisions while this process leads.
 
-use scheduler::leader::{client_reply_needs_lease, Input, Leader, Output};
+use scheduler::leader::{client_reply_under_lease, Input, Leader, Output};
 use scheduler::worker::CallOutcome;
 
-use super::clients::{not_leader, operator_reply};
+use super::clients::operator_reply;
 use super::{CoreOutput, CoreProcess};
 
 impl CoreProcess {
@@ -65,17 +65,17 @@
             Output::Propose { batch } => {
                 self.node_event(consensus::Event::Propose { payload: messages::encode(&batch) });
             }
-            Output::Reply { token, mut reply } => {
-                if client_reply_needs_lease(reply.outcome) && !self.has_lease() {
-                    reply = not_leader(0);
-                }
-                self.answer_client(token, reply);
+            Output::Reply { token, reply } => {
+                self.answer_client(token, client_reply_under_lease(reply, self.has_lease()));
             }
             Output::ConfigurationReply { token, reply } => {
-                let reply = operator_reply(reply, self.has_lease());
+                let reply = operator_reply(reply.under_lease(self.has_lease()));
                 self.answer_operator(token, reply);
             }
             Output::Call { call, address, instance, request } => {
+                if let Err(error) = self.state.check_call(&instance, &request) {
+                    self.out.push(CoreOutput::Failed(error.to_string()));
+                }
                 if self.has_lease() {
                     let term = self.leader_term;
                     self.out.push(CoreOutput::Call { term, call, address, instance, request });
