--- a/crates/consensus/tests/compaction.rs
+++ b/crates/consensus/tests/compaction.rs
@@ -149,3 +149,71 @@
     let outputs = follower.receive(3, support::single::append_request(5, (4, 50), vec![entry], 50));
     assert!(!outputs.is_empty(), "the log goes on behind the snapshot");
 }
+
+#[test]
+fn two_snapshots_of_one_leader_are_not_mixed() {
+    let mut follower = Single::founder(3);
+    let mut restored = Vec::new();
+    // The second one begins when a quarter of the first has come.
+    for (index, offset, byte) in [(50, 0, 1), (70, 0, 2), (70, 25, 2), (70, 50, 2), (70, 75, 2)] {
+        let chunk = consensus::SnapshotChunk {
+            term: 4,
+            last_index: index,
+            last_term: 4,
+            membership: support::single::voters(3),
+            offset,
+            total: 100,
+            data: vec![byte; 25],
+            round: 1,
+        };
+        let outputs = follower.receive(2, Message::SnapshotChunk(chunk));
+        follower.persist();
+        restored.extend(outputs.into_iter().filter_map(|output| match output {
+            Output::Restore { snapshot } => Some(snapshot),
+            _ => None,
+        }));
+    }
+    assert_eq!(restored.len(), 1);
+    assert_eq!((restored[0].meta.index, restored[0].data.as_slice()), (70, [2; 100].as_slice()));
+}
+
+fn snapshot_chunk(term: u64, index: u64, last_term: u64, data: Vec<u8>) -> Message {
+    Message::SnapshotChunk(consensus::SnapshotChunk {
+        term,
+        last_index: index,
+        last_term,
+        membership: support::single::voters(3),
+        offset: 0,
+        total: data.len() as u64,
+        data,
+        round: 1,
+    })
+}
+
+#[test]
+fn an_old_snapshot_replaces_nothing_newer() {
+    let mut follower = Single::founder(3);
+    let entries = (2..=9).map(|index| support::single::entry(index, 2)).collect();
+    follower.receive(2, support::single::append_request(2, (1, 1), entries, 9));
+    follower.persist();
+    assert_eq!((follower.node.commit_index(), follower.node.last_index()), (9, 9));
+    let outputs = follower.receive(2, snapshot_chunk(2, 5, 2, vec![1; 10]));
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Restore { .. })));
+    assert_eq!((follower.node.commit_index(), follower.node.last_index()), (9, 9));
+}
+
+#[test]
+fn a_snapshot_counts_once_it_is_durable() {
+    let mut follower = Single::founder(3);
+    follower.receive(2, support::single::append_request(2, (1, 1), vec![], 1));
+    follower.persist();
+    follower.receive(2, snapshot_chunk(2, 50, 2, vec![1; 10]));
+    let is_acknowledged = |outputs: &[Output]| {
+        let counts =
+            |message: &Message| matches!(message, Message::AppendReply(reply) if reply.match_index >= 50);
+        sent(outputs).iter().any(|(_, message)| counts(message))
+    };
+    let outputs = follower.receive(2, support::single::append_request(2, (2, 50), vec![], 50));
+    assert!(!is_acknowledged(&outputs), "the snapshot is not on the disk yet");
+    assert!(is_acknowledged(&follower.persist()));
+}
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -529,3 +529,15 @@
         assert!(led, "seed {seed}: no leader 250 ms after the kill");
     }
 }
+
+#[test]
+fn a_leader_without_a_committed_entry_of_its_term_has_no_lease() {
+    let mut leader = Single::founder(3);
+    leader.win(&[2]);
+    let reply = append_reply(leader.node.term(), 1, leader.now);
+    leader.receive(2, reply);
+    assert_eq!(leader.node.lease_until(), 0, "what is committed may be newer than what it knows");
+    leader.persist();
+    leader.acknowledge(2);
+    assert!(leader.node.lease_until() > leader.now);
+}
--- /dev/null
+++ b/crates/consensus/tests/membership_rules.rs
@@ -0,0 +1,201 @@
+//! When a leader changes its members, and when it does not.
+
+mod support;
+
+use consensus::{Event, Member, Options};
+use support::cluster::{Cluster, MILLISECOND, SECOND};
+use support::single::{append_reply, append_request, entry, Single};
+
+fn joiner(id: u64, address: &str) -> Member {
+    Member { id, address: address.to_string(), control: String::new(), voter: false }
+}
+
+/// A leader of three with a long log, one voter silent for good, and a learner that stands by.
+fn leader_with_a_learner() -> Single {
+    let mut leader = Single::leader(3);
+    leader.hand_in(Event::Join { member: joiner(77, "machine-7") });
+    let entries = 2 * Options::new(1).promotion_gap;
+    for _ in 0..entries {
+        leader.hand_in(Event::Propose { payload: vec![1] });
+    }
+    leader.persist();
+    leader.acknowledge(3);
+    leader
+}
+
+/// Lets voter 2 be silent for longer than a voter may be, while the others answer; the learner says that it has this.
+fn wait_for_a_silent_voter(leader: &mut Single, learner_has: u64) {
+    let silence = Options::new(1).voter_silence;
+    let until = leader.now + 2 * silence;
+    while leader.now < until {
+        leader.run_timer();
+        leader.persist();
+        leader.acknowledge(3);
+        let reply = append_reply(leader.node.term(), learner_has, leader.now);
+        leader.receive(77, reply);
+    }
+}
+
+#[test]
+fn a_learner_that_lacks_entries_becomes_no_voter() {
+    for learner_has in [0, 1, Options::new(1).promotion_gap] {
+        let mut leader = leader_with_a_learner();
+        wait_for_a_silent_voter(&mut leader, learner_has);
+        assert!(!leader.node.membership().is_voter(77), "with {learner_has} entries durable");
+        assert!(leader.node.membership().is_voter(2), "the silent voter leaves after its successor has come");
+    }
+}
+
+#[test]
+fn a_learner_that_has_the_log_takes_the_place_of_a_silent_voter() {
+    let mut leader = leader_with_a_learner();
+    let last = leader.node.last_index();
+    wait_for_a_silent_voter(&mut leader, last);
+    assert!(leader.node.membership().is_voter(77));
+    leader.persist();
+    leader.acknowledge(3);
+    leader.acknowledge(77);
+    wait_for_a_silent_voter(&mut leader, last);
+    assert!(!leader.node.membership().contains(2), "the number of voters is odd again");
+}
+
+#[test]
+fn voters_that_speak_stay_whoever_stands_by() {
+    let mut leader = leader_with_a_learner();
+    for round in 0..100 {
+        leader.run_timer();
+        leader.persist();
+        // One voter answers late, and never for as long as a voter may be silent.
+        let answering = if round % 4 == 0 { vec![2, 3, 77] } else { vec![3, 77] };
+        answering.into_iter().for_each(|other| drop(leader.acknowledge(other)));
+    }
+    assert!([1, 2, 3].into_iter().all(|voter| leader.node.membership().is_voter(voter)));
+    assert!(!leader.node.membership().is_voter(77));
+}
+
+#[test]
+fn a_new_leader_changes_no_members_before_its_first_entry_is_committed() {
+    let mut leader = Single::founder(3);
+    leader.receive(2, append_request(2, (1, 1), vec![entry(2, 2)], 2));
+    leader.persist();
+    assert_eq!(leader.node.commit_index(), 2, "the members in force are committed");
+    leader.win(&[2]);
+    leader.hand_in(Event::Join { member: joiner(77, "machine-7") });
+    for _ in 0..3 {
+        leader.run_timer();
+        // A follower answers, but its disk has not the new leader's entry yet.
+        let reply = append_reply(leader.node.term(), 2, leader.now);
+        leader.receive(2, reply);
+        assert!(!leader.node.membership().contains(77));
+    }
+    leader.persist();
+    leader.acknowledge(2);
+    assert!(leader.node.membership().contains(77));
+}
+
+#[test]
+fn learners_count_neither_for_a_majority_nor_for_its_size() {
+    let mut leader = Single::leader(3);
+    for learner in [77, 88] {
+        leader.hand_in(Event::Join { member: joiner(learner, &format!("machine-{learner}")) });
+        leader.persist();
+        leader.acknowledge(2);
+        assert!(leader.node.membership().contains(learner));
+    }
+    let before = leader.node.commit_index();
+    leader.hand_in(Event::Propose { payload: vec![1] });
+    leader.persist();
+    leader.acknowledge(77);
+    leader.acknowledge(88);
+    assert_eq!(leader.node.commit_index(), before, "one voter of three has it");
+    leader.acknowledge(2);
+    assert!(leader.node.commit_index() > before, "two voters of three have it");
+}
+
+#[test]
+fn members_do_not_change_while_leadership_is_handed_over() {
+    let mut leader = Single::leader(3);
+    leader.hand_in(Event::Propose { payload: vec![1] });
+    leader.hand_in(Event::Transfer);
+    assert_eq!(leader.node.lease_until(), 0, "a transfer is under way");
+    leader.hand_in(Event::Join { member: joiner(77, "machine-7") });
+    assert!(!leader.node.membership().contains(77));
+}
+
+/// A group with a spare machine that is a learner; gives the slot of a follower.
+fn group_with_a_spare(seed: u64) -> (Cluster, usize) {
+    let mut cluster = Cluster::started(3, 4, seed);
+    cluster.run_for(2 * SECOND);
+    cluster.start(3);
+    cluster.run_for(2 * SECOND);
+    let follower = (cluster.leader().expect("a leader") + 1) % 3;
+    (cluster, follower)
+}
+
+/// Whether the group has three voters, all of them on machines that run.
+fn is_whole(cluster: &Cluster) -> bool {
+    let Some(leader) = cluster.leader() else { return false };
+    let members = cluster.node(leader).expect("it runs").membership();
+    members.voters().count() == 3 && cluster.voters_are_whole() && cluster.holds_lease(leader)
+}
+
+#[test]
+fn a_second_machine_may_go_as_soon_as_the_first_one_is_replaced() {
+    for seed in 0..8 {
+        let (mut cluster, first) = group_with_a_spare(seed);
+        cluster.wipe(first);
+        let replaced =
+            cluster.run_until(6 * SECOND, |cluster| is_whole(cluster) && cluster.committed_voters() == 3);
+        assert!(replaced, "seed {seed}: the spare has not taken its place");
+        let leader = cluster.leader().expect("a leader");
+        cluster.propose(10);
+        cluster.run_for(50 * MILLISECOND);
+        let last = cluster.oracle.last_committed();
+        cluster.wipe(leader);
+        let led = cluster.run_until(2 * SECOND, |cluster| cluster.leader().is_some());
+        assert!(led, "seed {seed}: no leader after the second loss");
+        cluster.run_for(SECOND);
+        assert!(cluster.propose(10));
+        cluster.run_for(SECOND);
+        assert!(cluster.oracle.last_committed() > last, "seed {seed}");
+    }
+}
+
+#[test]
+fn at_every_moment_of_a_replacement_a_machine_may_lose_power() {
+    for milliseconds in (0..4_000).step_by(40) {
+        let (mut cluster, first) = group_with_a_spare(1);
+        cluster.wipe(first);
+        cluster.run_for(milliseconds * MILLISECOND);
+        let other = (first + 1) % 3;
+        cluster.bounce(other, 300 * MILLISECOND);
+        cluster.run_for(6 * SECOND);
+        assert!(is_whole(&cluster), "{milliseconds} ms after the loss of a disk");
+        assert!(cluster.propose(10));
+    }
+}
+
+#[test]
+fn two_of_five_may_lose_their_disks_at_once_and_two_more_once_they_are_replaced() {
+    for seed in 0..6 {
+        let mut cluster = Cluster::new(5, 5, seed);
+        cluster.configure = |options| options.target_voters = 5;
+        (0..5).for_each(|slot| cluster.start(slot));
+        cluster.run_for(2 * SECOND);
+        for _ in 0..2 {
+            let leader = cluster.leader().expect("a leader");
+            assert!(cluster.propose(10));
+            cluster.run_for(100 * MILLISECOND);
+            let lost = [(leader + 1) % 5, (leader + 2) % 5];
+            lost.iter().for_each(|slot| cluster.wipe(*slot));
+            cluster.run_for(500 * MILLISECOND);
+            lost.iter().for_each(|slot| cluster.start(*slot));
+            let replaced = cluster.run_until(8 * SECOND, |cluster| {
+                let leader = cluster.leader().and_then(|leader| cluster.node(leader));
+                let voters = leader.map_or(0, |leader| leader.membership().voters().count());
+                voters == 5 && cluster.voters_are_whole() && cluster.committed_voters() == 5
+            });
+            assert!(replaced, "seed {seed}: five voters again");
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/worker_connections.rs
@@ -0,0 +1,199 @@
+//! Connections to workers that end or speak at the wrong moment: nothing is sent twice, and an answer reaches the call that
+//! it belongs to or none.
+
+use control::events::DriverEvent;
+use control::worker_client::{WorkerCall, WorkerClient};
+use scheduler::ids::{AttemptKey, TaskKey};
+use scheduler::leader::CallId;
+use scheduler::worker::{CallOutcome, WorkerRequest};
+use std::future::Future;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{yield_now, LocalSet};
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Turns of the runtime in which a second copy of a call would have left.
+const TURNS: usize = 200;
+
+fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let limited = async { timeout(PATIENCE, test).await.expect("an end in time") };
+    LocalSet::new().block_on(&runtime, limited);
+}
+
+struct Worker {
+    client: WorkerClient,
+    events: mpsc::Receiver<DriverEvent>,
+    listener: TcpListener,
+    next_call: u64,
+}
+
+impl Worker {
+    async fn new() -> Worker {
+        let (sender, events) = mpsc::channel(16);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Worker { client: WorkerClient::new(sender), events, listener, next_call: 0 }
+    }
+
+    /// Sends an order that may not be repeated.
+    fn start(&mut self) {
+        self.next_call += 1;
+        let task = TaskKey { job: 1, time: 0, step: 0, index: 0 };
+        let request = WorkerRequest::Start {
+            key: AttemptKey { task, attempt: 1 },
+            spec: "text".into(),
+            checkpoint: String::new(),
+            deadline_ms: 5_000,
+            fence: 7,
+        };
+        let address = self.listener.local_addr().expect("an address").to_string();
+        let call = CallId { worker: 1, call: self.next_call };
+        self.client.start(WorkerCall { call, address, instance: "i-1".to_owned(), request });
+    }
+
+    async fn accept(&mut self) -> TcpStream {
+        self.listener.accept().await.expect("a connection").0
+    }
+
+    async fn outcome(&mut self) -> CallOutcome {
+        match self.events.recv().await {
+            Some(DriverEvent::CallFinished { call, outcome, .. }) => {
+                assert_eq!(call.call, self.next_call, "the outcome of another call");
+                outcome
+            }
+            _ => panic!("a call's outcome"),
+        }
+    }
+
+    /// Whether the client opens no connection for a second copy of a call.
+    async fn opens_nothing_more(&mut self) -> bool {
+        for _ in 0..TURNS {
+            yield_now().await;
+        }
+        timeout(Duration::ZERO, self.listener.accept()).await.is_err()
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"}") {
+        assert!(stream.read_buf(&mut bytes).await.expect("a request") > 0, "a whole request");
+    }
+}
+
+fn answer(now_ms: u64) -> String {
+    let body = format!("{{\"NowMs\":{now_ms}}}");
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).await.expect("a reader");
+}
+
+/// Endings of an answer that is no whole one.
+const PARTS: [&str; 6] = [
+    "",
+    "HTT",
+    "HTTP/1.1 200 OK\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"NowM",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n{\"NowMs\"",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"NowMs\":\r\n",
+];
+
+#[test]
+fn an_answer_that_ends_early_is_silence_and_the_order_is_not_sent_again() {
+    on_one_thread(async {
+        for part in PARTS {
+            let mut worker = Worker::new().await;
+            worker.start();
+            let mut stream = worker.accept().await;
+            read_request(&mut stream).await;
+            write(&mut stream, part).await;
+            drop(stream);
+            assert_eq!(worker.outcome().await, CallOutcome::Silence, "{part:?}");
+            assert!(worker.opens_nothing_more().await, "{part:?}");
+        }
+    });
+}
+
+#[test]
+fn a_kept_connection_that_ends_after_the_order_was_read_is_silence_too() {
+    on_one_thread(async {
+        for part in PARTS {
+            let mut worker = Worker::new().await;
+            worker.start();
+            let mut stream = worker.accept().await;
+            read_request(&mut stream).await;
+            write(&mut stream, &answer(1)).await;
+            assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
+            worker.start();
+            read_request(&mut stream).await;
+            write(&mut stream, part).await;
+            drop(stream);
+            assert_eq!(worker.outcome().await, CallOutcome::Silence, "{part:?}");
+            assert!(worker.opens_nothing_more().await, "{part:?}");
+        }
+    });
+}
+
+#[test]
+fn a_second_answer_in_one_segment_reaches_no_later_call() {
+    on_one_thread(async {
+        let mut worker = Worker::new().await;
+        worker.start();
+        let mut stream = worker.accept().await;
+        read_request(&mut stream).await;
+        write(&mut stream, &(answer(1) + &answer(99))).await;
+        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
+        worker.start();
+        let mut next = worker.accept().await;
+        read_request(&mut next).await;
+        write(&mut next, &answer(2)).await;
+        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 2 });
+    });
+}
+
+#[test]
+fn an_answer_that_nobody_asked_for_reaches_no_later_call() {
+    on_one_thread(async {
+        let mut worker = Worker::new().await;
+        worker.start();
+        let mut stream = worker.accept().await;
+        read_request(&mut stream).await;
+        write(&mut stream, &answer(1)).await;
+        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
+        write(&mut stream, &answer(99)).await;
+        for _ in 0..TURNS {
+            yield_now().await;
+        }
+        worker.start();
+        let mut next = worker.accept().await;
+        read_request(&mut next).await;
+        write(&mut next, &answer(2)).await;
+        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 2 });
+    });
+}
+
+#[test]
+fn an_answer_before_its_request_is_read_meets_at_most_that_call() {
+    on_one_thread(async {
+        let mut worker = Worker::new().await;
+        worker.start();
+        let mut stream = worker.accept().await;
+        // Before a byte of the request is read: it may have left the client by now, or not.
+        write(&mut stream, &answer(99)).await;
+        drop(stream);
+        let outcome = worker.outcome().await;
+        assert!(
+            matches!(
+                outcome,
+                CallOutcome::Silence | CallOutcome::NotSent | CallOutcome::Answer { now_ms: 99 }
+            ),
+            "{outcome:?}"
+        );
+        assert!(worker.opens_nothing_more().await);
+    });
+}
--- /dev/null
+++ b/crates/mutants/tests/list.rs
@@ -0,0 +1,47 @@
+//! Each change of the list fits its file, and names a test that is there.
+
+use mutants::mutants;
+use std::collections::BTreeSet;
+use std::path::Path;
+
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+#[test]
+fn every_change_fits_its_file_once_and_changes_it() {
+    for mutant in mutants() {
+        let original = std::fs::read_to_string(root().join(mutant.file)).expect(mutant.file);
+        let changed = mutant.apply(&original).unwrap_or_else(|error| panic!("{error}"));
+        assert_ne!(changed, original, "{}", mutant.name);
+    }
+}
+
+#[test]
+fn every_change_names_a_test_file_that_is_there() {
+    for mutant in mutants() {
+        let words: Vec<&str> = mutant.test.split(' ').collect();
+        let [_, package, _, test, rest @ ..] = words.as_slice() else {
+            panic!("{}: {:?} is no `-p PACKAGE --test FILE [NAME]`", mutant.name, mutant.test)
+        };
+        let path = root().join(format!("crates/{package}/tests/{test}.rs"));
+        let text =
+            std::fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
+        for name in rest {
+            assert!(
+                text.contains(&format!("fn {name}")),
+                "{}: no test {name} in {}",
+                mutant.name,
+                path.display()
+            );
+        }
+    }
+}
+
+#[test]
+fn names_are_used_once_and_all_five_points_have_changes() {
+    let names: BTreeSet<&str> = mutants().iter().map(|mutant| mutant.name).collect();
+    assert_eq!(names.len(), mutants().len());
+    let points: BTreeSet<u8> = mutants().iter().map(|mutant| mutant.point).collect();
+    assert_eq!(points, BTreeSet::from([1, 2, 3, 4, 5]));
+}
--- a/crates/scheduler/tests/state_commands.rs
+++ b/crates/scheduler/tests/state_commands.rs
@@ -319,3 +319,17 @@
     assert_eq!(state.configuration().unwrap().body, b"b");
     assert_eq!(state.configuration_version(), 5);
 }
+
+#[test]
+fn an_end_that_is_listed_again_counts_once() {
+    let mut state = accepted(job(vec![stage(1)]));
+    let key = task(JOB, 0, 0);
+    apply(&mut state, start(&[key], 1, "w"));
+    for _ in 0..3 {
+        apply(&mut state, end("w", 1, key, 1, EndKind::FAILED));
+        let failures = state.open_work(JOB).and_then(|work| work.task(key)).map(|task| task.failures);
+        assert_eq!(failures, Some(1));
+        assert_eq!(state.worker("w").map(|worker| worker.noted), Some(1));
+        state = State::restore(&state.snapshot()).expect("a whole snapshot");
+    }
+}
