Simulate refusing cuts, slow, planned and herd losses, long cuts, and check reads as linearizable

The operator reads the configuration every 0.4 s from any machine; a reading older than what was acknowledged or read before it is a breach.

Seeds that once failed are in tests/random_days.rs.

--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -144,6 +144,15 @@
     pub key: AttemptKey,
 }
 
+/// One reading of the configuration by the operator, from any machine.
+#[derive(Clone, Debug)]
+pub struct ConfigurationLook {
+    /// When it was sent.
+    pub sent_at: u64,
+    /// When a configuration came, and which; `None`: another answer or none.
+    pub answer: Option<(u64, Vec<u8>)>,
+}
+
 /// A change of the configuration as the operator sent it.
 #[derive(Clone, Debug)]
 pub struct ConfigurationOrder {
@@ -215,12 +224,16 @@
     pub calls: Vec<ClientCall>,
     /// Runs in the order of their starts.
     pub runs: Vec<Run>,
+    /// Orders to start as the core sent them: whose task, and to which worker.
+    pub start_orders: Vec<(u64, usize)>,
     /// Orders that name unknown tasks.
     pub unknown_orders: Vec<UnknownOrder>,
     /// Changes of the configuration in the order in which they were first sent.
     pub configurations: Vec<ConfigurationOrder>,
     /// The configuration as it was read back at the end; `None`: it did not come.
     pub read_back: Option<Vec<u8>>,
+    /// Configurations that the operator read in passing.
+    pub looks: Vec<ConfigurationLook>,
     /// Draining workers as core machines saw them listed.
     pub drains: Vec<DrainRead>,
     /// Jobs that waited for no reason.
@@ -253,6 +266,11 @@
         self.runs.iter().filter(move |run| run.key.task.job == job)
     }
 
+    /// Workers to which a start of the job was ever sent.
+    pub fn ordered_to(&self, job: u64) -> impl Iterator<Item = usize> + '_ {
+        self.start_orders.iter().filter(move |(of, _)| *of == job).map(|(_, worker)| *worker)
+    }
+
     /// Whether a step may have copies side by side.
     pub fn is_speculative(&self, key: &AttemptKey) -> bool {
         self.stage_flag(key, |stage| stage.speculative)
--- a/crates/simulation/src/oracle/configuration.rs
+++ b/crates/simulation/src/oracle/configuration.rs
@@ -10,6 +10,7 @@
     both_acknowledged(history, out);
     refused_though_taken(history, out);
     read_back(history, out);
+    reads_are_linearizable(history, out);
     applied(touch, history, out);
 }
 
@@ -86,6 +87,38 @@
     }
 }
 
+/// A configuration that is read, by anyone at any moment, is no older than one that was acknowledged or read before the
+/// reading began.
+fn reads_are_linearizable(history: &History, out: &mut Vec<Breach>) {
+    // Moments from which a version or a later one is in force, as somebody outside was told.
+    let mut known: Vec<(u64, u64)> = Vec::new();
+    for order in history.configurations.iter().filter(|order| !order.invalid) {
+        known.extend(acknowledgement(order).map(|at| (at, order.version)));
+    }
+    let mut readings = Vec::new();
+    for look in &history.looks {
+        let Some((at, body)) = &look.answer else { continue };
+        let Some(order) = history.configurations.iter().find(|order| order.body == *body) else {
+            out.push(Breach::new(Rule::Config, *at, "what is read was never sent".to_owned()));
+            continue;
+        };
+        if order.invalid || order.sent_at > *at {
+            let text = format!("version {} is read, which is invalid or not yet sent", order.version);
+            out.push(Breach::new(Rule::Config, *at, text));
+        }
+        known.push((*at, order.version));
+        readings.push((look.sent_at, *at, order.version));
+    }
+    for (sent_at, at, version) in readings {
+        let before = known.iter().filter(|(told_at, _)| *told_at < sent_at);
+        let newest = before.map(|(_, version)| *version).max().unwrap_or(0);
+        if version < newest {
+            let text = format!("version {version} is read after version {newest} was in force");
+            out.push(Breach::new(Rule::Config, at, text));
+        }
+    }
+}
+
 /// Machines in touch act on a version in time: counts of queues that it adds or drops.
 fn applied(touch: &Touch<'_>, history: &History, out: &mut Vec<Breach>) {
     for call in history.calls.iter().filter(|call| call.kind == CallKind::Count) {
--- a/crates/simulation/src/site.rs
+++ b/crates/simulation/src/site.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// The small deployment with five core machines, two of which may be lost at one time, and unguarded workers.
+    pub fn five() -> Site {
+        Site { cores: 5, spare_cores: 2, tolerated: 2, ..Site::unguarded() }
+    }
+
     /// The small deployment with a first service whose workers start whatever they are told.
     pub fn unguarded() -> Site {
         let mut site = Site::small();
--- a/crates/simulation/src/world/calls.rs
+++ b/crates/simulation/src/world/calls.rs
@@ -54,6 +54,9 @@
             self.report_call(machine, term, call, CallOutcome::NotSent);
             return;
         };
+        if let WorkerRequest::Start { key, .. } = &request {
+            self.history.start_orders.push((key.task.job, worker));
+        }
         self.worker_calls.next += 1;
         let id = self.worker_calls.next;
         let late = self.late_share > 0.0 && self.rng.f64() < self.late_share;
--- a/crates/simulation/src/world/cores.rs
+++ b/crates/simulation/src/world/cores.rs
@@ -39,6 +39,10 @@
     /// It counts as lost until then.
     pub(super) lost_until: u64,
     pub(super) had_first_start: bool,
+    /// Since when its disk has held what it holds.
+    pub(super) disk_since: u64,
+    /// It was replaced: once its process ends it does not come back.
+    pub(super) leaves: bool,
     steady_offset: u64,
     generation: u64,
     wakes_at: u64,
@@ -59,6 +63,8 @@
             day_offset_ms: 0,
             lost_until: 0,
             had_first_start: false,
+            disk_since: 0,
+            leaves: false,
             steady_offset,
             generation: 0,
             wakes_at: u64::MAX,
@@ -122,6 +128,7 @@
         core.frozen_until = core.frozen_until.min(now);
         if wipe {
             core.directory.erase();
+            core.disk_since = now;
         } else if power_lost {
             core.directory.lose_power();
         } else {
@@ -199,6 +206,23 @@
         });
     }
 
+    /// A connection to another core machine is refused.
+    pub(super) fn peer_refused(&mut self, machine: usize, life: u32, refused: usize) {
+        if self.cores[machine].life != life {
+            return;
+        }
+        let event = CoreEvent::PeerRefused { machine: refused };
+        self.core_event_when_awake(machine, event, |_| Event::PeerRefused { machine, life, refused });
+    }
+
+    /// A process stands still until a time, if it runs.
+    pub(super) fn core_stands_still(&mut self, machine: usize, until: u64) {
+        let core = &mut self.cores[machine];
+        if core.process.is_some() {
+            core.frozen_until = core.frozen_until.max(until);
+        }
+    }
+
     pub(super) fn disk_done(&mut self, machine: usize, life: u32) {
         if self.cores[machine].life != life {
             return;
@@ -332,6 +356,10 @@
     }
 
     pub(super) fn restart_core(&mut self, machine: usize, after: u64) {
+        if self.cores[machine].leaves {
+            self.cores[machine].exists = false;
+            return;
+        }
         let power = self.cores[machine].power;
         self.queue.push(self.now + after, Event::CoreStarts { machine, power });
     }
--- a/crates/simulation/src/world/event.rs
+++ b/crates/simulation/src/world/event.rs
@@ -19,6 +19,12 @@
     CoreFrame { machine: usize, from: usize, frame: CoreFrame },
     /// A core process learns that a connection broke.
     PeerLost { machine: usize, life: u32, lost: usize },
+    /// A core process learns that nothing listens at a machine that it was connected to.
+    PeerRefused { machine: usize, life: u32, refused: usize },
+    /// A core process stands still until a time.
+    CoreStandsStill { machine: usize, until: u64 },
+    /// A core machine that was replaced is asked to stop.
+    CoreLeaves { machine: usize, life: u32 },
     /// A core machine's disk has finished a write.
     DiskDone { machine: usize, life: u32 },
     /// SIGKILL after the grace of a SIGTERM.
@@ -79,6 +85,8 @@
     OperatorGivesUp { exchange: usize },
     /// The operator reads the configuration back.
     ReadBack,
+    /// The operator looks at the configuration in passing.
+    OperatorLooks,
     /// A trouble begins.
     TroubleBegins { trouble: usize },
     /// What a trouble does to single things ends.
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -72,6 +72,8 @@
     closing_armed: bool,
     /// The leader loses power for this long once it has accepted a job.
     taken_ambush: Option<u64>,
+    /// All machines with a disk lose power when a job is next accepted, and for how long.
+    herd_ambush: Option<u64>,
     /// The leader loses power for this long once a worker forgot ends at its word.
     note_ambush: Option<u64>,
     history: History,
@@ -130,6 +132,9 @@
             Event::CoreWakes { machine, life, generation } => self.core_wakes(machine, life, generation),
             Event::CoreFrame { machine, from, frame } => self.core_frame(machine, from, frame),
             Event::PeerLost { machine, life, lost } => self.peer_lost(machine, life, lost),
+            Event::PeerRefused { machine, life, refused } => self.peer_refused(machine, life, refused),
+            Event::CoreStandsStill { machine, until } => self.core_stands_still(machine, until),
+            Event::CoreLeaves { machine, life } => self.core_leaves(machine, life),
             Event::DiskDone { machine, life } => self.disk_done(machine, life),
             Event::GraceEnds { machine, life } => self.grace_ends(machine, life),
             Event::EdgeStarts { edge } => self.edge_starts(edge),
@@ -162,6 +167,7 @@
             Event::OperatorAnswered { exchange, reply } => self.operator_answered(exchange, reply),
             Event::OperatorGivesUp { exchange } => self.operator_gives_up(exchange),
             Event::ReadBack => self.read_back(),
+            Event::OperatorLooks => self.operator_looks(),
             Event::TroubleBegins { trouble } => self.trouble_begins(trouble),
             Event::TroubleEnds { trouble, touched } => self.trouble_ends(trouble, &touched),
             Event::CutEnds => self.end_cuts(),
--- a/crates/simulation/src/world/network.rs
+++ b/crates/simulation/src/world/network.rs
@@ -34,11 +34,17 @@
     SendsToCores(usize),
     /// A machine or a worker is cut off from all machines and workers.
     FromAll(Endpoint),
+    /// A worker is cut off from the core machines.
+    WorkerFromCores(usize),
 }
 
 impl Cut {
     fn severs(&self, from: Endpoint, to: Endpoint) -> bool {
         let (Endpoint::Core(_), Endpoint::Core(_)) = (from, to) else {
+            if let Cut::WorkerFromCores(worker) = self {
+                let ends = (from, to);
+                return matches!(ends, (Endpoint::Core(_), Endpoint::Worker(end)) | (Endpoint::Worker(end), Endpoint::Core(_)) if end == *worker);
+            }
             return matches!(self, Cut::FromAll(cut) if (from == *cut || to == *cut)
                 && from != Endpoint::Outside && to != Endpoint::Outside);
         };
@@ -46,6 +52,7 @@
             Cut::FromCores(machine) => from == Endpoint::Core(*machine) || to == Endpoint::Core(*machine),
             Cut::SendsToCores(machine) => from == Endpoint::Core(*machine),
             Cut::FromAll(cut) => from == *cut || to == *cut,
+            Cut::WorkerFromCores(_) => false,
         }
     }
 }
--- a/crates/simulation/src/world/setting_up.rs
+++ b/crates/simulation/src/world/setting_up.rs
@@ -55,6 +55,7 @@
         lives: BTreeMap::new(),
         closing_armed: false,
         taken_ambush: None,
+        herd_ambush: None,
         note_ambush: None,
         history: History { traffic: Some(traffic), ..History::default() },
         trace: false,
--- a/crates/simulation/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -19,6 +19,16 @@
 const WORKER_SHARE: f64 = 0.2;
 /// How much later processes killed at once return, at most.
 const HERD_RETURNS: u64 = 900 * MS;
+/// Longest loss of power of all machines with a disk at once, right after a job was accepted.
+const HERD_TAKEN_LASTS: u64 = 4 * SECOND;
+/// A machine that is replaced as planned goes this long after its successor has come.
+const PLANNED_OVERLAP: u64 = SECOND;
+/// Connections are seen to be refused within this time.
+const REFUSED_WITHIN: u64 = 60 * MS;
+/// A slow process stands still for the first part of each period.
+const SLOW_PERIOD: u64 = 60 * MS;
+/// That part: it runs at a fifth of its speed.
+const STANDING_PART: u64 = 48 * MS;
 /// How many times as long a slow disk takes.
 const SLOW_DISK: u64 = 30;
 /// By how much a clock jumps, in milliseconds.
@@ -56,6 +66,7 @@
         match trouble.kind {
             HerdKill => self.strike_all_cores(false, 0),
             HerdPower => self.strike_all_cores(true, trouble.lasts),
+            HerdTaken => self.herd_ambush = Some(trouble.lasts.min(HERD_TAKEN_LASTS)),
             ClockStep => return self.step_clocks(trouble),
             EdgeKill | EdgeFreeze | EdgeCut => self.strike_edge(trouble),
             ResetConnections => self.reset_connections(trouble),
@@ -87,6 +98,7 @@
         let chosen = running.get(trouble.pick as usize % running.len().max(1)).copied();
         match trouble.kind.target() {
             Target::Leader => self.leader().or(chosen),
+            Target::Oldest => running.into_iter().min_by_key(|machine| self.cores[*machine].disk_since),
             Target::Any => chosen,
         }
     }
@@ -126,6 +138,9 @@
                 self.restart_core(machine, trouble.lasts);
             }
             CoreReplace(_) => self.replace_core(machine),
+            CoreReplacePlanned(_) => self.replace_core_as_planned(machine),
+            CoreRefuse(_) => self.refuse_core(machine, until),
+            CoreSlow(_) => self.slow_core(machine, until),
             CoreFreeze(_) => self.cores[machine].frozen_until = until,
             CoreCut(_) => self.cut(Cut::FromCores(machine), until),
             CoreCutOneWay(_) => self.cut(Cut::SendsToCores(machine), until),
@@ -167,6 +182,49 @@
         self.restart_core(spare, SECOND);
     }
 
+    /// An empty machine comes, then the one that it replaces is asked to stop and leaves for good.
+    fn replace_core_as_planned(&mut self, machine: usize) {
+        let is_spare = |other: &usize| !self.cores[*other].exists && self.cores[*other].life == 0;
+        let Some(spare) = (self.site.cores..self.cores.len()).find(is_spare) else { return };
+        self.cores[spare].exists = true;
+        let until = self.now + PLANNED_OVERLAP;
+        self.note_core_loss(spare, until);
+        self.restart_core(spare, 0);
+        let life = self.cores[machine].life;
+        self.queue.push(until, Event::CoreLeaves { machine, life });
+    }
+
+    /// A core machine that was replaced is asked to stop.
+    pub(super) fn core_leaves(&mut self, machine: usize, life: u32) {
+        if self.cores[machine].life != life {
+            return;
+        }
+        self.note_core_loss(machine, self.now + ms(self.site.bounds.grace_ms));
+        self.cores[machine].leaves = true;
+        self.stop_core(machine);
+    }
+
+    /// A filter cuts a core machine off from the others, and refuses connections in the name of both sides.
+    fn refuse_core(&mut self, machine: usize, until: u64) {
+        self.cut(Cut::FromCores(machine), until);
+        for other in (0..self.cores.len()).filter(|other| *other != machine) {
+            for (told, refused) in [(other, machine), (machine, other)] {
+                let at = self.now + self.rng.u64(0..REFUSED_WITHIN);
+                let life = self.cores[told].life;
+                self.queue.push(at, Event::PeerRefused { machine: told, life, refused });
+            }
+        }
+    }
+
+    /// A process that gets a part of its time only.
+    fn slow_core(&mut self, machine: usize, until: u64) {
+        let mut at = self.now;
+        while at < until {
+            self.queue.push(at, Event::CoreStandsStill { machine, until: at + STANDING_PART });
+            at += SLOW_PERIOD;
+        }
+    }
+
     fn strike_all_cores(&mut self, power_lost: bool, lasts: u64) {
         let until = self.now + lasts.max(HERD_RETURNS);
         for machine in 0..self.cores.len() {
@@ -178,6 +236,8 @@
             if was_running || (power_lost && self.cores[machine].powered) {
                 self.core_dies(machine, power_lost, false);
                 let returns = lasts + self.rng.u64(0..HERD_RETURNS);
+                let caught_up = self.now + returns + ms(self.site.bounds.catch_up_ms);
+                self.cores[machine].lost_until = self.cores[machine].lost_until.max(caught_up);
                 self.restart_core(machine, returns);
             }
         }
@@ -261,6 +321,7 @@
             WorkerMute => self.fleet.set_condition(worker, now, |condition| condition.mute = strength),
             WorkerHang => self.fleet.set_condition(worker, now, |condition| condition.hanging = strength),
             WorkerCut => self.cut(Cut::FromAll(Endpoint::Worker(worker)), until),
+            WorkerCutFromCore => self.cut(Cut::WorkerFromCores(worker), until),
             ScaleIn | ScaleInSpot => self.drain_worker(worker, trouble.kind == ScaleInSpot),
             _ => {}
         }
@@ -337,6 +398,9 @@
         if let Some(lasts) = self.taken_ambush.take() {
             self.ambush(machine, false, lasts);
         }
+        if let Some(lasts) = self.herd_ambush.take() {
+            self.strike_all_cores(true, lasts);
+        }
     }
 
     /// A worker forgot ends at the word of a machine, which may lose its power now.
--- a/crates/simulation/tests/oracle_configuration.rs
+++ b/crates/simulation/tests/oracle_configuration.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use simulation::history::{Answer, CallKind, ClientCall, History, Span};
+use simulation::history::{Answer, CallKind, ClientCall, ConfigurationLook, History, Span};
 use simulation::oracle::Rule;
 use simulation::time::SECOND;
 use support::*;
@@ -131,3 +131,52 @@
     assert_eq!(refused(false), [Rule::Config]);
     assert_eq!(refused(true), []);
 }
+
+/// The operator reads this version, from a moment to another.
+fn read(day: &mut History, version: usize, sent_at: u64, at: u64) {
+    let body = day.configurations[version - 1].body.clone();
+    day.looks.push(ConfigurationLook { sent_at, answer: Some((at, body)) });
+}
+
+#[test]
+fn a_reading_that_overlaps_a_change_may_see_either_version() {
+    let found = changed(|day| {
+        with_second(day);
+        let acknowledged = day.configurations[1].taken_at.expect("it was");
+        read(day, 1, acknowledged - 1, acknowledged + SECOND);
+        read(day, 2, acknowledged - 1, acknowledged + SECOND);
+        read(day, 2, acknowledged + 1, acknowledged + SECOND);
+    });
+    assert_eq!(found, []);
+}
+
+#[test]
+fn a_reading_that_is_older_than_what_was_acknowledged_before_it_is_caught() {
+    let found = changed(|day| {
+        with_second(day);
+        let acknowledged = day.configurations[1].acknowledged_at.expect("it was");
+        read(day, 1, acknowledged + 1, acknowledged + 2);
+    });
+    assert_eq!(found, [Rule::Config]);
+}
+
+#[test]
+fn readings_that_go_back_are_caught() {
+    let found = changed(|day| {
+        with_second(day);
+        let sent = day.configurations[1].sent_at;
+        day.configurations[1].acknowledged_at = None;
+        day.configurations[1].taken_at = None;
+        read(day, 2, sent + 1, sent + 2);
+        read(day, 1, sent + 3, sent + 4);
+    });
+    assert_eq!(found, [Rule::Config]);
+}
+
+#[test]
+fn a_reading_of_what_was_never_sent_is_caught() {
+    let found = changed(|day| {
+        day.looks.push(ConfigurationLook { sent_at: 5 * SECOND, answer: Some((6 * SECOND, vec![1])) });
+    });
+    assert_eq!(found, [Rule::Config]);
+}
--- a/crates/simulation/tests/random_days.rs
+++ b/crates/simulation/tests/random_days.rs
@@ -73,3 +73,30 @@
         check(&site, &single(200 + number as u64, kind));
     }
 }
+
+#[test]
+fn days_with_many_troubles_at_once_keep_all_rules() {
+    let site = Site::small();
+    for seed in 1..=8 {
+        check(&site, &Script::draw_harsh(&site, seed));
+    }
+}
+
+#[test]
+fn days_on_five_core_machines_with_unguarded_workers_keep_all_rules() {
+    let site = Site::five();
+    for seed in 1..=5 {
+        check(&site, &Script::draw(&site, seed));
+        check(&site, &Script::draw_harsh(&site, seed));
+    }
+}
+
+/// Seeds on which a search found a breach, of the program or of the simulation itself.
+#[test]
+fn days_on_which_the_search_once_found_a_breach_keep_all_rules() {
+    let site = Site::small();
+    for seed in [770_208, 770_259, 770_262, 770_299, 770_338, 880_296, 880_775, 880_900] {
+        check(&site, &Script::draw(&site, seed));
+    }
+    check(&site, &Script::draw_harsh(&site, 990_118));
+}
