Watch leases in the simulation, and holds of orders that were sent into silence

And two leases at a time were watched in consensus' own tests only.

Change: orders are kept with their times; a process that holds a lease while another one does is a fault.

--- a/crates/simulation/src/core_process/mod.rs
+++ b/crates/simulation/src/core_process/mod.rs
@@ -254,6 +254,11 @@
         self.leader.is_some()
     }
 
+    /// Whether this process holds a lease at a time of its machine's steady clock.
+    pub fn holds_lease(&self, now: u64) -> bool {
+        self.node.lease_until() > now
+    }
+
     /// The disk's write in hand is cut short.
     pub fn halt_disk(&mut self, operations: u64) {
         self.writer.halt(operations);
--- a/crates/simulation/src/script.rs
+++ b/crates/simulation/src/script.rs
@@ -223,7 +223,7 @@
     pub fn hides_worker_after(self) -> Option<u64> {
         use TroubleKind::*;
         match self {
-            WorkerCrash | WorkerGone | WorkerCut | WorkerCutFromCore => Some(0),
+            WorkerCrash | WorkerGone | WorkerCut | WorkerCutFromCore | WorkerHang => Some(0),
             ScaleInSpot => Some(2 * SECOND),
             _ => None,
         }
--- a/crates/simulation/src/world/calls.rs
+++ b/crates/simulation/src/world/calls.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::history::StartOrder;
 use scheduler::leader::CallId;
 use scheduler::worker::{CallOutcome, WorkerRequest};
 
@@ -55,7 +56,7 @@
             return;
         };
         if let WorkerRequest::Start { key, .. } = &request {
-            self.history.start_orders.push((key.task.job, worker));
+            self.history.start_orders.push(StartOrder { at: self.now, job: key.task.job, worker });
         }
         self.worker_calls.next += 1;
         let id = self.worker_calls.next;
--- a/crates/simulation/src/world/cores.rs
+++ b/crates/simulation/src/world/cores.rs
@@ -265,6 +265,7 @@
         let mut out = Vec::new();
         process.handle(steady, day, event, &mut out);
         let leads = process.is_leading();
+        let holds_lease = process.holds_lease(steady);
         if leads != was_leading {
             let term = process.node().term();
             self.say(|| {
@@ -274,9 +275,25 @@
         for output in out {
             self.core_output(machine, output);
         }
+        if holds_lease {
+            self.check_leases(machine);
+        }
         self.schedule_core(machine);
     }
 
+    /// A process holds a lease: no other one may, frozen or not.
+    fn check_leases(&mut self, holder: usize) {
+        let now = self.now;
+        let holds_too = |machine: &usize| {
+            let core = &self.cores[*machine];
+            let process = core.process.as_ref().filter(|_| *machine != holder);
+            process.is_some_and(|process| process.holds_lease(now + core.steady_offset))
+        };
+        if let Some(other) = (0..self.cores.len()).find(holds_too) {
+            self.fault(holder, format!("machines {holder} and {other} hold a lease at one time"));
+        }
+    }
+
     fn schedule_core(&mut self, machine: usize) {
         let now = self.now;
         let core = &mut self.cores[machine];
--- a/crates/simulation/src/world/idle.rs
+++ b/crates/simulation/src/world/idle.rs
@@ -7,7 +7,7 @@
 
 use super::event::Event;
 use super::World;
-use crate::history::{Answer, CallKind, IdleJob};
+use crate::history::{Answer, CallKind, IdleJob, StartOrder};
 use crate::time::{ms, DAY_BEGINS_MS, MS};
 use crate::workers::{fits, need_of};
 use crate::workload::{JobPlan, Queue};
@@ -190,13 +190,16 @@
         // A leader that never reached the worker cannot know how long before its own term the hold was last extended.
         let troubles = self.history.core_troubles.iter().filter(|span| span.from <= self.now);
         let leader_since = troubles.map(|span| span.until.min(self.now)).max().unwrap_or(0);
-        let out_of_reach = |worker: usize| {
-            let troubles = self.history.worker_troubles.iter().filter(|(troubled, ..)| *troubled == worker);
-            let hidden_from =
-                troubles.filter_map(|(_, span, kind)| Some(span.from + kind.hides_worker_after()?));
-            hidden_from.into_iter().any(|from| self.now < from.max(leader_since) + lapses_within)
+        let may_be_in_force = |order: &StartOrder| {
+            let troubles = self.history.worker_troubles.iter().filter(|(worker, ..)| *worker == order.worker);
+            let mut hidden = troubles.filter_map(|(_, span, kind)| {
+                let from = span.from + kind.hides_worker_after()?;
+                // An order that is sent into the silence carries a deadline of its own.
+                Some(if span.touches(order.at, order.at) { from.max(order.at) } else { from })
+            });
+            hidden.any(|from| self.now < from.max(leader_since) + lapses_within)
         };
-        self.history.ordered_to(job).any(out_of_reach)
+        self.history.orders_of(job).any(may_be_in_force)
     }
 
     /// No trouble of this worker now or lately.
