--- a/crates/control/tests/worker_connections.rs
+++ b/crates/control/tests/worker_connections.rs
@@ -139,42 +139,35 @@
     });
 }
 
+/// A worker's first call is answered by what `first` writes; the next one must have its own answer, on a connection of
+/// its own.
+async fn next_call_has_its_own_answer(first: &[String]) {
+    let mut worker = Worker::new().await;
+    worker.start();
+    let mut stream = worker.accept().await;
+    read_request(&mut stream).await;
+    for text in first {
+        write(&mut stream, text).await;
+        for _ in 0..TURNS {
+            yield_now().await;
+        }
+    }
+    assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
+    worker.start();
+    let mut next = worker.accept().await;
+    read_request(&mut next).await;
+    write(&mut next, &answer(2)).await;
+    assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 2 });
+}
+
 #[test]
 fn a_second_answer_in_one_segment_reaches_no_later_call() {
-    on_one_thread(async {
-        let mut worker = Worker::new().await;
-        worker.start();
-        let mut stream = worker.accept().await;
-        read_request(&mut stream).await;
-        write(&mut stream, &(answer(1) + &answer(99))).await;
-        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
-        worker.start();
-        let mut next = worker.accept().await;
-        read_request(&mut next).await;
-        write(&mut next, &answer(2)).await;
-        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 2 });
-    });
+    on_one_thread(async { next_call_has_its_own_answer(&[answer(1) + &answer(99)]).await });
 }
 
 #[test]
 fn an_answer_that_nobody_asked_for_reaches_no_later_call() {
-    on_one_thread(async {
-        let mut worker = Worker::new().await;
-        worker.start();
-        let mut stream = worker.accept().await;
-        read_request(&mut stream).await;
-        write(&mut stream, &answer(1)).await;
-        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 1 });
-        write(&mut stream, &answer(99)).await;
-        for _ in 0..TURNS {
-            yield_now().await;
-        }
-        worker.start();
-        let mut next = worker.accept().await;
-        read_request(&mut next).await;
-        write(&mut next, &answer(2)).await;
-        assert_eq!(worker.outcome().await, CallOutcome::Answer { now_ms: 2 });
-    });
+    on_one_thread(async { next_call_has_its_own_answer(&[answer(1), answer(99)]).await });
 }
 
 #[test]
--- a/crates/scheduler/tests/state_commands.rs
+++ b/crates/scheduler/tests/state_commands.rs
@@ -333,3 +333,20 @@
         state = State::restore(&state.snapshot()).expect("a whole snapshot");
     }
 }
+
+#[test]
+fn failures_of_copies_after_the_first_one_was_done_count_for_nothing() {
+    let mut state = accepted(job(vec![Stage { speculative: true, ..stage(1) }, after(1, &[0])]));
+    let key = task(JOB, 0, 0);
+    for attempt in 1..=3 {
+        apply(&mut state, start(&[key], attempt, &format!("w{attempt}")));
+    }
+    apply(&mut state, end("w1", 1, key, 1, EndKind::DONE));
+    for attempt in 2..=3 {
+        let applied = apply(&mut state, end(&format!("w{attempt}"), 1, key, attempt, EndKind::FAILED));
+        assert!(!applied.iter().any(|effect| matches!(effect, Applied::TaskFailed { .. })), "{applied:?}");
+    }
+    assert_eq!(state_of(&state, JOB), Some("running"), "its second step is to come");
+    let again = apply(&mut state, start(&[key], 4, "w1"));
+    assert!(matches!(again[..], [Applied::StartDropped { .. }]));
+}
