Let the voter that joined last stand by again where a silent one returns

Cause (by reading): a voter that had been silent and returned after a spare was promoted in its place, but before its removal was appended, left four voters for good, which bear one loss as three do and need three answers.

Change: with more voters than wanted, all of them answering, the one that joined last becomes a learner again.

Test: membership_rules.rs; without the change four voters stay (mutant a-voter-too-many-stays, caught).

--- a/crates/consensus/src/membership_changes.rs
+++ b/crates/consensus/src/membership_changes.rs
@@ -66,9 +66,10 @@
             }
         }
         if membership.voters().count() > self.options.target_voters {
-            if let Some(silent) = silent {
-                return Some(membership.without(silent));
-            }
+            return match silent {
+                Some(silent) => Some(membership.without(silent)),
+                None => self.newest_other_voter().map(|voter| membership.without_vote_of(voter)),
+            };
         }
         self.lost_learner().map(|learner| membership.without(learner))
     }
@@ -84,6 +85,15 @@
         silent.max().map(|(_, voter)| voter)
     }
 
+    /// The voter that joined last, if all voters answer. Where one returns whose place was taken, there is one more than
+    /// wanted, which bears no more losses and waits for more answers: it stands by again.
+    fn newest_other_voter(&self) -> Option<NodeId> {
+        let all_answer =
+            self.membership().voters().all(|voter| self.silence_of(voter) < self.options.election_timeout);
+        let newest = self.membership().voters().filter(|voter| *voter != self.options.id).last();
+        newest.filter(|_| all_answer)
+    }
+
     /// A learner that could vote now; those that take a member's place come first.
     fn caught_up_learner(&self) -> Option<&Member> {
         let Role::Leader(leadership) = &self.role else { return None };
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -73,6 +73,15 @@
         copy
     }
 
+    /// A copy in which the member of this identity is a learner.
+    pub fn without_vote_of(&self, id: NodeId) -> Membership {
+        let mut copy = self.clone();
+        for member in copy.members.iter_mut().filter(|member| member.id == id) {
+            member.voter = false;
+        }
+        copy
+    }
+
     /// A copy with this member as a learner. Learners of another identity at its address leave; a member of its own
     /// identity keeps its vote and takes the new addresses.
     pub fn with_learner(&self, joiner: &Member) -> Membership {
--- a/crates/consensus/tests/membership_rules.rs
+++ b/crates/consensus/tests/membership_rules.rs
@@ -214,3 +214,31 @@
     assert_eq!(leader.node.last_index(), last + 1);
     assert_eq!(leader.node.membership().member(77), Some(&moved));
 }
+
+#[test]
+fn a_voter_too_many_stands_by_again_when_the_silent_one_returns() {
+    let mut leader = leader_with_a_learner();
+    let mut rounds = 0;
+    loop {
+        leader.run_timer();
+        if leader.node.membership().is_voter(77) {
+            break;
+        }
+        leader.persist();
+        leader.acknowledge(3);
+        leader.acknowledge(77);
+        rounds += 1;
+        assert!(rounds < 200, "the learner takes the silent voter's place");
+    }
+    // Before the change is committed the silent voter is back.
+    leader.acknowledge(2);
+    leader.persist();
+    for _ in 0..4 {
+        [2, 3, 77].into_iter().for_each(|other| drop(leader.acknowledge(other)));
+        leader.run_timer();
+        leader.persist();
+    }
+    let members = leader.node.membership();
+    assert_eq!(members.voters().count(), 3, "{members:?}");
+    assert!(members.is_voter(2) && members.contains(77) && !members.is_voter(77));
+}
--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -295,6 +295,14 @@
             replace: "if !leadership.announced || changed_at > self.commit {",
             test: "-p consensus --test membership_rules",
         },
+        Mutant {
+            name: "a-voter-too-many-stays",
+            point: 3,
+            file: "crates/consensus/src/membership_changes.rs",
+            find: "None => self.newest_other_voter().map(|voter| membership.without_vote_of(voter)),",
+            replace: "None => None,",
+            test: "-p consensus --test membership_rules a_voter_too_many_stands_by_again_when_the_silent_one_returns",
+        },
     ]
 }
 
