Hold workers by need, suspect silent ones, see stalls sooner, gather steps on few workers

`DeadlineMs` never shrinks and the lapse is reckoned by the greatest sent, as before; - a worker of which an answer is missing gets no start and no longer hold until it answers; a task that allows copies gets one at once; - an attempt stands still if a list 0.7 s after its last progress (or a fifth of the guess) shows none: 3 s before; - of workers alike, one that has some of the step, then one with room for most of it, goes before the fullest.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -18,7 +18,7 @@
 use crate::{hosting, settings_file};
 use configuration::{OrderDelivery, ProcessSettings};
 use consensus::Event;
-use scheduler::leader::{Input, Leader, Output};
+use scheduler::leader::{Input, Leader, Mechanisms, Output};
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use tokio::select;
@@ -46,6 +46,7 @@
 /// One identity of this process, from its start to its end.
 pub struct Driver {
     pub(crate) settings: ProcessSettings,
+    pub(crate) mechanisms: Mechanisms,
     settings_path: PathBuf,
     pub(crate) clock: Clock,
     pub(crate) host: Host,
@@ -75,6 +76,8 @@
     pub clock: Clock,
     /// Where the settings were read.
     pub settings_path: PathBuf,
+    /// Which mechanisms a leader uses.
+    pub mechanisms: Mechanisms,
     /// Events of tasks go here.
     pub sender: mpsc::Sender<DriverEvent>,
     /// And come out here.
@@ -103,6 +106,7 @@
         let platform_address = settings.cloud_api.as_ref().map(|platform| platform.address);
         let mut driver = Driver {
             settings_path: surroundings.settings_path.clone(),
+            mechanisms: surroundings.mechanisms.clone(),
             clock,
             host,
             leader: None,
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -12,7 +12,10 @@
     pub(crate) fn begin_to_lead(&mut self, now: u64, term: u64) {
         log::info!("leads term={term}");
         self.stop_leading();
-        let settings = LeaderSettings::from_bounds(&self.settings.bounds);
+        let settings = LeaderSettings {
+            mechanisms: self.mechanisms.clone(),
+            ..LeaderSettings::from_bounds(&self.settings.bounds)
+        };
         self.leader = Some(Leader::new(term, settings, self.host.state(), now, fastrand::u64(..)));
         self.lease_told = 0;
         self.metrics.leadership_changed(true);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod writer;
 
 pub use error::ControlError;
+pub use scheduler::leader::{Mechanism, Mechanisms};
 pub use signals::Signal;
 
 use clients::Clients;
@@ -53,19 +54,24 @@
 const API_CLOSE_TIME: Duration = Duration::from_millis(300);
 
 /// Runs the control role until the platform asks it to stop.
-pub fn run(settings: ProcessSettings, settings_path: PathBuf) -> Result<(), ControlError> {
-    run_with_signals(settings, settings_path, None)
+pub fn run(
+    settings: ProcessSettings,
+    settings_path: PathBuf,
+    mechanisms: Mechanisms,
+) -> Result<(), ControlError> {
+    run_with_signals(settings, settings_path, mechanisms, None)
 }
 
 /// As `run`, but with signals from a channel in place of the process's own.
 pub fn run_with_signals(
     settings: ProcessSettings,
     settings_path: PathBuf,
+    mechanisms: Mechanisms,
     signals: Option<mpsc::Receiver<Signal>>,
 ) -> Result<(), ControlError> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(ControlError::Runtime)?;
     let local = LocalSet::new();
-    let ended = local.block_on(&runtime, serve(settings, settings_path, signals));
+    let ended = local.block_on(&runtime, serve(settings, settings_path, mechanisms, signals));
     runtime.shutdown_background();
     ended
 }
@@ -73,10 +79,11 @@
 async fn serve(
     settings: ProcessSettings,
     settings_path: PathBuf,
+    mechanisms: Mechanisms,
     signals: Option<mpsc::Receiver<Signal>>,
 ) -> Result<(), ControlError> {
     let (sender, events) = mpsc::channel(MAX_WAITING_EVENTS);
-    let mut surroundings = Surroundings { clock: Clock::start(), settings_path, sender, events };
+    let mut surroundings = Surroundings { clock: Clock::start(), settings_path, mechanisms, sender, events };
     let sender = &surroundings.sender;
     match signals {
         Some(signals) => signals::pass_on(signals, sender.clone()),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod watcher;
 
 use configuration::ProcessSettings;
+use control::Mechanisms;
 use control::{ControlError, Signal};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -102,7 +103,9 @@
         fs::write(&path, &text).expect("a settings file");
         let settings = ProcessSettings::read(&text).expect("proper settings");
         let (signals, received) = mpsc::channel(4);
-        let thread = std::thread::spawn(move || control::run_with_signals(settings, path, Some(received)));
+        let thread = std::thread::spawn(move || {
+            control::run_with_signals(settings, path, Mechanisms::default(), Some(received))
+        });
         Process { signals, thread }
     }
 
--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::error::NodeError;
+use control::{Mechanism, Mechanisms};
 use getopts::{Matches, Options};
 use log::LevelFilter;
 use std::ops::RangeInclusive;
@@ -52,6 +53,8 @@
     pub role: Role,
     /// What is logged, as flexi_logger's specification.
     pub log: String,
+    /// Mechanisms of the leader that are switched off, to measure what they are worth.
+    pub mechanisms: Mechanisms,
 }
 
 /// What the command line asks for.
@@ -129,9 +132,10 @@
             Ok(Request::CheckConfiguration { path: path.into() })
         }
         [role] => {
-            allow(&matches, &["log"])?;
+            allow(&matches, &["log", "without"])?;
+            let mechanisms = read_mechanisms(matches.opt_str("without"))?;
             let log = read_log(matches.opt_str("log").as_deref().unwrap_or(DEFAULT_LOG))?;
-            Ok(Request::Run(Arguments { role: read_role(role)?, log }))
+            Ok(Request::Run(Arguments { role: read_role(role)?, log, mechanisms }))
         }
         _ => Err(NodeError::Usage("exactly one role or command must be given".to_owned())),
     }
@@ -146,6 +150,12 @@
         "what a role logs: a level (off, error, warn, info, debug, trace), also by target, as in info,control=debug",
         "SPEC",
     );
+    options.optopt(
+        "",
+        "without",
+        "control: mechanisms that are switched off to measure their worth (docs/policy-rounds.md), with commas between",
+        "NAMES",
+    );
     options.optflag("", "json", "inspect: print JSON in place of tables");
     options.optflag(
         "",
@@ -159,8 +169,9 @@
 
 /// Refuses options that the command does not take.
 fn allow(matches: &Matches, allowed: &[&str]) -> Result<(), NodeError> {
-    let given =
-        ["log", "json", "config", "role", "seconds"].into_iter().filter(|name| matches.opt_present(name));
+    let given = ["log", "without", "json", "config", "role", "seconds"]
+        .into_iter()
+        .filter(|name| matches.opt_present(name));
     match given.into_iter().find(|name| !allowed.contains(name)) {
         Some(name) => Err(NodeError::Usage(format!("--{name} is not for this command"))),
         None => Ok(()),
@@ -182,6 +193,18 @@
     Ok(parts.join(","))
 }
 
+/// Reads the names of mechanisms to be switched off.
+fn read_mechanisms(text: Option<String>) -> Result<Mechanisms, NodeError> {
+    let Some(text) = text else { return Ok(Mechanisms::default()) };
+    let read = |name: &str| {
+        let known = || Mechanism::names().collect::<Vec<_>>().join(", ");
+        Mechanism::named(name)
+            .ok_or_else(|| NodeError::Usage(format!("{name:?} is no mechanism, give some of {}", known())))
+    };
+    let disabled = text.split(',').map(read).collect::<Result<Vec<_>, _>>()?;
+    Ok(Mechanisms::without(disabled))
+}
+
 fn read_seconds(text: Option<String>) -> Result<Duration, NodeError> {
     let Some(text) = text else { return Ok(Duration::from_secs(DEFAULT_PLAY_S)) };
     match text.parse() {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -65,7 +65,8 @@
         Role::DataPlane => {
             data_plane::run(settings, path).map_err(|error| NodeError::Role(error.to_string()))
         }
-        Role::Control => control::run(settings, path).map_err(|error| NodeError::Role(error.to_string())),
+        Role::Control => control::run(settings, path, arguments.mechanisms.clone())
+            .map_err(|error| NodeError::Role(error.to_string())),
     }
 }
 
--- a/crates/scheduler/src/leader/account.rs
+++ b/crates/scheduler/src/leader/account.rs
@@ -63,7 +63,7 @@
             obstacles: obstacles_of(entry, now),
             capacity: amounts_of(capacity),
             free: amounts_of(free),
-            attempts: entry.occupied,
+            attempts: entry.occupied(),
             pace_percent: (entry.pace(now, peers.pace.value()) * 100.0).round() as u32,
             trust_percent: (entry.verdict.trust() * 100.0).round() as u32,
             bad_in_a_row: entry.verdict.bad_in_a_row(),
@@ -96,7 +96,7 @@
     let rests_until = entry.verdict.rests_until();
     if rests_until > now {
         obstacles.push(WorkerObstacle::Convicted { left_ms: left_ms(rests_until, now) });
-    } else if entry.verdict.is_on_probation() && entry.occupied > 0 {
+    } else if entry.verdict.is_on_probation() && entry.occupied() > 0 {
         obstacles.push(WorkerObstacle::OnProbation);
     }
     obstacles
--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -8,9 +8,10 @@
 use crate::state::{State, Work};
 
 use super::attempts::{Attempt, Attempts};
-use super::service::{plan_of, Choice, Waiting};
+use super::mechanisms::{Mechanism, Mechanisms};
+use super::service::{plan_of, Candidate, Choice, Waiting};
 use super::timers::Timer;
-use super::{FailedOn, Leader, NANOS_PER_MS};
+use super::{FailedOn, Leader, LeaderSettings, NANOS_PER_MS};
 
 /// Steps of a service that are tried in one turn.
 const TRIES_PER_TURN: usize = 128;
@@ -42,11 +43,13 @@
         step,
         rack_local: stage.rack_local,
         avoid,
+        together: 0,
     }
 }
 
 /// Where the next task of a waiting step, or its gang, may start.
-fn choose(terms: &Terms, fleet: &Fleet, task: TaskKey, since: u64) -> Choice {
+fn choose(terms: &Terms, fleet: &Fleet, candidate: Candidate) -> Choice {
+    let Candidate { task, since, waiting } = candidate;
     let Terms { state, failed_on, .. } = terms;
     let step = task.step_key();
     let stage = state.open_work(step.job).and_then(|work| work.stage(step.step));
@@ -55,7 +58,8 @@
         return choose_gang(terms, fleet, step, stage, since);
     }
     let avoid = failed_on.get(&task).map_or(&[][..], Vec::as_slice);
-    let demand = demand_of(step, stage, avoid);
+    let together = if terms.mechanisms.uses(Mechanism::Gathering) { waiting } else { 0 };
+    let demand = Demand { together, ..demand_of(step, stage, avoid) };
     if let Some(worker) = fleet.place_near(&demand) {
         return Choice::Task(worker);
     }
@@ -115,14 +119,26 @@
     pub(super) attempts: &'a Attempts,
     pub(super) failed_on: &'a FailedOn,
     pub(super) far_factor: f64,
+    pub(super) mechanisms: &'a Mechanisms,
     pub(super) now: u64,
 }
 
-impl Terms<'_> {
+impl<'a> Terms<'a> {
+    pub(super) fn new(
+        state: &'a State,
+        attempts: &'a Attempts,
+        failed_on: &'a FailedOn,
+        settings: &'a LeaderSettings,
+        now: u64,
+    ) -> Self {
+        let LeaderSettings { far_factor, mechanisms, .. } = settings;
+        Terms { state, attempts, failed_on, far_factor: *far_factor, mechanisms, now }
+    }
+
     /// How long a task may wait for room near its data, in nanoseconds: as long as it would lose elsewhere, but no
     /// longer than a job may wait for room that exists.
     fn patience(&self, stage: &Stage) -> u64 {
-        if stage.affinity.is_empty() {
+        if stage.affinity.is_empty() || !self.mechanisms.uses(Mechanism::DataPatience) {
             return 0;
         }
         let lost_ms = stage.est_runtime_ms as f64 * (self.far_factor - 1.0).max(0.0);
@@ -132,7 +148,7 @@
     /// How long a gang that is to share a rack may wait for one, in nanoseconds: as long as it would lose in
     /// several, but no longer than a job may wait for room that exists.
     fn rack_patience(&self, stage: &Stage) -> u64 {
-        if !stage.rack_local {
+        if !stage.rack_local || !self.mechanisms.uses(Mechanism::RackPatience) {
             return 0;
         }
         let lost_ms = stage.est_runtime_ms as f64 * (self.far_factor - 1.0).max(0.0);
@@ -237,8 +253,8 @@
         }
         for _ in 0..TRIES_PER_TURN {
             let Self { services, attempts, failed_on, settings, now, .. } = self;
-            let terms = Terms { state, attempts, failed_on, far_factor: settings.far_factor, now: *now };
-            let next = services[position].next(|fleet, task, since| choose(&terms, fleet, task, since));
+            let terms = Terms::new(state, attempts, failed_on, settings, *now);
+            let next = services[position].next(|fleet, candidate| choose(&terms, fleet, candidate));
             let Some((released, choice)) = next else {
                 self.make_room_for_urgent(state, position);
                 return;
@@ -322,7 +338,7 @@
         committed: bool,
     ) {
         let Some(entry) = self.workers.get_mut(&worker) else { return };
-        entry.occupied += 1;
+        entry.carried.push(key);
         let service = entry.service;
         let need = need_of(stage);
         self.services[service].fleet.reserve(worker, key.task.step_key(), need);
@@ -359,13 +375,16 @@
         service.fleet.release(attempt.worker, key.task.step_key(), attempt.need);
         service.room_freed(attempt.worker);
         if let Some(entry) = self.workers.get_mut(&attempt.worker) {
-            entry.occupied = entry.occupied.saturating_sub(1);
+            entry.carried.retain(|carried| carried != key);
         }
         self.tell_placement(attempt.worker);
     }
 
     /// A task failed or stood still on a worker: it is tried elsewhere if there is a choice.
     pub(super) fn avoid(&mut self, task: TaskKey, worker: WorkerKey) {
+        if !self.uses(Mechanism::Avoidance) {
+            return;
+        }
         let workers = self.failed_on.entry(task).or_default();
         if !workers.contains(&worker) && workers.len() < REMEMBERED_FAILURES {
             workers.push(worker);
--- a/crates/scheduler/src/leader/claims.rs
+++ b/crates/scheduler/src/leader/claims.rs
@@ -8,6 +8,7 @@
 use crate::state::State;
 
 use super::admission::{choose_gang, demand_of, need_of, Terms};
+use super::mechanisms::Mechanism;
 use super::service::Choice;
 use super::timers::Timer;
 use super::{Leader, NANOS_PER_MS};
@@ -57,6 +58,9 @@
 impl Leader {
     /// Keeps room for the step that has waited longest, and starts its next task once it fits.
     pub(super) fn serve_claim(&mut self, state: &State, position: usize) {
+        if !self.uses(Mechanism::Claims) {
+            return;
+        }
         if let Some(claim) = self.services[position].claim.take() {
             self.continue_claim(state, position, claim);
         }
@@ -123,13 +127,16 @@
 
     /// Whether other starts of the service are to wait for a gang's sake.
     pub(super) fn pauses_for_gang(&mut self, state: &State, position: usize) -> bool {
+        if !self.uses(Mechanism::GangPauses) {
+            return false;
+        }
         let Some(since) = self.now.checked_sub(PATIENCE) else { return false };
         let Some(step) = self.services[position].longest_first(since, true) else { return false };
         let stage = state.open_work(step.job).and_then(|work| work.stage(step.step));
         let Some(stage) = stage else { return false };
         let Some(since) = self.services[position].ready(step).map(|ready| ready.since) else { return false };
         let Self { services, attempts, failed_on, settings, now, .. } = self;
-        let terms = Terms { state, attempts, failed_on, far_factor: settings.far_factor, now: *now };
+        let terms = Terms::new(state, attempts, failed_on, settings, *now);
         let service = &mut services[position];
         if let Choice::Gang(workers) = choose_gang(&terms, &service.fleet, step, stage, since) {
             service.remove_step(step);
--- a/crates/scheduler/src/leader/instances.rs
+++ b/crates/scheduler/src/leader/instances.rs
@@ -117,7 +117,7 @@
         let Some(entry) = self.workers.get_mut(&key) else { return };
         entry.listed = false;
         let since = *entry.unlisted_since.get_or_insert(now);
-        let idle = entry.occupied == 0 && entry.ends.is_empty() && entry.session.wants_nothing();
+        let idle = entry.carried.is_empty() && entry.ends.is_empty() && entry.session.wants_nothing();
         if idle && (entry.over || now.saturating_sub(since) >= KEEP_UNLISTED) {
             self.forget_worker(key);
         } else {
--- a/crates/scheduler/src/leader/interface.rs
+++ b/crates/scheduler/src/leader/interface.rs
@@ -6,6 +6,8 @@
 use crate::state::Applied;
 use crate::worker::{CallOutcome, WorkerRequest};
 
+use super::mechanisms::Mechanisms;
+
 /// Settings of a leader. Times are in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LeaderSettings {
@@ -33,6 +35,8 @@
     pub list_interval_ms: u64,
     /// Open tasks above which further jobs are turned away, for the sake of memory.
     pub max_open_tasks: u64,
+    /// Which mechanisms are in use.
+    pub mechanisms: Mechanisms,
 }
 
 /// Longest wait for an end. An answer that gets lost delays the news of ends for that long, and no answer tells of
@@ -63,6 +67,7 @@
             far_factor: bounds.far_factor,
             list_interval_ms: 1_000,
             max_open_tasks: 400_000,
+            mechanisms: Mechanisms::default(),
         }
     }
 
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -14,9 +14,11 @@
 mod effects;
 mod explain;
 mod history;
+mod hold_need;
 mod instances;
 mod interface;
 mod lease_rules;
+mod mechanisms;
 mod notices;
 mod orders;
 mod preemption;
@@ -41,6 +43,7 @@
 
 pub use interface::{CallId, ConfigurationReply, Input, LeaderSettings, Output};
 pub use lease_rules::client_reply_under_lease;
+pub use mechanisms::{Mechanism, Mechanisms};
 pub use notices::Notice;
 
 use attempts::Attempts;
@@ -209,6 +212,11 @@
         }
     }
 
+    /// Whether a mechanism is in use.
+    fn uses(&self, mechanism: Mechanism) -> bool {
+        self.settings.mechanisms.uses(mechanism)
+    }
+
     fn tick(&mut self, time_of_day_ms: u64) {
         let first = !self.clock.is_known();
         self.clock.tell(self.now, time_of_day_ms);
@@ -249,7 +257,7 @@
             return *position;
         }
         let position = self.services.len();
-        self.services.push(Service::new());
+        self.services.push(Service::new(&self.settings.mechanisms));
         self.peers.push(Peers::default());
         self.service_positions.insert(name.to_owned(), position);
         position
--- a/crates/scheduler/src/leader/preemption.rs
+++ b/crates/scheduler/src/leader/preemption.rs
@@ -5,6 +5,7 @@
 use crate::state::State;
 
 use super::admission::demand_of;
+use super::mechanisms::Mechanism;
 use super::timers::Timer;
 use super::{Leader, NANOS_PER_MS};
 
@@ -41,7 +42,7 @@
     /// Stops attempts of later priorities for tasks of the first one that found no room.
     pub(super) fn make_room_for_urgent(&mut self, state: &State, position: usize) {
         let urgent = self.services[position].urgent(STEPS_PER_TURN);
-        if urgent.is_empty() {
+        if urgent.is_empty() || !self.uses(Mechanism::Preemption) {
             return;
         }
         if self.now < self.services[position].next_preemption {
--- a/crates/scheduler/src/leader/service.rs
+++ b/crates/scheduler/src/leader/service.rs
@@ -10,9 +10,10 @@
 use mqos::{PlanOptions, Queues, Released};
 
 use crate::ids::{StepKey, TaskKey};
-use crate::placement::{Fleet, Resources, WorkerKey};
+use crate::placement::{Fleet, Resources, WorkerKey, RESOURCES};
 
 use super::claims::Claim;
+use super::mechanisms::{Mechanism, Mechanisms};
 
 /// Weights of the plans, by priority. Lower priorities share the last one.
 const WEIGHTS: [f64; 6] = [32.0, 16.0, 8.0, 4.0, 2.0, 1.0];
@@ -66,6 +67,16 @@
     Gone,
 }
 
+/// The next task of a step whose turn it is.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate {
+    pub(super) task: TaskKey,
+    /// Since when its step waits.
+    pub(super) since: u64,
+    /// How many tasks of the step wait, it among them.
+    pub(super) waiting: u64,
+}
+
 /// What is to wait.
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
@@ -84,6 +95,8 @@
 #[derive(Debug)]
 pub(super) struct Service {
     pub(super) fleet: Fleet,
+    /// Whether queues are by plan and dominant resource; else there is one, in order of arrival.
+    fair: bool,
     queues: Queues<StepKey, 3>,
     ready: BTreeMap<StepKey, ReadyStep>,
     /// Steps that found no room since some was last freed where they fit.
@@ -108,9 +121,11 @@
 }
 
 impl Service {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(mechanisms: &Mechanisms) -> Self {
+        let best_fit = mechanisms.uses(Mechanism::BestFit);
         Self {
-            fleet: Fleet::new(),
+            fleet: if best_fit { Fleet::new() } else { Fleet::first_fit() },
+            fair: mechanisms.uses(Mechanism::FairQueues),
             queues: Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight })),
             ready: BTreeMap::new(),
             blocked: BTreeMap::new(),
@@ -147,16 +162,25 @@
             since: waiting.since,
             order,
         };
-        let need = ready.need.shares_of(self.queued_by_total);
+        let (plan, need) = self.queue_of(&ready);
         if waiting.front {
-            self.queues.push_front(ready.plan, waiting.step, need);
+            self.queues.push_front(plan, waiting.step, need);
         } else {
-            self.queues.push(ready.plan, waiting.step, need);
+            self.queues.push(plan, waiting.step, need);
         }
         self.by_order.insert((ready.plan, order), waiting.step);
         self.ready.insert(waiting.step, ready);
     }
 
+    /// The plan of a step's queue, and what one entry of it needs as shares of the whole.
+    fn queue_of(&self, ready: &ReadyStep) -> (usize, [f64; RESOURCES]) {
+        let need = ready.need.shares_of(self.queued_by_total);
+        if self.fair {
+            return (ready.plan, need);
+        }
+        (0, [need[0], 0.0, 0.0])
+    }
+
     fn next_order(&mut self, front: bool) -> i64 {
         if front {
             self.first_order -= 1;
@@ -171,7 +195,7 @@
     /// room keep their place.
     pub(super) fn next(
         &mut self,
-        mut choose: impl FnMut(&Fleet, TaskKey, u64) -> Choice,
+        mut choose: impl FnMut(&Fleet, Candidate) -> Choice,
     ) -> Option<(Released<StepKey, 3>, Choice)> {
         let availability = self.fleet.free().shares_of(self.fleet.total());
         let Self { queues, blocked, ready, fleet, .. } = self;
@@ -185,7 +209,8 @@
             }
             let Some(waiting) = ready.get(step) else { return false };
             let Some(first) = waiting.tasks.first() else { return false };
-            let choice = choose(fleet, step.task(*first), waiting.since);
+            let (task, since) = (step.task(*first), waiting.since);
+            let choice = choose(fleet, Candidate { task, since, waiting: waiting.tasks.len() as u64 });
             let retry_at = match choice {
                 Choice::NoRoom => None,
                 Choice::Later(at) => Some(at),
@@ -215,7 +240,7 @@
             return;
         }
         let (plan, order) = (ready.plan, ready.order);
-        self.queues.push_front(plan, released.key, released.need);
+        self.queues.push_front(released.plan, released.key, released.need);
         self.keep_older_before(plan, order);
     }
 
@@ -235,9 +260,9 @@
         steps.sort_unstable();
         for (_, step) in steps.into_iter().rev() {
             let Some(ready) = self.ready.get(&step) else { continue };
-            let need = ready.need.shares_of(self.queued_by_total);
+            let (queue, need) = self.queue_of(ready);
             self.queues.remove(&step);
-            self.queues.push_front(plan, step, need);
+            self.queues.push_front(queue, step, need);
         }
     }
 
@@ -292,7 +317,8 @@
         steps.sort_unstable();
         for (_, step) in steps {
             let Some(ready) = self.ready.get(&step) else { continue };
-            self.queues.push(ready.plan, step, ready.need.shares_of(total));
+            let (plan, need) = self.queue_of(ready);
+            self.queues.push(plan, step, need);
         }
     }
 
--- a/crates/scheduler/src/leader/supervision.rs
+++ b/crates/scheduler/src/leader/supervision.rs
@@ -9,12 +9,13 @@
 use crate::state::State;
 
 use super::attempts::Attempt;
+use super::mechanisms::Mechanism;
 use super::timers::Timer;
 use super::worker_entry::WorkerEntry;
 use super::{Leader, Notice, NANOS_PER_MS};
 
 /// Time between two looks at the running attempts, in nanoseconds.
-const INTERVAL: u64 = 300 * NANOS_PER_MS;
+const INTERVAL: u64 = 200 * NANOS_PER_MS;
 /// How much longer than predicted a run may take, as a factor, to be left on a worker that is draining.
 const PREDICTION_SLACK: f64 = 1.25;
 /// Time that a stop and its end take beside `stop_ms`, in milliseconds.
@@ -25,6 +26,11 @@
 const STALL_MS: u64 = 3_000;
 /// The same as a share of the client's guess.
 const STALL_SHARE: f64 = 0.5;
+/// Least time without progress before the lists of a worker that answers show that an attempt of its own stands
+/// still, in milliseconds: about two lists after the last that showed progress.
+const QUICK_STALL_MS: u64 = 700;
+/// The same as a share of the client's guess: slow workers, too, get one part in a hundred further in that time.
+const QUICK_STALL_SHARE: f64 = 0.2;
 /// A copy of a task that may have one is started when its run takes so many times the client's guess.
 const LATE_FACTOR: u64 = 2;
 /// And at least so much longer, in milliseconds.
@@ -80,9 +86,18 @@
         if attempt.stopping || !attempt.committed {
             return None;
         }
-        if draining.contains(&attempt.worker) && self.outlives_worker(attempt) {
+        if self.uses(Mechanism::Evacuation)
+            && draining.contains(&attempt.worker)
+            && self.outlives_worker(attempt)
+        {
             return Some(Remedy::Evacuate);
         }
+        let copies = self.uses(Mechanism::Copies) && attempt.speculative && !attempt.gang;
+        let may_have_copy = copies && self.is_only_attempt(key.task);
+        let answers = |entry: &WorkerEntry| entry.reachable && !entry.suspect;
+        if may_have_copy && !self.workers.get(&attempt.worker).is_some_and(answers) {
+            return Some(Remedy::Copy);
+        }
         let started_at = attempt.started_at?;
         if self.waits_in_vain(key, attempt, started_at) {
             return Some(Remedy::Regroup);
@@ -90,16 +105,12 @@
         if attempt.lasting {
             return None;
         }
-        if self.is_stalled(attempt) {
+        if self.uses(Mechanism::StallMoves) && self.is_stalled(attempt) {
             return Some(Remedy::Move);
         }
-        let may_have_copy = attempt.speculative && !attempt.gang;
-        if !may_have_copy || !self.is_only_attempt(key.task) {
+        if !may_have_copy {
             return None;
         }
-        if self.workers.get(&attempt.worker).is_some_and(|entry| !entry.reachable) {
-            return Some(Remedy::Copy);
-        }
         let elapsed_ms = self.now.saturating_sub(started_at) / NANOS_PER_MS;
         let late = elapsed_ms > (attempt.estimate_ms * LATE_FACTOR).max(attempt.estimate_ms + LATE_MS);
         let worth = attempt.left_ms(self.now) > attempt.estimate_ms / 2 || attempt.percent == 0;
@@ -131,21 +142,27 @@
 
     /// Whether the attempt has not got further for long, though its worker answers and others do get further.
     fn is_stalled(&self, attempt: &Attempt) -> bool {
-        let share_ms = (attempt.estimate_ms as f64 * STALL_SHARE) as u64;
-        let gang_ms = if attempt.gang { self.settings.gang_ms + STALL_MS } else { 0 };
-        let patience = (STALL_MS.max(share_ms) + gang_ms) * NANOS_PER_MS;
-        if self.now.saturating_sub(attempt.progress_at) <= patience {
+        let Some(entry) = self.workers.get(&attempt.worker).filter(|entry| entry.reachable) else {
             return false;
+        };
+        if !self.services[attempt.service].saw_progress {
+            return false;
+        }
+        let still_for = |until: u64| until.saturating_sub(attempt.progress_at) / NANOS_PER_MS;
+        if !attempt.gang && self.uses(Mechanism::QuickStalls) {
+            let share_ms = (attempt.estimate_ms as f64 * QUICK_STALL_SHARE) as u64;
+            return still_for(entry.session.listed_at()) > share_ms.max(QUICK_STALL_MS);
         }
-        let answers = self.workers.get(&attempt.worker).is_some_and(|entry| entry.reachable);
-        answers && self.services[attempt.service].saw_progress
+        let share_ms = (attempt.estimate_ms as f64 * STALL_SHARE) as u64;
+        let gang_ms = if attempt.gang { self.settings.gang_ms + STALL_MS } else { 0 };
+        still_for(self.now) > STALL_MS.max(share_ms) + gang_ms
     }
 
     /// Stops an attempt that stands still, so that it is started elsewhere, or starts a copy first.
     fn move_stalled(&mut self, state: &State, key: AttemptKey) {
         let Some(attempt) = self.attempts.get(&key) else { return };
         let (worker, placed_at) = (attempt.worker, attempt.placed_at);
-        let copies = attempt.speculative && !attempt.gang;
+        let copies = self.uses(Mechanism::Copies) && attempt.speculative && !attempt.gang;
         self.avoid(key.task, worker);
         self.bad_end(worker, key.task.job, placed_at);
         if copies {
@@ -204,12 +221,15 @@
 
     fn bad_end(&mut self, worker: WorkerKey, job: u64, placed_at: u64) {
         let now = self.now;
+        let convicts = self.uses(Mechanism::Conviction);
         let Some(entry) = self.workers.get_mut(&worker) else { return };
         let peers = &mut self.peers[entry.service];
         let peers_bad = peers.bad.value();
         peers.ended(None);
         let rested_until = entry.verdict.rests_until();
-        entry.verdict.bad_end(job, placed_at, peers_bad, now);
+        if convicts {
+            entry.verdict.bad_end(job, placed_at, peers_bad, now);
+        }
         if entry.verdict.rests_until() != rested_until {
             let rest_ms = entry.verdict.rests_until().saturating_sub(now) / NANOS_PER_MS;
             self.notices.push(Notice::WorkerConvicted { instance: entry.instance.clone(), rest_ms });
--- a/crates/scheduler/src/leader/worker_entry.rs
+++ b/crates/scheduler/src/leader/worker_entry.rs
@@ -4,6 +4,7 @@
 
 use messages::job::{WorkerEnd, WorkerLife};
 
+use crate::ids::AttemptKey;
 use crate::placement::{Resources, WorkerFacts};
 use crate::worker::WorkerSession;
 
@@ -36,6 +37,8 @@
     /// Since when lists do not show it.
     pub(super) unlisted_since: Option<u64>,
     pub(super) reachable: bool,
+    /// Whether an answer of it is missing for longer than usual.
+    pub(super) suspect: bool,
     pub(super) unhealthy: bool,
     /// Whether this life is certainly over.
     pub(super) over: bool,
@@ -45,7 +48,7 @@
     /// Whether the state knows, or is about to know, where it is.
     pub(super) life_told: bool,
     /// Attempts that occupy it.
-    pub(super) occupied: u32,
+    pub(super) carried: Vec<AttemptKey>,
     /// Ends that are to be made durable.
     pub(super) ends: Vec<WorkerEnd>,
     /// Whether the session is to be polled in this turn.
@@ -79,12 +82,13 @@
             listed: false,
             unlisted_since: None,
             reachable: true,
+            suspect: false,
             unhealthy: false,
             over: false,
             backoff_until: 0,
             verdict: Verdict::default(),
             life_told: false,
-            occupied: 0,
+            carried: Vec::new(),
             ends: Vec::new(),
             dirty: false,
             told: None,
@@ -95,20 +99,26 @@
         self.session.life()
     }
 
+    /// How many attempts occupy it.
+    pub(super) fn occupied(&self) -> u32 {
+        u32::try_from(self.carried.len()).unwrap_or(u32::MAX)
+    }
+
     /// Whether it may take starts now.
     pub(super) fn is_usable(&self, now: u64) -> bool {
-        self.is_able(now) && self.verdict.allows_start(now, self.occupied)
+        self.is_able(now) && self.verdict.allows_start(now, self.occupied())
     }
 
     /// Whether only its verdict speaks against starts there now.
     pub(super) fn is_resting(&self, now: u64) -> bool {
-        self.is_able(now) && !self.verdict.allows_start(now, self.occupied)
+        self.is_able(now) && !self.verdict.allows_start(now, self.occupied())
     }
 
     /// Whether it could take starts now, whatever its verdict.
     fn is_able(&self, now: u64) -> bool {
         let in_service = self.listed && self.listing.as_ref().is_some_and(|listing| !listing.draining);
-        let answers = self.session.has_met_worker() && self.reachable && !self.unhealthy && !self.over;
+        let answers = self.session.has_met_worker() && self.reachable && !self.suspect;
+        let answers = answers && !self.unhealthy && !self.over;
         in_service && answers && now >= self.backoff_until
     }
 
--- a/crates/scheduler/src/leader/workers.rs
+++ b/crates/scheduler/src/leader/workers.rs
@@ -9,6 +9,8 @@
 use crate::state::State;
 use crate::worker::{CallOutcome, SessionOptions, SessionOutput, WorkerSession};
 
+use super::hold_need::hold_need_ms;
+use super::mechanisms::Mechanism;
 use super::timers::Timer;
 use super::worker_entry::WorkerEntry;
 use super::{CallId, Leader, Notice, Output, NANOS_PER_MS};
@@ -47,6 +49,9 @@
             call_timeout_ms: self.settings.call_timeout_ms,
             max_order_calls: self.settings.max_order_calls,
             stop_ms: self.settings.stop_ms,
+            bursts: self.uses(Mechanism::HoldBurst),
+            second_holds: self.uses(Mechanism::SecondHolds),
+            suspects: self.uses(Mechanism::Suspicion),
             leader_since: self.since + EARLIER_LEADER_OVERLAP,
         }
     }
@@ -100,7 +105,9 @@
         let Some(entry) = self.workers.get_mut(&key) else { return };
         entry.dirty = false;
         if !self.fenced {
+            let hold_ms = hold_need_ms(&self.attempts, &entry.carried, &self.settings, self.now);
             entry.session.wait_for_ends(wait_ms);
+            entry.session.hold_for(hold_ms);
             entry.session.lease(self.lease_until);
             entry.session.poll(self.now, &mut outputs);
             match entry.session.next_timer() {
@@ -139,6 +146,10 @@
                 self.attempt_progressed(key, attempt, checkpoint, percent);
             }
             SessionOutput::Reachable { yes } => self.reachability_changed(key, yes),
+            SessionOutput::Suspect { yes } => {
+                let heeded = yes && self.uses(Mechanism::Suspicion);
+                self.change_worker(key, |entry| entry.suspect = heeded);
+            }
             SessionOutput::Unhealthy { yes } => self.change_worker(key, |entry| entry.unhealthy = yes),
             SessionOutput::LifeOver => self.life_over(key),
             SessionOutput::Fenced => self.fenced_by(key),
@@ -155,7 +166,7 @@
     fn life_over(&mut self, key: WorkerKey) {
         self.change_worker(key, |entry| entry.over = true);
         if let Some(entry) = self.workers.get(&key) {
-            let (instance, attempts) = (entry.instance.clone(), entry.occupied);
+            let (instance, attempts) = (entry.instance.clone(), entry.occupied());
             self.notices.push(Notice::WorkerLost { instance, attempts });
         }
     }
@@ -174,7 +185,7 @@
             self.attempts.renew_progress(key, self.now);
         }
         if let Some(entry) = self.workers.get(&key) {
-            let (instance, attempts) = (entry.instance.clone(), entry.occupied);
+            let (instance, attempts) = (entry.instance.clone(), entry.occupied());
             self.notices.push(match yes {
                 true => Notice::WorkerBack { instance },
                 false => Notice::WorkerSilent { instance, attempts },
@@ -267,7 +278,11 @@
         let position = entry.service;
         let was_usable = entry.told.is_some_and(|told| told.usable);
         let was_resting = entry.told.is_some_and(|told| told.resting);
-        let Some(facts) = entry.changed_facts(self.now, self.peers[position].pace.value()) else { return };
+        let peers_pace = self.peers[position].pace.value();
+        let Some(mut facts) = entry.changed_facts(self.now, peers_pace) else { return };
+        if !self.settings.mechanisms.uses(Mechanism::Quality) {
+            (facts.pace, facts.trust) = (1.0, 1.0);
+        }
         let came_into_use = (facts.usable && !was_usable) || (facts.resting && !was_usable && !was_resting);
         let service = &mut self.services[position];
         service.fleet.upsert(key, facts);
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -3,6 +3,7 @@
 use super::fleet::{Fleet, Slot, WorkerKey};
 use super::matching::{Demand, Matcher, ALIKE, BEST_QUALITY};
 use super::resources::RESOURCES;
+use std::cmp::Reverse;
 
 /// What the room left of a resource that the task needs less of weighs beside the one it needs most of.
 const LESSER: f64 = 0.25;
@@ -12,7 +13,8 @@
 impl Fleet {
     /// The worker for a task: one that has the label, the room and the place by anti-affinity. Among those
     /// whose quality is close to the best, the one with the least room left, so that large holes and GPUs
-    /// stay free for those who need them. None if no worker has room.
+    /// stay free for those who need them. Where tasks are to be together, first a worker that has some of the step,
+    /// then one with room for most of those that wait. None if no worker has room.
     pub fn place(&self, demand: &Demand) -> Option<WorkerKey> {
         self.place_by(&Matcher::new(self, demand)?)
     }
@@ -56,10 +58,11 @@
     fn place_by(&self, matcher: &Matcher) -> Option<WorkerKey> {
         let least_quality = ALIKE * self.best_quality(matcher)?;
         let alike = self.slots.iter().filter(|slot| matcher.quality(slot) >= least_quality);
-        let waste = |slot: &Slot| (self.waste(matcher, slot), slot.key);
-        let wastes = alike.filter(|slot| matcher.suits(slot)).map(waste);
-        let least = wastes.reduce(|a, b| if b < a { b } else { a });
-        least.map(|(_, key)| key)
+        let waste = |slot: &Slot| if self.first_fit { 0.0 } else { self.waste(matcher, slot) };
+        let rank = |slot: &Slot| (Reverse(matcher.gathers(slot)), waste(slot), slot.key);
+        let ranks = alike.filter(|slot| matcher.suits(slot)).map(rank);
+        let first = ranks.reduce(|a, b| if b < a { b } else { a });
+        first.map(|(_, _, key)| key)
     }
 
     /// The best quality among the workers that suit, if any does.
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -99,6 +99,8 @@
     pub(super) racks: Symbols,
     /// The most that any worker has of each resource.
     pub(super) largest: Resources,
+    /// Of workers alike, the first one in order of keys is taken in place of the fullest.
+    pub(super) first_fit: bool,
     index: BTreeMap<WorkerKey, usize>,
     total: Resources,
     free: Resources,
@@ -110,6 +112,11 @@
         Fleet::default()
     }
 
+    /// A fleet without workers in which, of workers alike, the first that suits is taken and not the fullest.
+    pub fn first_fit() -> Self {
+        Fleet { first_fit: true, ..Fleet::default() }
+    }
+
     /// Adds a worker, or brings what is known of it up to date. Reservations stay.
     pub fn upsert(&mut self, key: WorkerKey, facts: WorkerFacts) {
         let labels = facts.labels.iter().map(|label| self.labels.number(label)).collect();
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -30,6 +30,9 @@
     pub rack_local: bool,
     /// Workers that are taken only where no other suits, such as those where it failed before.
     pub avoid: &'a [WorkerKey],
+    /// How many tasks of its step wait with it, to be put on few workers so that the loss of one harms few jobs; 0:
+    /// only the room that is left decides.
+    pub together: u64,
 }
 
 /// A demand with its texts looked up in the fleet.
@@ -88,6 +91,15 @@
         }
     }
 
+    /// How many of the tasks that are to be together the worker can take; the most where it has some already.
+    pub(super) fn gathers(&self, slot: &Slot) -> u64 {
+        match self.demand.together {
+            0 => 0,
+            _ if slot.tasks_of(&self.demand.step) > 0 => u64::MAX,
+            most => self.demand.need.times_in(slot.free(), most.min(self.tasks_left(slot))),
+        }
+    }
+
     /// Whether the worker may take the task now.
     pub(super) fn suits(&self, slot: &Slot) -> bool {
         let room = self.may_start(slot) && self.demand.need.fits_in(slot.free());
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -15,4 +15,4 @@
 pub use fleet::{Fleet, WorkerFacts, WorkerKey};
 pub use matching::Demand;
 pub use preempt::Victim;
-pub use resources::Resources;
+pub use resources::{Resources, RESOURCES};
--- a/crates/scheduler/src/worker/contact.rs
+++ b/crates/scheduler/src/worker/contact.rs
@@ -15,6 +15,8 @@
 pub(super) struct Contact {
     reachable: bool,
     silent_calls: u32,
+    /// Whether a call that was sent got no answer, and none was answered since.
+    lacks_answer: bool,
     last_answer: Option<u64>,
     /// When the first of the silent calls should have been answered at the latest.
     silent_since: Option<u64>,
@@ -26,6 +28,7 @@
         Contact {
             reachable: true,
             silent_calls: 0,
+            lacks_answer: false,
             last_answer: None,
             silent_since: None,
             unhealthy_until: None,
@@ -40,11 +43,18 @@
     pub(super) fn answered(&mut self, now: u64) -> bool {
         self.last_answer = Some(now);
         self.silent_calls = 0;
+        self.lacks_answer = false;
         self.silent_since = None;
         !std::mem::replace(&mut self.reachable, true)
     }
 
-    /// Notes that a call got no answer. It tells nothing if the worker answered another one since.
+    /// Notes that a call that was sent got no answer.
+    pub(super) fn unanswered(&mut self, call: &OpenCall) {
+        self.lacks_answer |= !self.answered_since(call);
+        self.silent(call);
+    }
+
+    /// Notes that a call got no answer, or could not be sent. It tells nothing if the worker answered another one since.
     pub(super) fn silent(&mut self, call: &OpenCall) {
         if !self.answered_since(call) {
             self.silent_calls = self.silent_calls.saturating_add(1);
@@ -53,6 +63,17 @@
         }
     }
 
+    /// Whether an answer is missing: the worker may have been cut off, though it is too early to take that for certain.
+    pub(super) fn is_suspect(&self, calls: &Calls, patience: u64, now: u64) -> bool {
+        self.lacks_answer || self.suspect_at(calls, patience).is_some_and(|at| at <= now)
+    }
+
+    /// When the worker becomes suspect if nothing is answered.
+    pub(super) fn suspect_at(&self, calls: &Calls, patience: u64) -> Option<u64> {
+        let unanswered = calls.iter().filter(|call| !self.answered_since(call));
+        unanswered.map(|call| call.expected_by(patience)).min()
+    }
+
     /// Whether the worker has just become unreachable.
     pub(super) fn becomes_unreachable(&mut self, calls: &Calls, now: u64) -> bool {
         if !self.reachable {
--- a/crates/scheduler/src/worker/holds.rs
+++ b/crates/scheduler/src/worker/holds.rs
@@ -32,6 +32,8 @@
 /// Progress of the holds of a session. Times are nanoseconds of the steady clock.
 #[derive(Debug, Default)]
 pub(super) struct HoldSchedule {
+    /// How far ahead of the pace holds may be.
+    burst: u64,
     last_sent: Option<u64>,
     /// Up to when the holds sent so far use up the ordinary pace.
     paced_until: u64,
@@ -45,6 +47,11 @@
 }
 
 impl HoldSchedule {
+    pub(super) fn new(bursts: bool) -> Self {
+        let burst = if bursts { HOLD_BURST } else { 0 };
+        HoldSchedule { burst, ..HoldSchedule::default() }
+    }
+
     /// Notes an answered hold.
     pub(super) fn answered(&mut self, now: u64, has_news: bool) {
         self.last_list = now;
@@ -68,17 +75,22 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// When the newest list came; 0: none came.
+    pub(super) fn last_list(&self) -> u64 {
+        self.last_list
+    }
+
     fn sent(&mut self, now: u64, extended: bool) {
         self.last_sent = Some(now);
         // Looks that settle doubts come faster than the pace: they must not put off ordinary holds for longer.
-        let furthest = now.saturating_add(HOLD_INTERVAL).saturating_add(HOLD_BURST);
+        let furthest = now.saturating_add(HOLD_INTERVAL).saturating_add(self.burst);
         self.paced_until = self.paced_until.max(now).saturating_add(HOLD_INTERVAL).min(furthest);
         self.extended = extended;
     }
 
     /// When the next hold keeps to the ordinary pace.
     fn paced(&self) -> u64 {
-        self.paced_until.saturating_sub(HOLD_BURST)
+        self.paced_until.saturating_sub(self.burst)
     }
 
     fn spaced(&self, spacing: u64) -> u64 {
@@ -112,7 +124,7 @@
         }
         let wait_ms = self.hold_wait_ms(now);
         let deadline_ms = match self.may_extend(now) {
-            true => self.bound.next_deadline(&self.clock, now, self.options.hold_ms),
+            true => self.bound.next_deadline(&self.clock, now, self.hold_ms),
             false => None,
         };
         let last_seen = self.noted;
@@ -145,9 +157,10 @@
         Some(earliest.max(self.holds.not_before))
     }
 
-    /// Whether a hold may carry a deadline. A silent worker gets none: otherwise its hold would never surely lapse.
+    /// Whether a hold may carry a deadline. A worker whose answer is missing gets none: otherwise its
+    /// hold would lapse later, or never surely.
     fn may_extend(&self, now: u64) -> bool {
-        self.clock.is_known() && self.has_lease(now) && self.contact.is_reachable()
+        self.clock.is_known() && self.has_lease(now) && self.contact.is_reachable() && !self.suspect
     }
 
     /// Whether a hold may carry a deadline and the last one didn't.
@@ -158,7 +171,7 @@
     /// When a hold is due beside the one that is in flight. Holds that failed, or were answered, meanwhile keep their
     /// usual pace.
     fn second_hold_due(&self, newest: &OpenCall, now: u64) -> Option<u64> {
-        if self.calls.holds().count() >= MAX_HOLDS || self.wants_nothing() {
+        if !self.options.second_holds || self.calls.holds().count() >= MAX_HOLDS || self.wants_nothing() {
             return None;
         }
         let overdue = newest.expected_by(self.patience()).max(self.holds.paced());
@@ -177,7 +190,7 @@
         if in_flight || answer_wanted || self.attempts.is_empty() || !self.contact.is_reachable() {
             return 0;
         }
-        let part = self.options.hold_ms / HOLD_PARTS;
+        let part = self.hold_ms / HOLD_PARTS;
         self.options.wait_ms.min(LONGEST_WAIT_MS).min(part)
     }
 
--- a/crates/scheduler/src/worker/mod.rs
+++ b/crates/scheduler/src/worker/mod.rs
@@ -52,6 +52,8 @@
     clock: ClockEstimate,
     bound: HoldBound,
     contact: Contact,
+    /// Whether the caller was told that an answer is missing.
+    suspect: bool,
     round_trip: RoundTrip,
     calls: Calls,
     holds: HoldSchedule,
@@ -67,6 +69,8 @@
     /// The highest number of a call whose lists were taken.
     newest_list: u64,
     lease_until: u64,
+    /// How far ahead holds are set, in milliseconds of the worker's clock.
+    hold_ms: u64,
     outputs: Vec<SessionOutput>,
     wake_at: u64,
 }
@@ -80,9 +84,10 @@
             clock: ClockEstimate::default(),
             bound: HoldBound::new(&options),
             contact: Contact::new(),
+            suspect: false,
             round_trip: RoundTrip::default(),
             calls: Calls::new(),
-            holds: HoldSchedule::default(),
+            holds: HoldSchedule::new(options.bursts),
             attempts: BTreeMap::new(),
             start_queue: VecDeque::new(),
             noted,
@@ -90,6 +95,7 @@
             confirmed: 0,
             newest_list: 0,
             lease_until: 0,
+            hold_ms: options.hold_ms,
             outputs: Vec::new(),
             wake_at: now,
             options,
@@ -153,6 +159,12 @@
         self.options.wait_ms = wait_ms;
     }
 
+    /// How far ahead holds are set from the next call on, in milliseconds of the worker's clock. What was sent before
+    /// stays in force at the worker, and counts until it has surely lapsed.
+    pub fn hold_for(&mut self, hold_ms: u64) {
+        self.hold_ms = hold_ms.min(self.options.hold_ms);
+    }
+
     /// Calls that start attempts or extend the hold may leave until then.
     pub fn lease(&mut self, until: u64) {
         if until != self.lease_until {
@@ -215,6 +227,11 @@
         self.wake_at
     }
 
+    /// When the newest list came, in nanoseconds of the steady clock; 0: none came.
+    pub fn listed_at(&self) -> u64 {
+        self.holds.last_list()
+    }
+
     /// Whether the worker has answered this session at least once.
     pub fn has_met_worker(&self) -> bool {
         self.clock.is_known()
@@ -231,7 +248,8 @@
             CallOutcome::Answer { now_ms } | CallOutcome::Lists { now_ms, .. } => Some(*now_ms),
             CallOutcome::Refused { reason: Refusal::OtherLife, .. } => None,
             CallOutcome::Refused { now_ms, .. } => *now_ms,
-            CallOutcome::Silence | CallOutcome::NotSent => return self.contact.silent(call),
+            CallOutcome::Silence => return self.contact.unanswered(call),
+            CallOutcome::NotSent => return self.contact.silent(call),
         };
         if let Some(clock_ms) = clock_ms {
             self.clock.observe(call.sent, now, clock_ms);
@@ -262,7 +280,7 @@
     fn expire_calls(&mut self, now: u64) {
         while let Some(call) = self.calls.take_expired(now) {
             self.outputs.push(SessionOutput::CancelCall { call: call.id });
-            self.contact.silent(&call);
+            self.contact.unanswered(&call);
             self.take_outcome(call, CallOutcome::Silence, now);
         }
     }
@@ -307,6 +325,12 @@
         if self.contact.becomes_unreachable(&self.calls, now) {
             self.outputs.push(SessionOutput::Reachable { yes: false });
         }
+        let missing = self.contact.is_suspect(&self.calls, self.start_patience(), now);
+        let suspect = self.options.suspects && missing;
+        if suspect != self.suspect {
+            self.suspect = suspect;
+            self.outputs.push(SessionOutput::Suspect { yes: suspect });
+        }
         if !self.contact.is_reachable() {
             self.reject_queued();
         }
@@ -367,6 +391,17 @@
         self.round_trip.patience(self.call_timeout())
     }
 
+    /// How long the answer to a start may take before it is missing.
+    fn start_patience(&self) -> u64 {
+        self.round_trip.start_patience(self.call_timeout())
+    }
+
+    /// When the worker becomes suspect, unless it is already.
+    fn suspect_due(&self) -> Option<u64> {
+        let due = self.contact.suspect_at(&self.calls, self.start_patience());
+        due.filter(|_| self.options.suspects && !self.suspect)
+    }
+
     fn next_due(&self, now: u64) -> u64 {
         if self.standing != Standing::Active {
             return u64::MAX;
@@ -375,6 +410,7 @@
         let due = [
             expiry,
             self.contact.overdue_at(&self.calls),
+            self.suspect_due(),
             self.contact.healthy_at(),
             self.lapse_due(),
             self.stop_due(),
--- a/crates/scheduler/src/worker/orders.rs
+++ b/crates/scheduler/src/worker/orders.rs
@@ -56,7 +56,7 @@
 
     /// When the next start is due; `None`: not before something else happens.
     pub(super) fn start_due(&self, now: u64) -> Option<u64> {
-        if !self.has_order_slot() || !self.has_lease(now) || !self.clock_is_fresh(now) {
+        if self.suspect || !self.has_order_slot() || !self.has_lease(now) || !self.clock_is_fresh(now) {
             return None;
         }
         let key = self.start_queue.front()?;
@@ -68,14 +68,14 @@
 
     fn send_start(&mut self, key: AttemptKey, now: u64) {
         // Orders are answered at once, and what is in doubt is settled by looking.
-        let timeout = self.round_trip.start_patience(self.call_timeout());
+        let timeout = self.start_patience();
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
         let Phase::Queued { order, tries, .. } = &attempt.phase else {
             return;
         };
-        let Some(deadline_ms) = self.bound.next_deadline(&self.clock, now, self.options.hold_ms) else {
+        let Some(deadline_ms) = self.bound.next_deadline(&self.clock, now, self.hold_ms) else {
             return;
         };
         let (order, tries) = (order.clone(), *tries);
--- a/crates/scheduler/src/worker/types.rs
+++ b/crates/scheduler/src/worker/types.rs
@@ -23,6 +23,12 @@
     pub max_order_calls: usize,
     /// The longest time that a worker takes to stop an attempt, in milliseconds.
     pub stop_ms: u64,
+    /// Whether several holds may follow each other quickly, within the usual pace over longer times.
+    pub bursts: bool,
+    /// Whether another hold is sent beside one that is overdue.
+    pub second_holds: bool,
+    /// Whether a worker of which an answer is missing gets no starts and no longer hold until it answers.
+    pub suspects: bool,
     /// When this leader's term began, in nanoseconds of the steady clock.
     pub leader_since: u64,
 }
@@ -184,6 +190,11 @@
         /// True if it answers.
         yes: bool,
     },
+    /// Whether an answer is missing for longer than usual; given at each change, not so at first.
+    Suspect {
+        /// True while one is missing.
+        yes: bool,
+    },
     /// Whether the worker refuses starts as unhealthy; given at each change, healthy at first.
     Unhealthy {
         /// True if it refuses.
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -13,7 +13,7 @@
 use messages::job::{CommandBatch, EndKind, JobSpec, Stage};
 use messages::peer::ClientReply;
 use scheduler::ids::{AttemptKey, TaskKey};
-use scheduler::leader::{CallId, ConfigurationReply, Input, Leader, LeaderSettings, Output};
+use scheduler::leader::{CallId, ConfigurationReply, Input, Leader, LeaderSettings, Mechanisms, Output};
 use scheduler::state::State;
 use scheduler::worker::{CallOutcome, WorkerRequest};
 
@@ -115,6 +115,7 @@
         far_factor: 1.5,
         list_interval_ms: 1_000,
         max_open_tasks: 5_000,
+        mechanisms: Mechanisms::default(),
     }
 }
 
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -34,6 +34,7 @@
         step: STEP,
         rack_local: false,
         avoid: &[],
+        together: 0,
     }
 }
 
@@ -405,6 +406,7 @@
         step: StepKey { step: task.step, ..STEP },
         rack_local: task.rack_local,
         avoid: &[0],
+        together: u64::from(task.step) * 4,
     })
 }
 
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -37,6 +37,9 @@
         call_timeout_ms: 1_000,
         max_order_calls: 8,
         stop_ms: STOP_MS,
+        bursts: true,
+        second_holds: true,
+        suspects: true,
         leader_since,
     }
 }
