Count a call that leaves in the instant of an answer as unanswered by it

Cause: found by a test of suspicion. The next hold leaves in the very instant in which the answer to the last one came, and `answered_since` took that answer for one to it: silence after it made a worker neither suspect nor out of reach until a further hold had gone unanswered, 0.3 s later or more. Change: only a later answer counts; for a call that could not be sent, one in the same instant still does (its connection may have been closed), so that a start that never leaves is tried three times as before.

--- a/crates/scheduler/src/worker/contact.rs
+++ b/crates/scheduler/src/worker/contact.rs
@@ -50,19 +50,26 @@
 
     /// Notes that a call that was sent got no answer.
     pub(super) fn unanswered(&mut self, call: &OpenCall) {
-        self.lacks_answer |= !self.answered_since(call);
-        self.silent(call);
+        if !self.answered_since(call) {
+            self.lacks_answer = true;
+            self.silent(call);
+        }
     }
 
-    /// Notes that a call got no answer, or could not be sent. It tells nothing if the worker answered another one since.
-    pub(super) fn silent(&mut self, call: &OpenCall) {
-        if !self.answered_since(call) {
-            self.silent_calls = self.silent_calls.saturating_add(1);
-            let since = call.expected_by(0);
-            self.silent_since = Some(self.silent_since.map_or(since, |earlier| earlier.min(since)));
+    /// Notes that a call could not be sent. It tells nothing if the worker answered since, or just when it was to leave:
+    /// the connection of that answer may have been closed.
+    pub(super) fn not_sent(&mut self, call: &OpenCall) {
+        if self.last_answer.is_none_or(|at| at < call.sent) {
+            self.silent(call);
         }
     }
 
+    fn silent(&mut self, call: &OpenCall) {
+        self.silent_calls = self.silent_calls.saturating_add(1);
+        let since = call.expected_by(0);
+        self.silent_since = Some(self.silent_since.map_or(since, |earlier| earlier.min(since)));
+    }
+
     /// Whether an answer is missing: the worker may have been cut off, though it is too early to take that for certain.
     pub(super) fn is_suspect(&self, calls: &Calls, patience: u64, now: u64) -> bool {
         self.lacks_answer || self.suspect_at(calls, patience).is_some_and(|at| at <= now)
@@ -118,7 +125,8 @@
         self.unhealthy_until
     }
 
+    /// Whether the worker answered after the call was sent. Calls that an answer brings about leave in the same instant.
     fn answered_since(&self, call: &OpenCall) -> bool {
-        self.last_answer.is_some_and(|at| at >= call.sent)
+        self.last_answer.is_some_and(|at| at > call.sent)
     }
 }
--- a/crates/scheduler/src/worker/mod.rs
+++ b/crates/scheduler/src/worker/mod.rs
@@ -249,7 +249,7 @@
             CallOutcome::Refused { reason: Refusal::OtherLife, .. } => None,
             CallOutcome::Refused { now_ms, .. } => *now_ms,
             CallOutcome::Silence => return self.contact.unanswered(call),
-            CallOutcome::NotSent => return self.contact.silent(call),
+            CallOutcome::NotSent => return self.contact.not_sent(call),
         };
         if let Some(clock_ms) = clock_ms {
             self.clock.observe(call.sent, now, clock_ms);
