Test holds by need, suspicion, quick stalls, gathering and names of mechanisms, with two mutants

Change: tests without the bench for each, holds of any length in the random scripts of a session, and two wrong changes for crates/mutants: a lapse reckoned by the newest deadline, and a suspect whose hold is extended.

--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -440,6 +440,22 @@
             replace: "span.saturating_add(2)",
             test: "-p scheduler --test worker_lists",
         },
+        Mutant {
+            name: "hold-lapsed-by-the-newest-deadline",
+            point: 5,
+            file: "crates/scheduler/src/worker/lapse.rs",
+            find: "self.sent_ms = self.sent_ms.max(least_ms.saturating_add(ahead));",
+            replace: "self.sent_ms = least_ms.saturating_add(ahead);",
+            test: "-p scheduler --test worker_suspicion a_lapse_is_reckoned_by_the_greatest_deadline_that_was_sent",
+        },
+        Mutant {
+            name: "hold-of-a-suspect-extended",
+            point: 5,
+            file: "crates/scheduler/src/worker/holds.rs",
+            find: " && self.contact.is_reachable() && !self.suspect",
+            replace: " && self.contact.is_reachable()",
+            test: "-p scheduler --test worker_suspicion a_suspect_gets_no_start_and_no_longer_hold_until_it_answers",
+        },
         Mutant {
             name: "holds-of-earlier-leaders-forgotten",
             point: 5,
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -178,6 +178,14 @@
     assert_eq!(output.status.code(), Some(EXIT_CONFIGURATION));
 }
 
+#[test]
+fn mechanisms_to_be_switched_off_are_known_by_name() {
+    let output = program(&["control", "--without", "copies,telepathy"]);
+    assert_eq!(output.status.code(), Some(EXIT_USAGE));
+    let text = error_text(&output);
+    assert!(text.contains("telepathy") && text.contains("hold-by-need"), "{text}");
+}
+
 #[test]
 fn options_of_other_commands_are_refused() {
     for arguments in [
--- /dev/null
+++ b/crates/scheduler/tests/leader_workers.rs
@@ -0,0 +1,88 @@
+//! What a leader does about workers that fall silent, stand still, or carry only what lasts.
+
+mod cluster;
+
+use cluster::Cluster;
+use messages::job::{JobSpec, Stage};
+
+const JOB: u64 = 0x10;
+
+fn stage(count: u32, cpu: u64, est_runtime_ms: u64) -> Stage {
+    Stage { count, cpu, mem_mb: 1, est_runtime_ms, ..Stage::default() }
+}
+
+fn job(stages: Vec<Stage>) -> JobSpec {
+    JobSpec { stages, ..JobSpec::default() }
+}
+
+/// A cluster of two workers, one of which falls silent as soon as the job runs on it.
+fn with_silent_worker(stage: Stage) -> Cluster {
+    let mut cluster = Cluster::new(2);
+    // Holds of earlier leaders must not count.
+    cluster.run(8_000);
+    cluster.send_job("/a/", JOB, job(vec![stage]));
+    assert!(cluster.run_until(2_000, |cluster| cluster.running() > 0));
+    cluster.run(100);
+    let busy = cluster.workers.iter().find(|(_, worker)| !worker.running.is_empty());
+    let busy = busy.map(|(id, _)| id.clone()).expect("the job runs somewhere");
+    cluster.workers.get_mut(&busy).unwrap().mute = true;
+    cluster
+}
+
+#[test]
+fn a_short_task_on_a_silent_worker_runs_elsewhere_before_the_longest_hold_is_over() {
+    let mut cluster = with_silent_worker(stage(1, 1_000, 600));
+    assert!(cluster.reaches(JOB, "completed", 4_500), "the longest hold is 6 s");
+    cluster.check();
+}
+
+#[test]
+fn a_task_that_lasts_keeps_the_longest_hold() {
+    let mut cluster = with_silent_worker(Stage { long_running: true, ..stage(1, 1_000, 600) });
+    cluster.run(4_500);
+    let silent = cluster.workers.values().find(|worker| worker.mute).expect("one is silent");
+    assert_eq!(silent.running.len(), 1, "it has not lapsed");
+    assert_eq!(cluster.running(), 1, "and was not started elsewhere");
+    cluster.check();
+}
+
+#[test]
+fn a_copy_starts_as_soon_as_an_answer_is_missing() {
+    let mut cluster = with_silent_worker(Stage { speculative: true, ..stage(1, 1_000, 600) });
+    assert!(cluster.reaches(JOB, "completed", 2_400));
+    cluster.check();
+}
+
+#[test]
+fn an_attempt_that_stands_still_is_moved_within_a_second_or_two() {
+    let mut cluster = Cluster::new(2);
+    // Somebody has to have shown progress before standing still tells anything.
+    cluster.send_job("/a/", JOB, job(vec![stage(4, 2_000, 1_500)]));
+    assert!(cluster.reaches(JOB, "completed", 6_000));
+    for worker in cluster.workers.values_mut() {
+        worker.stalls = true;
+    }
+    cluster.send_job("/a/", JOB + 1, job(vec![stage(1, 1_000, 800)]));
+    assert!(cluster.run_until(2_000, |cluster| cluster.running() > 0));
+    let stalled = cluster.workers.iter().find(|(_, worker)| !worker.running.is_empty());
+    let stalled = stalled.map(|(id, _)| id.clone()).expect("it runs somewhere");
+    for (id, worker) in cluster.workers.iter_mut() {
+        worker.stalls = *id == stalled;
+    }
+    assert!(cluster.reaches(JOB + 1, "completed", 4_500));
+    cluster.check();
+}
+
+#[test]
+fn workers_that_carry_only_what_lasts_are_asked_less_often() {
+    let calls_in_10_s = |long_running: bool| {
+        let mut cluster = Cluster::new(1);
+        cluster.send_job("/a/", JOB, job(vec![Stage { long_running, ..stage(1, 1_000, 60_000) }]));
+        cluster.run(2_000);
+        let before = cluster.calls;
+        cluster.run(10_000);
+        cluster.calls - before
+    };
+    let (lasting, running) = (calls_in_10_s(true), calls_in_10_s(false));
+    assert!(lasting <= 12 && lasting < running, "{lasting} and {running}");
+}
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -51,6 +51,21 @@
     AttemptKey { task: TaskKey { job: 9, time: 0, step: 0, index }, attempt: 1 }
 }
 
+#[test]
+fn tasks_that_wait_together_go_where_most_of_them_fit_and_stay_there() {
+    let mut fleet = fleet(3, resources(8000, 8000, 0));
+    fleet.reserve(0, OTHER_STEP, resources(5000, 1000, 0));
+    fleet.reserve(1, OTHER_STEP, resources(1000, 1000, 0));
+    let task = Demand { together: 4, ..demand(resources(2000, 100, 0)) };
+    assert_eq!(fleet.place(&demand(resources(2000, 100, 0))), Some(0), "alone: where the least room is left");
+    assert_eq!(fleet.place(&task), Some(2), "all four fit");
+    fleet.reserve(2, STEP, resources(2000, 100, 0));
+    assert_eq!(fleet.place(&Demand { together: 3, ..task }), Some(2), "one of the step is there");
+    assert_eq!(fleet.place(&Demand { together: 1, step: OTHER_STEP, ..task }), Some(0));
+    let apart = Demand { anti_affinity: Some(1), ..task };
+    assert_eq!(fleet.place(&apart), Some(0), "no worker may have more than one");
+}
+
 #[test]
 fn the_fullest_worker_that_fits_is_taken_so_that_large_holes_stay() {
     let mut fleet = fleet(3, resources(8000, 8000, 0));
--- a/crates/scheduler/tests/worker_scripts.rs
+++ b/crates/scheduler/tests/worker_scripts.rs
@@ -18,6 +18,7 @@
     ChangeLeader,
     Crash,
     Unhealthy { yes: bool },
+    HoldFor { hold_ms: u16 },
 }
 
 #[derive(Clone, Debug)]
@@ -45,6 +46,7 @@
             },
             13 => Act::ChangeLeader,
             14 => Act::Crash,
+            15 if bool::arbitrary(gen) => Act::HoldFor { hold_ms: 500 + u16::arbitrary(gen) % 5_000 },
             _ => Act::Unhealthy { yes: bool::arbitrary(gen) },
         }
     }
@@ -88,6 +90,7 @@
         }
         Act::ChangeLeader => world.change_leader(),
         Act::Crash => world.crash(),
+        Act::HoldFor { hold_ms } => world.session.hold_for(hold_ms.into()),
         Act::Unhealthy { yes } => world.worker.unhealthy = yes,
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/worker_suspicion.rs
@@ -0,0 +1,121 @@
+//! What a session does while an answer of its worker is missing, and how long it holds it.
+
+mod support;
+
+use scheduler::worker::{CallOutcome, SessionOutput, WorkerRequest};
+
+use support::driver::{calls, holds, resolutions, starts, Driver, BEGIN_MS};
+use support::{key, order, MS};
+
+/// A driver whose session has sent one start that got no answer; the worker has answered before. Gives the look that
+/// follows, too.
+fn with_unanswered_start() -> (Driver, u64) {
+    let mut driver = Driver::new();
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    let start = starts(&out)[0];
+    driver.pass_ms(300);
+    let out = driver.answer(start, CallOutcome::Silence);
+    assert!(out.contains(&SessionOutput::Suspect { yes: true }), "{out:?}");
+    assert!(deadlines(&out).is_empty(), "{out:?}");
+    let look = *holds(&out).last().expect("the doubt is looked into");
+    (driver, look)
+}
+
+fn deadlines(out: &[SessionOutput]) -> Vec<u64> {
+    let deadline = |(_, request)| match request {
+        WorkerRequest::Hold { deadline_ms, .. } => deadline_ms,
+        WorkerRequest::Start { deadline_ms, .. } => Some(deadline_ms),
+        WorkerRequest::Stop { .. } => None,
+    };
+    calls(out).into_iter().filter_map(deadline).collect()
+}
+
+#[test]
+fn a_suspect_gets_no_start_and_no_longer_hold_until_it_answers() {
+    let (mut driver, look) = with_unanswered_start();
+    driver.session.start(order(key(1, 1), "text"));
+    let out = driver.poll_for_ms(200);
+    assert!(starts(&out).is_empty(), "{out:?}");
+    assert!(deadlines(&out).is_empty(), "{out:?}");
+    let out = driver.lists(look, &[key(0, 1)], &[]);
+    assert!(out.contains(&SessionOutput::Suspect { yes: false }), "{out:?}");
+    assert_eq!(starts(&out).len(), 1, "what waited leaves: {out:?}");
+    assert!(!deadlines(&out).is_empty(), "{out:?}");
+}
+
+#[test]
+fn starts_that_wait_for_a_suspect_are_given_back_once_it_is_out_of_reach() {
+    let (mut driver, _) = with_unanswered_start();
+    driver.session.start(order(key(1, 1), "text"));
+    let out = driver.poll_for_ms(1_500);
+    assert!(out.contains(&SessionOutput::Reachable { yes: false }), "{out:?}");
+    assert!(resolutions(&out).iter().any(|(attempt, _)| *attempt == key(1, 1)), "{out:?}");
+}
+
+#[test]
+fn a_call_that_never_left_makes_no_suspect() {
+    let mut driver = Driver::new();
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    let out = driver.answer(starts(&out)[0], CallOutcome::NotSent);
+    assert!(!out.contains(&SessionOutput::Suspect { yes: true }), "{out:?}");
+}
+
+#[test]
+fn holds_are_as_long_as_the_caller_says_from_the_next_call_on() {
+    let mut driver = Driver::new();
+    driver.session.hold_for(2_500);
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    assert_eq!(deadlines(&out), [BEGIN_MS + 2_500, BEGIN_MS + 2_500]);
+}
+
+/// When the session takes what it started for lapsed, in milliseconds after the last call that it could answer.
+fn lapse_after(first_ms: u64, then_ms: u64) -> u64 {
+    let mut driver = Driver::new();
+    driver.session.hold_for(first_ms);
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    driver.ok(starts(&out)[0]);
+    driver.session.hold_for(then_ms);
+    let hold = holds(&out)[0];
+    driver.pass_ms(100);
+    driver.lists(hold, &[key(0, 1)], &[]);
+    let begin = driver.now;
+    loop {
+        let out = driver.poll_for_ms(10);
+        if !resolutions(&out).is_empty() {
+            return (driver.now - begin) / MS;
+        }
+        assert!(driver.now - begin < 20_000 * MS, "the hold never lapses");
+    }
+}
+
+#[test]
+fn a_lapse_is_reckoned_by_the_greatest_deadline_that_was_sent() {
+    // Earlier leaders may have sent holds of the longest length (6 s) until this one began.
+    let earlier = lapse_after(1_000, 1_000);
+    assert!((5_900..6_400).contains(&earlier), "{earlier}");
+    assert!(lapse_after(5_000, 1_000) >= earlier);
+    let mut driver = Driver::new();
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    driver.ok(starts(&out)[0]);
+    // Long after the election only own deadlines count: the first one, 5 s ahead, is in force when a shorter one follows.
+    let mut hold = holds(&out)[0];
+    for _ in 0..10 {
+        driver.pass_ms(900);
+        let out = driver.lists(hold, &[key(0, 1)], &[]);
+        hold = *holds(&out).last().unwrap_or(&hold);
+    }
+    let longest_sent = driver.now_ms() + 5_000;
+    driver.session.hold_for(1_000);
+    driver.pass_ms(500);
+    let out = driver.lists(hold, &[key(0, 1)], &[]);
+    assert!(deadlines(&out).iter().all(|deadline| *deadline >= longest_sent), "never shortened: {out:?}");
+    while driver.now_ms() < longest_sent {
+        assert_eq!(resolutions(&driver.poll_for_ms(10)), []);
+    }
+    assert_eq!(resolutions(&driver.poll_for_ms(400)).len(), 1);
+}
