--- a/crates/simulation/src/world/troubles.rs
+++ b/crates/simulation/src/world/troubles.rs
@@ -465,6 +465,10 @@
                 }
                 if self.rng.bool() {
                     self.strike_all_cores(true, down);
+                    // Machines that don't count may lose power at the same moment.
+                    if self.rng.bool() {
+                        self.kill_all_edges(down);
+                    }
                 }
             }
         }
