--- a/crates/scheduler/tests/leader_workers.rs
+++ b/crates/scheduler/tests/leader_workers.rs
@@ -86,3 +86,21 @@
     let (lasting, running) = (calls_in_10_s(true), calls_in_10_s(false));
     assert!(lasting <= 12 && lasting < running, "{lasting} and {running}");
 }
+
+#[test]
+fn a_new_life_of_another_kind_at_the_same_address_gets_what_that_kind_may_run() {
+    let with_label = |label: &str| job(vec![Stage { constraint: label.to_owned(), ..stage(1, 1_000, 500) }]);
+    let mut cluster = Cluster::new(1);
+    cluster.send_job("/a/", JOB, with_label("b"));
+    cluster.run(2_000);
+    assert_eq!(cluster.running(), 0, "no worker is of kind b");
+    cluster.crash("i-0");
+    cluster.workers.remove("i-0");
+    cluster.add_worker("i-9", 0, 4_000);
+    cluster.workers.get_mut("i-9").unwrap().instance.labels[0] = "b".to_owned();
+    assert!(cluster.reaches(JOB, "completed", 6_000));
+    cluster.send_job("/a/", JOB + 1, with_label("a"));
+    cluster.run(3_000);
+    assert_eq!(cluster.state_of(JOB + 1), "pending", "no worker is of kind a any more");
+    cluster.check();
+}
