--- a/crates/scheduler/src/leader/mechanisms.rs
+++ b/crates/scheduler/src/leader/mechanisms.rs
@@ -93,30 +93,18 @@
     }
 }
 
-/// Which mechanisms are in use: by default all but suspicion, which mistakes a busy leader for silent workers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Which mechanisms are in use: by default all.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Mechanisms {
     disabled: Vec<Mechanism>,
 }
 
-impl Default for Mechanisms {
-    fn default() -> Self {
-        Self { disabled: vec![Mechanism::Suspicion] }
-    }
-}
-
 impl Mechanisms {
-    /// All but these and those that are off by default.
-    pub fn without(mut disabled: Vec<Mechanism>) -> Self {
-        disabled.extend(Self::default().disabled);
+    /// All but these.
+    pub fn without(disabled: Vec<Mechanism>) -> Self {
         Self { disabled }
     }
 
-    /// All of them.
-    pub fn all() -> Self {
-        Self { disabled: Vec::new() }
-    }
-
     /// Whether the mechanism is in use.
     pub fn uses(&self, mechanism: Mechanism) -> bool {
         !self.disabled.contains(&mechanism)
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -115,7 +115,7 @@
         far_factor: 1.5,
         list_interval_ms: 1_000,
         max_open_tasks: 5_000,
-        mechanisms: Mechanisms::all(),
+        mechanisms: Mechanisms::default(),
     }
 }
 
