Found a group by agreement of the seeds where the first start did not found it

Cause: a seed founded the group only at a start with Bootstrap true. One that ended, or whose settings file was written anew, before its first log was durable asked to join a group that nobody founded; with two of three seeds in that place nothing was ever served. Change: processes without any part in a group offer to found one (consensus::Founding); the first seed proposes once all seeds offer, one process more than disks may be lost, and no connected core process does not; it founds last. A founding that stayed alone is replaced. A leader reads the seeds each second and connects to seeds that are no members. Addresses learned from greetings outlive an identity of the process. A process that is stopping does not begin as another member.

--- /dev/null
+++ b/crates/consensus/src/founding.rs
@@ -0,0 +1,256 @@
+//! Founding of a group by agreement of the seeds, where the first start did not found it.
+//!
+//! On the very first start of the system each seed founds the group by itself: all write the same first log. A seed that
+//! ends before that log is durable is told at its next start that this is not the first one, and cannot know by itself
+//! whether the others have founded the group since, or whether it has lost its disk. If a majority of the seeds is in
+//! that place, nobody would ever lead.
+//!
+//! So a process that has no part in any group ([`crate::Node::is_uninitialized`]) and hears of none offers, after a
+//! delay and then at intervals, to found one with its seeds, under an identity that was never used. The seed with the
+//! least address proposes the members once
+//!
+//! - every seed offers, with the same seeds in its settings,
+//! - as many processes offer as disks may be lost at one time, and one more: a group that ever was would have a member
+//!   with its disk among them, which never offers,
+//! - no core process is connected that does not offer.
+//!
+//! Each other seed checks the same when the proposal arrives, writes the first log and starts anew as that member. The
+//! proposer does so last, when all others have connected under their new identities: so it never is the only one, and a
+//! founding that was interrupted leaves seeds that offer again. A seed whose founding stayed alone offers again too,
+//! but only with the seeds that it has founded with: the others may have gone on without it.
+//!
+//! Input and output are the caller's, as with [`crate::Node`]. Times are nanoseconds of the process's steady clock.
+
+use crate::types::{Member, Membership, NodeId};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MILLISECOND: u64 = 1_000_000;
+/// A process without a group waits this long before it offers: a group that exists reaches it within that time.
+const OFFER_DELAY: u64 = 2_000 * MILLISECOND;
+/// Time between two offers.
+const OFFER_INTERVAL: u64 = 300 * MILLISECOND;
+/// An offer that was not repeated within this time does not count any more.
+const OFFER_LIFETIME: u64 = 1_000 * MILLISECOND;
+/// A proposal that is not carried out within this time is given up.
+const PROPOSAL_LIFETIME: u64 = 2_000 * MILLISECOND;
+/// A process that heard of a leader does not offer for this long.
+const LEADER_MEMORY: u64 = 10_000 * MILLISECOND;
+
+/// An offer to found a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FoundingOffer {
+    /// The member that the process would be.
+    pub member: Member,
+    /// Addresses of the seeds in its settings.
+    pub seeds: BTreeSet<String>,
+}
+
+/// What the process knows of itself and its surroundings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FoundingStatus {
+    /// Whether it has no part in any group: [`crate::Node::is_uninitialized`].
+    pub is_uninitialized: bool,
+    /// The members that it has founded a group with, if it has founded one; else empty.
+    pub founded_with: Membership,
+    /// Core processes that are connected: identity and address.
+    pub connected: BTreeSet<(NodeId, String)>,
+}
+
+/// What is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FoundingStep {
+    /// Nothing yet.
+    Wait,
+    /// Send this offer to all seeds.
+    SendOffer(FoundingOffer),
+    /// Send this proposal to all other seeds.
+    Propose(Membership),
+    /// Write the first log of a group of these members, and start anew as the member at the own address.
+    Found(Membership),
+}
+
+#[derive(Clone, Debug)]
+struct ReceivedOffer {
+    offer: FoundingOffer,
+    received_at: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Proposal {
+    membership: Membership,
+    expires_at: u64,
+    /// A leader of the proposed group is known.
+    is_carried_out: bool,
+}
+
+/// Decides when a process founds a group by agreement, and with whom.
+#[derive(Clone, Debug)]
+pub struct Founding {
+    candidate: Member,
+    seeds: BTreeSet<String>,
+    required_offers: usize,
+    /// Since when this process has no group; `None` while it has one.
+    waiting_since: Option<u64>,
+    next_offer_at: u64,
+    /// Until then a leader that this process heard of counts.
+    leader_known_until: u64,
+    /// Offers of other processes, by address.
+    offers: BTreeMap<String, ReceivedOffer>,
+    proposal: Option<Proposal>,
+}
+
+impl Founding {
+    /// For a process that would be `candidate`, whose identity must be new. `tolerated_losses`: disks that may be lost
+    /// at one time.
+    pub fn new(candidate: Member, seeds: BTreeSet<String>, tolerated_losses: usize) -> Founding {
+        Founding {
+            candidate: Member { voter: true, ..candidate },
+            seeds,
+            required_offers: tolerated_losses + 1,
+            waiting_since: None,
+            next_offer_at: 0,
+            leader_known_until: 0,
+            offers: BTreeMap::new(),
+            proposal: None,
+        }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: BTreeSet<String>) {
+        self.seeds = seeds;
+    }
+
+    /// Another process offers to found a group.
+    pub fn handle_offer(&mut self, now: u64, offer: FoundingOffer) {
+        if offer.member.address != self.candidate.address {
+            self.offers.insert(offer.member.address.clone(), ReceivedOffer { offer, received_at: now });
+        }
+    }
+
+    /// A process names a leader, and these members.
+    pub fn handle_leader(&mut self, now: u64, membership: &Membership) {
+        self.leader_known_until = now + LEADER_MEMORY;
+        let is_listed = membership.contains(self.candidate.id);
+        if let Some(proposal) = self.proposal.as_mut().filter(|_| is_listed) {
+            proposal.is_carried_out = true;
+        }
+    }
+
+    /// Another seed proposes a group of these members. Returns whether to found it now.
+    pub fn accepts(&mut self, now: u64, status: &FoundingStatus, proposed: &Membership) -> bool {
+        self.forget_old_offers(now);
+        let addresses: BTreeSet<String> =
+            proposed.members.iter().map(|member| member.address.clone()).collect();
+        let is_offered = |member: &Member| {
+            let offer = self.offers.get(&member.address).map(|received| &received.offer.member);
+            member.voter && (*member == self.candidate || offer.is_some_and(|offer| offer.id == member.id))
+        };
+        self.is_ready(now)
+            && !self.is_proposer()
+            && self.may_found(now, status)
+            && addresses == self.seeds
+            && proposed.members.len() == self.seeds.len()
+            && proposed.members.iter().all(is_offered)
+    }
+
+    /// What is due at `now`. To be called again after each step that is not [`FoundingStep::Wait`].
+    pub fn poll(&mut self, now: u64, status: &FoundingStatus) -> FoundingStep {
+        if !status.is_uninitialized {
+            self.waiting_since = None;
+            self.offers.clear();
+            self.proposal = None;
+            return FoundingStep::Wait;
+        }
+        if let Some(membership) = self.carried_out_proposal(now, status) {
+            return FoundingStep::Found(membership);
+        }
+        self.waiting_since.get_or_insert(now);
+        self.forget_old_offers(now);
+        if !self.is_ready(now) || !self.may_found_but_for_connections(now, status) {
+            return FoundingStep::Wait;
+        }
+        if now >= self.next_offer_at {
+            self.next_offer_at = now + OFFER_INTERVAL;
+            return FoundingStep::SendOffer(self.own_offer());
+        }
+        if self.proposal.is_some() || !self.is_proposer() || !self.is_agreed(now, status) {
+            return FoundingStep::Wait;
+        }
+        let membership = self.proposed_membership();
+        let expires_at = now + PROPOSAL_LIFETIME;
+        self.proposal = Some(Proposal { membership: membership.clone(), expires_at, is_carried_out: false });
+        FoundingStep::Propose(membership)
+    }
+
+    /// When [`Founding::poll`] is due next at the latest, if nothing arrives before.
+    pub fn next_timer(&self) -> u64 {
+        let Some(waiting_since) = self.waiting_since else { return u64::MAX };
+        self.next_offer_at.max(waiting_since + OFFER_DELAY).max(self.leader_known_until)
+    }
+
+    /// The proposal, if all other members carry it out: then this process does so too. One that is too old is dropped.
+    fn carried_out_proposal(&mut self, now: u64, status: &FoundingStatus) -> Option<Membership> {
+        let proposal = self.proposal.as_ref()?;
+        let is_connected = |member: &Member| status.connected.contains(&(member.id, member.address.clone()));
+        let mut others = proposal.membership.members.iter().filter(|member| member.id != self.candidate.id);
+        if proposal.is_carried_out || others.all(is_connected) {
+            return Some(proposal.membership.clone());
+        }
+        if now >= proposal.expires_at {
+            self.proposal = None;
+        }
+        None
+    }
+
+    /// Whether this process has waited long enough for a group to reach it.
+    fn is_ready(&self, now: u64) -> bool {
+        self.waiting_since.is_some_and(|since| now >= since + OFFER_DELAY)
+    }
+
+    fn is_proposer(&self) -> bool {
+        self.seeds.first() == Some(&self.candidate.address)
+    }
+
+    fn may_found(&self, now: u64, status: &FoundingStatus) -> bool {
+        let offers = |address: &String| self.offers.contains_key(address);
+        let all_offer = status.connected.iter().all(|(_, address)| offers(address));
+        all_offer && self.may_found_but_for_connections(now, status)
+    }
+
+    /// Whether this process has no part in any group, hears of none, and has founded with no other seeds.
+    fn may_found_but_for_connections(&self, now: u64, status: &FoundingStatus) -> bool {
+        let founded_with = &status.founded_with.members;
+        let same_seeds = founded_with.iter().all(|member| self.seeds.contains(&member.address));
+        status.is_uninitialized
+            && now >= self.leader_known_until
+            && (founded_with.is_empty() || (same_seeds && founded_with.len() == self.seeds.len()))
+    }
+
+    fn is_agreed(&self, now: u64, status: &FoundingStatus) -> bool {
+        let others = self.seeds.iter().filter(|seed| **seed != self.candidate.address);
+        let agrees =
+            |seed: &String| self.offers.get(seed).is_some_and(|received| received.offer.seeds == self.seeds);
+        let offering_processes = self.offers.len() + 1;
+        self.may_found(now, status)
+            && offering_processes >= self.required_offers
+            && others.into_iter().all(agrees)
+    }
+
+    fn own_offer(&self) -> FoundingOffer {
+        FoundingOffer { member: self.candidate.clone(), seeds: self.seeds.clone() }
+    }
+
+    /// The seeds as members, in the order of their addresses. Only for a proposer to whom all seeds offer.
+    fn proposed_membership(&self) -> Membership {
+        let offered = self.offers.values().map(|received| &received.offer.member);
+        let members = offered.filter(|member| self.seeds.contains(&member.address)).cloned();
+        let mut members: Vec<Member> = members.map(|member| Member { voter: true, ..member }).collect();
+        members.push(self.candidate.clone());
+        members.sort_by(|one, other| one.address.cmp(&other.address));
+        Membership { members }
+    }
+
+    fn forget_old_offers(&mut self, now: u64) {
+        self.offers.retain(|_, received| now < received.received_at + OFFER_LIFETIME);
+    }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -20,6 +20,7 @@
 mod election;
 mod error;
 mod follower;
+mod founding;
 mod incoming_snapshot;
 mod interface;
 mod leadership;
@@ -39,6 +40,7 @@
 mod types;
 
 pub use error::{OptionsError, RestoredError};
+pub use founding::{Founding, FoundingOffer, FoundingStatus, FoundingStep};
 pub use interface::{Event, Output};
 pub use message::{
     AppendReply, AppendRequest, Message, SnapshotChunk, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -14,7 +14,7 @@
 use crate::role::Role;
 use crate::types::{
     Entry, HardState, Index, Membership, NodeId, Payload, Restored, Snapshot, SnapshotMeta, Term,
-    BOOTSTRAP_TERM,
+    BOOTSTRAP_INDEX, BOOTSTRAP_TERM,
 };
 
 /// One process of the group, without input and output: events and the time go in, outputs come out.
@@ -102,7 +102,7 @@
         Restored {
             hard_state: HardState { term: BOOTSTRAP_TERM, vote: None },
             snapshot: None,
-            entries: vec![Entry { index: 1, term: BOOTSTRAP_TERM, payload }],
+            entries: vec![Entry { index: BOOTSTRAP_INDEX, term: BOOTSTRAP_TERM, payload }],
         }
     }
 
@@ -175,6 +175,20 @@
         self.membership().contains(self.options.id)
     }
 
+    /// Whether this process certainly has had no part in any group: its log holds nothing beyond a founding, it has voted
+    /// for nobody but itself, and it follows and leads nobody.
+    ///
+    /// It may have founded a group by itself, and campaigned in vain. A term beyond the founding's without a vote shows
+    /// only that others campaigned: an earlier vote may have been overwritten, so the process counts as used then.
+    pub fn is_uninitialized(&self) -> bool {
+        let only_founded =
+            self.log.last_index() <= BOOTSTRAP_INDEX && self.snapshot.is_none() && self.commit == 0;
+        let HardState { term, vote } = self.hard_state;
+        let never_voted = vote.is_none() && term <= BOOTSTRAP_TERM;
+        let voted_for_itself = vote == Some(self.options.id);
+        only_founded && (never_voted || voted_for_itself) && self.leader.is_none() && !self.is_leader()
+    }
+
     /// Whether the caller should send, now and then, a join request to the process that is said to lead, which hands
     /// it in as [`Event::Join`]: this process is no member, or it hears from no leader and may have been removed.
     pub fn should_join(&self) -> bool {
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -11,6 +11,8 @@
 
 /// Term of the entry that [`crate::Node::bootstrap`] writes. No leader is ever elected in it.
 pub const BOOTSTRAP_TERM: Term = 1;
+/// Position of that entry.
+pub(crate) const BOOTSTRAP_INDEX: Index = 1;
 
 /// A process of the group.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/consensus/tests/founding.rs
@@ -0,0 +1,305 @@
+//! Seeds without a group agree to found one; where a group may exist, they do not.
+
+use consensus::{
+    Event, Founding, FoundingOffer, FoundingStatus, FoundingStep, HardState, Member, Membership, Message,
+    Node, NodeId, Options, Restored, VoteRequest,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: u64 = 1_000_000;
+const SECOND: u64 = 1_000 * MS;
+/// Time between two turns of the processes.
+const TURN: u64 = 50 * MS;
+/// Longer than any delay before an offer, so that what did not happen by then does not happen.
+const LONG: u64 = 20 * SECOND;
+
+fn address(machine: u64) -> String {
+    format!("10.0.0.{machine}:7660")
+}
+
+fn member(machine: u64, id: NodeId) -> Member {
+    Member { id, address: address(machine), control: format!("10.0.0.{machine}:8146"), voter: true }
+}
+
+fn seeds(machines: &[u64]) -> BTreeSet<String> {
+    machines.iter().map(|machine| address(*machine)).collect()
+}
+
+/// A process that takes part, and what is seen of it.
+struct Process {
+    machine: u64,
+    /// Its identity now; 100 + machine until it founds.
+    id: NodeId,
+    founding: Founding,
+    /// Its log holds more than a founding.
+    is_used: bool,
+    founded_with: Membership,
+    /// Neither sends nor receives anything.
+    is_silent: bool,
+}
+
+struct Site {
+    now: u64,
+    processes: Vec<Process>,
+    /// Machines in the order in which they founded a group.
+    founded: Vec<(u64, Membership)>,
+    proposals: usize,
+}
+
+impl Site {
+    /// Machines without a group, of which these are the seeds.
+    fn new(machines: &[u64], seed_machines: &[u64], tolerated_losses: usize) -> Self {
+        let process = |machine: &u64| Process {
+            machine: *machine,
+            id: 100 + machine,
+            founding: Founding::new(member(*machine, 200 + machine), seeds(seed_machines), tolerated_losses),
+            is_used: false,
+            founded_with: Membership::default(),
+            is_silent: false,
+        };
+        Site { now: 0, processes: machines.iter().map(process).collect(), founded: Vec::new(), proposals: 0 }
+    }
+
+    fn process(&mut self, machine: u64) -> &mut Process {
+        self.processes.iter_mut().find(|process| process.machine == machine).expect("a machine of the site")
+    }
+
+    fn status(&self, machine: u64) -> FoundingStatus {
+        let own = self.processes.iter().find(|process| process.machine == machine).expect("a machine");
+        let others = self.processes.iter().filter(|other| other.machine != machine);
+        let heard = others.filter(|other| !other.is_silent && !own.is_silent);
+        FoundingStatus {
+            is_uninitialized: !own.is_used,
+            founded_with: own.founded_with.clone(),
+            connected: heard.map(|other| (other.id, address(other.machine))).collect(),
+        }
+    }
+
+    /// Lets all processes do what is due until a time.
+    fn run_until(&mut self, until: u64) {
+        while self.now < until {
+            self.now += TURN;
+            let machines: Vec<u64> = self.processes.iter().map(|process| process.machine).collect();
+            machines.into_iter().for_each(|machine| self.take_turn(machine));
+        }
+    }
+
+    fn take_turn(&mut self, machine: u64) {
+        loop {
+            let (now, status) = (self.now, self.status(machine));
+            match self.process(machine).founding.poll(now, &status) {
+                FoundingStep::Wait => return,
+                FoundingStep::SendOffer(offer) => self.deliver_offer(machine, &offer),
+                FoundingStep::Propose(membership) => {
+                    self.proposals += 1;
+                    self.deliver_proposal(machine, &membership);
+                }
+                FoundingStep::Found(membership) => return self.found(machine, membership),
+            }
+        }
+    }
+
+    fn deliver_offer(&mut self, from: u64, offer: &FoundingOffer) {
+        let now = self.now;
+        if self.process(from).is_silent {
+            return;
+        }
+        for process in self.processes.iter_mut().filter(|process| !process.is_silent) {
+            process.founding.handle_offer(now, offer.clone());
+        }
+    }
+
+    fn deliver_proposal(&mut self, from: u64, membership: &Membership) {
+        let addresses: Vec<String> = membership.members.iter().map(|member| member.address.clone()).collect();
+        let machines: Vec<u64> = self.processes.iter().map(|process| process.machine).collect();
+        for machine in machines.into_iter().filter(|machine| *machine != from) {
+            let (now, status) = (self.now, self.status(machine));
+            let process = self.process(machine);
+            let is_reached = addresses.contains(&address(machine)) && !process.is_silent;
+            if is_reached && process.founding.accepts(now, &status, membership) {
+                self.found(machine, membership.clone());
+            }
+        }
+    }
+
+    /// The process starts anew as a member. It elects nobody here, so that it stays a founder without a group.
+    fn found(&mut self, machine: u64, membership: Membership) {
+        let own = membership.members.iter().find(|member| member.address == address(machine));
+        let id = own.expect("a founder is a member").id;
+        let seed_addresses = membership.members.iter().map(|member| member.address.clone()).collect();
+        let next_id = id + 100;
+        let process = self.process(machine);
+        process.id = id;
+        process.founded_with = membership.clone();
+        process.founding = Founding::new(member(machine, next_id), seed_addresses, 1);
+        self.founded.push((machine, membership));
+    }
+}
+
+#[test]
+fn seeds_found_a_group_and_the_proposer_is_the_last() {
+    let mut site = Site::new(&[1, 2, 3, 4], &[1, 2, 3], 2);
+    site.run_until(1_900 * MS);
+    assert!(site.founded.is_empty(), "a group that exists has time to be heard");
+    site.run_until(3 * SECOND);
+    let expected = Membership { members: vec![member(1, 201), member(2, 202), member(3, 203)] };
+    let founded: Vec<_> = [2, 3, 1].iter().map(|machine| (*machine, expected.clone())).collect();
+    assert_eq!(site.founded, founded);
+}
+
+#[test]
+fn a_seed_that_has_had_a_part_in_a_group_prevents_a_founding() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 2);
+    site.process(3).is_used = true;
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+}
+
+#[test]
+fn a_seed_that_is_silent_prevents_a_founding() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+    site.process(2).is_silent = true;
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+    site.process(2).is_silent = false;
+    site.run_until(LONG + 2 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
+#[test]
+fn any_connected_core_process_that_does_not_offer_prevents_a_founding() {
+    let mut site = Site::new(&[1, 2, 3, 4], &[1, 2, 3], 1);
+    site.process(4).is_used = true;
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+}
+
+#[test]
+fn more_processes_offer_than_disks_may_be_lost() {
+    let mut site = Site::new(&[1, 2, 3, 4], &[1, 2, 3], 3);
+    site.process(4).is_silent = true;
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0), "three empty disks may all have been lost");
+    site.process(4).is_silent = false;
+    site.run_until(LONG + 2 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
+#[test]
+fn seeds_with_other_seeds_in_their_settings_do_not_agree() {
+    let mut site = Site::new(&[1, 2, 3, 4], &[1, 2, 3], 1);
+    site.process(2).founding.set_seeds(seeds(&[2, 3, 4]));
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+    site.process(2).founding.set_seeds(seeds(&[1, 2, 3]));
+    site.run_until(LONG + 2 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
+#[test]
+fn a_leader_that_was_heard_of_prevents_a_founding_for_a_while() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+    site.process(2).founding.handle_leader(0, &Membership { members: vec![member(9, 9)] });
+    site.run_until(9_900 * MS);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+    site.run_until(11 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
+#[test]
+fn a_proposal_is_refused_unless_every_member_offers_that_identity_now() {
+    let all = vec![member(1, 201), member(2, 202), member(3, 203)];
+    let mut proposals = vec![all.clone(); 4];
+    proposals[0][0].id = 301;
+    proposals[1][1].id = 302;
+    proposals[2].pop();
+    proposals[3][2].voter = false;
+    for members in proposals {
+        let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+        // Offers come, and no proposal of the first seed's own.
+        site.process(1).founding.set_seeds(seeds(&[1, 2]));
+        site.run_until(3 * SECOND);
+        let (now, status) = (site.now, site.status(2));
+        let founding = &mut site.process(2).founding;
+        assert!(!founding.accepts(now, &status, &Membership { members: members.clone() }), "{members:?}");
+        assert!(founding.accepts(now, &status, &Membership { members: all.clone() }));
+    }
+}
+
+#[test]
+fn a_founding_that_stayed_alone_is_replaced_with_the_same_seeds_only() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+    let earlier = Membership { members: vec![member(1, 1), member(2, 2), member(3, 3)] };
+    site.process(2).founded_with = earlier.clone();
+    site.run_until(3 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+
+    let mut site = Site::new(&[2, 3, 4], &[2, 3, 4], 1);
+    site.process(2).founded_with = earlier;
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0), "the others may have gone on without it");
+}
+
+#[test]
+fn a_proposer_founds_late_if_the_others_already_have_a_leader() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+    let mut proposed = None;
+    while proposed.is_none() {
+        site.now += TURN;
+        let now = site.now;
+        for machine in 1..=3 {
+            let status = site.status(machine);
+            match site.process(machine).founding.poll(now, &status) {
+                FoundingStep::SendOffer(offer) => site.deliver_offer(machine, &offer),
+                FoundingStep::Propose(membership) => proposed = Some(membership),
+                _ => {}
+            }
+        }
+        assert!(now < LONG, "nothing is proposed");
+    }
+    let membership = proposed.expect("a proposal");
+    let (now, status) = (site.now, site.status(1));
+    let founding = &mut site.process(1).founding;
+    assert_eq!(founding.poll(now, &status), FoundingStep::Wait, "the others have not founded it yet");
+    founding.handle_leader(now, &membership);
+    assert_eq!(founding.poll(now, &status), FoundingStep::Found(membership));
+}
+
+fn node(id: NodeId, restored: Restored) -> Node {
+    Node::new(Options::new(id), restored, 0, 7)
+}
+
+fn founders() -> Membership {
+    Membership { members: vec![member(1, 1), member(2, 2), member(3, 3)] }
+}
+
+#[test]
+fn a_process_is_uninitialized_until_it_votes_for_another() {
+    assert!(node(5, Restored::default()).is_uninitialized());
+    let mut founder = node(1, Node::bootstrap(founders()));
+    assert!(founder.is_uninitialized());
+    let request = VoteRequest {
+        term: 2,
+        last_index: 1,
+        last_term: 1,
+        pre_vote: false,
+        transfer: false,
+        unanimous: false,
+    };
+    let mut outputs = Vec::new();
+    founder.handle(1, Event::Message { from: 2, message: Message::VoteRequest(request) }, &mut outputs);
+    assert!(!founder.is_uninitialized());
+}
+
+#[test]
+fn what_a_disk_holds_beyond_a_founding_is_part_in_a_group() {
+    let votes: BTreeMap<Option<NodeId>, bool> = [(None, false), (Some(1), true), (Some(2), false)].into();
+    for (vote, is_uninitialized) in votes {
+        let restored = Restored { hard_state: HardState { term: 3, vote }, ..Node::bootstrap(founders()) };
+        assert_eq!(node(1, restored).is_uninitialized(), is_uninitialized, "{vote:?}");
+    }
+    let mut restored = Node::bootstrap(founders());
+    let next = consensus::Entry { index: 2, term: 1, payload: consensus::Payload::Noop };
+    restored.entries.push(next);
+    assert!(!node(1, restored).is_uninitialized());
+}
--- a/crates/control/src/clients.rs
+++ b/crates/control/src/clients.rs
@@ -2,9 +2,10 @@
 
 use crate::events::ConnectionId;
 use crate::transport::outbox::Outbox;
+use consensus::NodeId;
 use messages::peer::mod_ClientRequest::OneOfcall;
-use messages::peer::{mod_PeerFrame::OneOfbody, ClientReply, ClientRequest, LeaderNotice, Outcome};
-use std::collections::BTreeMap;
+use messages::peer::{mod_PeerFrame::OneOfbody, ClientReply, ClientRequest, Hello, LeaderNotice, Outcome};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Names a pending request.
@@ -13,6 +14,8 @@
 struct Client {
     outbox: Arc<Outbox>,
     has_greeted: bool,
+    /// Identity and address, if the other side is a core process.
+    core_process: Option<(NodeId, String)>,
 }
 
 struct PendingRequest {
@@ -36,17 +39,23 @@
 impl Clients {
     /// Adds an accepted connection.
     pub fn add(&mut self, connection: ConnectionId, outbox: Arc<Outbox>) {
-        self.connections.insert(connection, Client { outbox, has_greeted: false });
+        self.connections.insert(connection, Client { outbox, has_greeted: false, core_process: None });
     }
 
     /// The other side has sent its hello: it is notified of leaders from now on.
-    pub fn greeted(&mut self, connection: ConnectionId, notice: &LeaderNotice) {
+    pub fn greeted(&mut self, connection: ConnectionId, hello: &Hello, notice: &LeaderNotice) {
         if let Some(client) = self.connections.get_mut(&connection) {
             client.has_greeted = true;
+            client.core_process = (hello.node_id != 0).then(|| (hello.node_id, hello.address.clone()));
             client.outbox.push(OneOfbody::leader(notice.clone()));
         }
     }
 
+    /// Identities and addresses of the core processes that are connected.
+    pub fn core_processes(&self) -> BTreeSet<(NodeId, String)> {
+        self.connections.values().filter_map(|client| client.core_process.clone()).collect()
+    }
+
     /// Notifies all connected processes of the leader.
     pub fn announce(&self, notice: &LeaderNotice) {
         for client in self.connections.values().filter(|client| client.has_greeted) {
--- a/crates/control/src/driver/event_handlers.rs
+++ b/crates/control/src/driver/event_handlers.rs
@@ -43,7 +43,10 @@
     fn handle_frame(&mut self, now: u64, connection: ConnectionId, body: OneOfbody) {
         match body {
             OneOfbody::hello(hello) => self.handle_hello(connection, &hello),
-            OneOfbody::leader(notice) => self.group_join.handle_leader_notice(now, &notice),
+            OneOfbody::leader(notice) => {
+                self.group_join.handle_leader_notice(now, &notice);
+                self.handle_leader_notice(now, notice);
+            }
             OneOfbody::join(Join { member: Some(member) }) => {
                 let member = member_from_wire(member);
                 self.peers.set_address(member.id, &member.address);
@@ -54,6 +57,8 @@
             OneOfbody::ping(ping) => {
                 self.clients.push(connection, OneOfbody::pong(Pong { number: ping.number }));
             }
+            OneOfbody::founding_offer(offer) => self.handle_founding_offer(now, offer),
+            OneOfbody::founding_proposal(proposal) => self.handle_founding_proposal(now, proposal),
             OneOfbody::join(Join { member: None })
             | OneOfbody::reply(_)
             | OneOfbody::pong(_)
@@ -65,9 +70,10 @@
         if hello.node_id != 0 {
             self.peers.set_address(hello.node_id, &hello.address);
             self.peers.peer_started(&hello.address);
+            self.group_join.add_contact(&hello.address);
         }
         let notice = self.leader_notice();
-        self.clients.greeted(connection, &notice);
+        self.clients.greeted(connection, hello, &notice);
     }
 
     /// A message for another identity is dropped: that identity was in use here before its disk was lost.
--- a/crates/control/src/driver/event_log.rs
+++ b/crates/control/src/driver/event_log.rs
@@ -28,6 +28,25 @@
         }
     }
 
+    /// Records that no leader was heard of for a while.
+    pub(super) fn log_missing_group(&self) {
+        let node = self.replica.node();
+        let part = match (node.is_uninitialized(), node.is_member()) {
+            (true, false) => "none",
+            (true, true) => "founder",
+            (false, false) => "former",
+            (false, true) => "member",
+        };
+        let contacts = self.group_join.contacts().len();
+        let connected = self.clients.core_processes().len();
+        log::warn!(
+            "no leader is known: see whether a majority of the core runs; part={part} term={} last_index={} \
+             contacts={contacts} connected={connected}",
+            node.term(),
+            node.last_index(),
+        );
+    }
+
     /// Records that another leader is known, or none.
     pub(super) fn record_leader_change(&mut self) {
         self.metrics.leader_changed();
--- /dev/null
+++ b/crates/control/src/driver/founding.rs
@@ -0,0 +1,89 @@
+//! Founds a group by agreement of the seeds where none was founded: see [`consensus::Founding`].
+
+use super::{Driver, DriverExit};
+use crate::error::ControlError;
+use crate::identity;
+use configuration::ProcessSettings;
+use consensus::{Founding, FoundingOffer, FoundingStatus, FoundingStep, NodeId};
+use log_records::{member_from_wire, member_to_wire, membership_from_wire, membership_to_wire};
+use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, LeaderNotice};
+
+/// The founding of a process that would be the member `id`.
+pub(super) fn start(settings: &ProcessSettings, id: NodeId) -> Result<Founding, ControlError> {
+    let candidate = identity::own_member(settings, id)?;
+    let tolerated_losses = settings.fault_tolerance.machines as usize;
+    Ok(Founding::new(candidate, identity::founding_addresses(settings), tolerated_losses))
+}
+
+impl Driver {
+    /// Takes the steps that are due.
+    pub(super) fn poll_founding(&mut self, now: u64) {
+        loop {
+            let status = self.founding_status();
+            match self.founding.poll(now, &status) {
+                FoundingStep::Wait => return,
+                FoundingStep::SendOffer(offer) => self.send_founding_offer(&offer),
+                FoundingStep::Propose(membership) => {
+                    log::warn!("proposes to the other seeds to found a group: none has found one");
+                    let proposal = FoundingProposal { membership: Some(membership_to_wire(&membership)) };
+                    let body = OneOfbody::founding_proposal(proposal);
+                    self.peers.send_to_addresses(self.group_join.seeds(), &body);
+                }
+                FoundingStep::Found(membership) => {
+                    self.exit = Some(DriverExit::Founds { id: self.founding_id, membership });
+                    return;
+                }
+            }
+        }
+    }
+
+    /// A process names its leader and its members.
+    pub(super) fn handle_leader_notice(&mut self, now: u64, notice: LeaderNotice) {
+        let Some(membership) = notice.membership.filter(|_| notice.leader_id != 0) else { return };
+        let membership = membership_from_wire(membership);
+        self.founding.handle_leader(now, &membership);
+        let node = self.replica.node();
+        let has_founded_alone = node.is_member() && node.is_uninitialized();
+        if has_founded_alone && !membership.contains(node.id()) && !membership.contains(self.founding_id) {
+            log::warn!("a group has a leader and does not know this founder");
+            self.exit = Some(DriverExit::Removed);
+        }
+    }
+
+    /// Another process offers to found a group.
+    pub(super) fn handle_founding_offer(&mut self, now: u64, offer: peer::FoundingOffer) {
+        let Some(member) = offer.member.map(member_from_wire) else { return };
+        self.founding.handle_offer(now, FoundingOffer { member, seeds: offer.seeds.into_iter().collect() });
+    }
+
+    /// Another seed proposes to found a group.
+    pub(super) fn handle_founding_proposal(&mut self, now: u64, proposal: FoundingProposal) {
+        let Some(membership) = proposal.membership.map(membership_from_wire) else { return };
+        let status = self.founding_status();
+        if self.founding.accepts(now, &status, &membership) {
+            self.exit = Some(DriverExit::Founds { id: self.founding_id, membership });
+        }
+    }
+
+    /// The seeds are read first: an offer names those that are set now.
+    fn send_founding_offer(&mut self, offer: &FoundingOffer) {
+        log::debug!("offers to found a group with its seeds");
+        let seeds = offer.seeds.iter().cloned().collect();
+        let offer = peer::FoundingOffer { member: Some(member_to_wire(&offer.member)), seeds };
+        let contacts = self.group_join.contacts();
+        self.peers.send_to_addresses(&contacts, &OneOfbody::founding_offer(offer));
+        self.reload_settings();
+    }
+
+    fn founding_status(&self) -> FoundingStatus {
+        let node = self.replica.node();
+        if !node.is_uninitialized() {
+            return FoundingStatus::default();
+        }
+        FoundingStatus {
+            is_uninitialized: true,
+            founded_with: node.membership().clone(),
+            connected: self.clients.core_processes(),
+        }
+    }
+}
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -2,6 +2,7 @@
 
 mod event_handlers;
 mod event_log;
+mod founding;
 mod leadership;
 mod shutdown;
 
@@ -21,7 +22,7 @@
 use crate::writer::{Writer, Written};
 use crate::{replica, settings_file, wire};
 use configuration::{OrderDelivery, ProcessSettings};
-use consensus::Event;
+use consensus::{Event, Founding, Membership, NodeId};
 use scheduler::leader::{Input, Leader, Mechanisms, Output};
 use std::collections::VecDeque;
 use std::path::PathBuf;
@@ -36,6 +37,9 @@
 /// are sent and the responses to them are read.
 const MAX_APPLIED_PER_TURN: usize = 256;
 
+/// How often a leader reads the seeds in the settings file: machines that start may know no member but through them.
+const SEED_CHECK_INTERVAL: u64 = 1_000 * MILLISECOND;
+
 /// During shutdown, the interval of the checks whether all replies have been sent.
 const SHUTDOWN_CHECK_INTERVAL: u64 = 5 * MILLISECOND;
 
@@ -46,6 +50,13 @@
     Stopped,
     /// The group has removed this identity: clear the disk and join again.
     Removed,
+    /// The seeds have agreed to found a group: write its first log and start as this member.
+    Founds {
+        /// The identity of this process as a member.
+        id: NodeId,
+        /// The members.
+        membership: Membership,
+    },
     /// The process cannot continue.
     Failed(ControlError),
 }
@@ -81,6 +92,11 @@
     pub(crate) platform: PlatformClient,
     pub(crate) metrics: Metrics,
     group_join: GroupJoin,
+    founding: Founding,
+    /// The member that this process would be in a group that it founds by agreement.
+    founding_id: NodeId,
+    /// When a leader reads the seeds in the settings file next, in nanoseconds of `clock`.
+    next_seed_check: u64,
     /// Set once the process was asked to stop: the latest time at which it ends, in nanoseconds of `clock`.
     stop_by: Option<u64>,
     exit: Option<DriverExit>,
@@ -125,6 +141,7 @@
         let replica = Replica::new(replica::options(&settings, id), restored, writer, now)?;
         let own = identity::own_member(&settings, id)?;
         let seeds = identity::seed_addresses(&settings);
+        let founding_id = identity::unused_id(settings.ip);
         let platform_address = settings.cloud_api.as_ref().map(|platform| platform.address);
         let mut driver = Driver {
             settings_path: context.settings_path.clone(),
@@ -137,6 +154,9 @@
             announced_lease: 0,
             effects: VecDeque::new(),
             group_join: GroupJoin::new(id, &own.address, seeds, now),
+            founding: founding::start(&settings, founding_id)?,
+            founding_id,
+            next_seed_check: 0,
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
             clients,
             operator_calls: OperatorCalls::default(),
@@ -150,6 +170,11 @@
         };
         driver.platform.set_rate(platform_rate(&driver.settings));
         driver.workers.set_max_connections(max_connections(&driver.settings));
+        // Connections outlive an identity of this process, and their other sides greet only once.
+        for (peer, address) in driver.clients.core_processes() {
+            driver.peers.set_address(peer, &address);
+            driver.group_join.add_contact(&address);
+        }
         driver.connect_to_members();
         Ok(driver)
     }
@@ -195,9 +220,9 @@
             return self.clock.now();
         }
         let join_timer = self.group_join.next_timer(self.member_status());
-        let mut next = self.replica.node().next_timer().min(join_timer);
+        let mut next = self.replica.node().next_timer().min(join_timer).min(self.founding.next_timer());
         if self.leader.is_some() {
-            next = next.min(self.wake_at);
+            next = next.min(self.wake_at).min(self.next_seed_check);
         }
         if self.stop_by.is_some() {
             next = next.min(self.clock.now() + SHUTDOWN_CHECK_INTERVAL);
@@ -215,7 +240,15 @@
         match self.group_join.poll(now, self.member_status()) {
             JoinStep::Wait => {}
             JoinStep::RequestJoin => self.peers.request_join(&self.group_join.contacts()),
-            JoinStep::ReloadSettings => self.reload_settings(),
+            JoinStep::ReloadSettings => {
+                self.log_missing_group();
+                self.reload_settings();
+            }
+        }
+        self.poll_founding(now);
+        if self.leader.is_some() && self.next_seed_check <= now {
+            self.next_seed_check = now + SEED_CHECK_INTERVAL;
+            self.reload_settings();
         }
     }
 
@@ -315,10 +348,13 @@
         self.replica.propose(now, batch, &mut self.effects);
     }
 
-    /// Connects to the members in force, and to the contacts while this process is not a member.
+    /// Connects to the members in force and to the seeds, and to all contacts while this process is not a member.
+    ///
+    /// Seeds need not be members: a machine that has never been one may know nobody but them, and they nobody but it.
     fn connect_to_members(&mut self) {
         let node = self.replica.node();
-        let contacts = if node.is_member() { Vec::new() } else { self.group_join.contacts() };
+        let contacts =
+            if node.is_member() { self.group_join.seeds().to_vec() } else { self.group_join.contacts() };
         self.peers.set_members(node.membership(), &contacts);
         self.announce_leader();
     }
@@ -326,13 +362,21 @@
     /// Reads the settings file again. If it cannot be read, nothing changes.
     fn reload_settings(&mut self) {
         match settings_file::read(&self.settings_path) {
+            Ok(settings) if settings == self.settings => {}
             Ok(settings) => {
-                self.group_join.set_seeds(identity::seed_addresses(&settings));
+                let seeds = identity::seed_addresses(&settings);
+                let seeds_changed = seeds != self.group_join.seeds();
+                self.group_join.set_seeds(seeds);
+                self.founding.set_seeds(identity::founding_addresses(&settings));
                 let address = settings.cloud_api.as_ref().map(|platform| platform.address);
                 self.platform.set_source(&settings.discovery, address);
                 self.platform.set_rate(platform_rate(&settings));
                 self.workers.set_max_connections(max_connections(&settings));
                 self.settings = settings;
+                if seeds_changed {
+                    log::info!("other seeds are set: connecting to them");
+                    self.connect_to_members();
+                }
             }
             Err(error) => log::error!("{error}"),
         }
--- a/crates/control/src/driver/shutdown.rs
+++ b/crates/control/src/driver/shutdown.rs
@@ -29,8 +29,12 @@
 
     /// Why the driver ends now; `None` if it goes on.
     pub(super) fn take_exit(&mut self, now: u64) -> Option<DriverExit> {
-        if self.exit.is_some() {
-            return self.exit.take();
+        match self.exit.take() {
+            None => {}
+            Some(DriverExit::Removed | DriverExit::Founds { .. }) if self.is_stopping() => {
+                return Some(DriverExit::Stopped);
+            }
+            Some(exit) => return Some(exit),
         }
         let stop_by = self.stop_by?;
         let is_done = !self.replica.node().is_leader()
--- a/crates/control/src/group_join.rs
+++ b/crates/control/src/group_join.rs
@@ -49,7 +49,7 @@
     own_id: NodeId,
     own_address: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
-    /// Addresses of members that leader notices have named.
+    /// Addresses of members that leader notices have named, and of core processes that have connected.
     known_members: BTreeSet<SocketAddr>,
     /// When this process last was a member that knew a leader.
     last_contact: u64,
@@ -71,6 +71,11 @@
         }
     }
 
+    /// The seeds, without this process.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -86,6 +91,11 @@
         contacts
     }
 
+    /// Learns that a core process runs at this address.
+    pub fn add_contact(&mut self, address: &str) {
+        self.known_members.extend(address.parse::<SocketAddr>());
+    }
+
     /// Learns from a notice about the leader and the members.
     pub fn handle_leader_notice(&mut self, now: u64, notice: &LeaderNotice) {
         let members = notice.membership.iter().flat_map(|membership| &membership.members);
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -4,6 +4,7 @@
 use configuration::ProcessSettings;
 use consensus::{Member, Membership, Node, NodeId, Restored};
 use log_records::{restored, snapshot_to_stored, write_batch};
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -47,6 +48,11 @@
     seeds.map(|seed| peer_address(settings, *seed.ip())).collect()
 }
 
+/// Where the control processes of all seeds listen for other processes, as members' addresses are written.
+pub fn founding_addresses(settings: &ProcessSettings) -> BTreeSet<String> {
+    settings.seed_nodes.iter().map(|seed| peer_address(settings, *seed.ip()).to_string()).collect()
+}
+
 /// Opens the disk. An empty disk gets an identity before anything else: that of a founder on the very first start,
 /// otherwise one that was never used before, since the votes of an earlier identity are lost with its disk.
 pub fn open(settings: &ProcessSettings) -> Result<OpenedDisk, ControlError> {
@@ -70,7 +76,7 @@
         found(&mut store, id, &restored)?;
         return Ok(OpenedDisk { store, id, restored });
     }
-    let id = (u64::from(fastrand::u32(1..)) << ADDRESS_BITS) | founder_id(settings.ip);
+    let id = unused_id(settings.ip);
     store.write_identity(&Identity { node_id: id })?;
     Ok(OpenedDisk { store, id, restored: Restored::default() })
 }
@@ -102,6 +108,27 @@
     u64::from(u32::from(ip))
 }
 
+/// Draws an identity that this machine has never used.
+pub fn unused_id(ip: Ipv4Addr) -> NodeId {
+    (u64::from(fastrand::u32(1..)) << ADDRESS_BITS) | founder_id(ip)
+}
+
+/// Clears the disk and writes the first log of a group of these members, of whom this process is `id`.
+///
+/// # Errors
+///
+/// Fails if the disk does. It is empty then, or holds the complete founding.
+pub fn found_group(
+    settings: &ProcessSettings,
+    id: NodeId,
+    membership: Membership,
+) -> Result<(), ControlError> {
+    clear(settings)?;
+    let path = settings.data_directory.as_deref().ok_or(ControlError::NoDataDirectory)?;
+    let (mut store, _) = open_store(path)?;
+    found(&mut store, id, &Node::bootstrap(membership))
+}
+
 /// Writes the first log. The identity goes last: without it the disk still counts as empty.
 fn found(store: &mut Store<FileDirectory>, id: NodeId, restored: &Restored) -> Result<(), ControlError> {
     if let Some(snapshot) = &restored.snapshot {
--- a/crates/control/src/peer_connections.rs
+++ b/crates/control/src/peer_connections.rs
@@ -84,8 +84,13 @@
     /// Requests membership from the processes at these addresses.
     pub fn request_join(&mut self, contacts: &[SocketAddr]) {
         let join = Join { member: Some(member_to_wire(&self.own)) };
-        for address in contacts {
-            self.open(*address).link.push(OneOfbody::join(join.clone()));
+        self.send_to_addresses(contacts, &OneOfbody::join(join));
+    }
+
+    /// Sends a frame to the processes at these addresses.
+    pub fn send_to_addresses(&mut self, addresses: &[SocketAddr], body: &OneOfbody) {
+        for address in addresses {
+            self.open(*address).link.push(body.clone());
         }
     }
 
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -94,10 +94,15 @@
             DriverExit::Failed(error) => return Err(error),
             DriverExit::Removed => {
                 log::warn!("the group has removed this process: it clears its disk and joins again");
+                (settings, clients) = driver.into_parts();
+                identity::clear(&settings)?;
+            }
+            DriverExit::Founds { id, membership } => {
+                log::warn!("founds a group as {id:#x} by agreement of the seeds: none has found one");
+                (settings, clients) = driver.into_parts();
+                identity::found_group(&settings, id, membership)?;
             }
         }
-        (settings, clients) = driver.into_parts();
-        identity::clear(&settings)?;
         // The group exists: a process that starts with an empty disk now joins it.
         settings.bootstrap = false;
     }
--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -313,6 +313,15 @@
     ]
 }
 
+fn founding_offer() -> peer::FoundingOffer {
+    let seeds = vec!["10.0.0.1:7660".to_owned(), "10.0.0.2:7660".to_owned()];
+    peer::FoundingOffer { member: Some(member()), seeds }
+}
+
+fn founding_proposal() -> peer::FoundingProposal {
+    peer::FoundingProposal { membership: Some(membership()) }
+}
+
 fn frames() -> Vec<(String, mod_PeerFrame::OneOfbody)> {
     use mod_PeerFrame::OneOfbody;
     let hello = peer::Hello {
@@ -333,6 +342,8 @@
         ("join".to_owned(), OneOfbody::join(peer::Join { member: Some(member()) })),
         ("ping".to_owned(), OneOfbody::ping(peer::Ping { number: 7 })),
         ("pong".to_owned(), OneOfbody::pong(peer::Pong { number: 8 })),
+        ("founding_offer".to_owned(), OneOfbody::founding_offer(founding_offer())),
+        ("founding_proposal".to_owned(), OneOfbody::founding_proposal(founding_proposal())),
     ];
     for (name, call) in client_requests() {
         let request = peer::ClientRequest {
