Let a new group grow to the voters it needs before it takes commands

Cause: three seeds found a group that has to bear the loss of two disks with five voters. Change: a leader of a group without commands counts as leading once the wanted voters are committed, or after 3 s without them; after its first commit only under a lease. A process whose membership has fewer voters, and no command, may therefore be given up for another founding, which uses terms of its own. A member of a founding that came to nothing does not join another group with its log.

--- a/crates/consensus/src/founding.rs
+++ b/crates/consensus/src/founding.rs
@@ -5,7 +5,10 @@
 //! whether the others have founded the group since, or whether it has lost its disk. If a majority of the seeds is in
 //! that place, nobody would ever lead.
 //!
-//! So a process that has no part in any group ([`crate::Node::is_uninitialized`]) and hears of none offers, after a
+//! The same holds where the disks of a majority of the founders are lost before the group has grown to the voters that
+//! it needs to bear such a loss.
+//!
+//! So a process that holds nothing of any group ([`crate::Node::is_uninitialized`]) and hears of none offers, after a
 //! delay and then at intervals, to found one with its seeds, under an identity that was never used. The seed with the
 //! least address proposes the members once
 //!
@@ -16,8 +19,8 @@
 //!
 //! Each other seed checks the same when the proposal arrives, writes the first log and starts anew as that member. The
 //! proposer does so last, when all others have connected under their new identities: so it never is the only one, and a
-//! founding that was interrupted leaves seeds that offer again. A seed whose founding stayed alone offers again too,
-//! but only with the seeds that it has founded with: the others may have gone on without it.
+//! founding that was interrupted leaves seeds that offer again. A member of a founding that came to nothing offers too,
+//! but agrees only if all voters of that founding offer: the others may have gone on without it.
 //!
 //! Input and output are the caller's, as with [`crate::Node`]. Times are nanoseconds of the process's steady clock.
 
@@ -48,9 +51,9 @@
 /// What the process knows of itself and its surroundings.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FoundingStatus {
-    /// Whether it has no part in any group: [`crate::Node::is_uninitialized`].
+    /// Whether it holds nothing of any group: [`crate::Node::is_uninitialized`].
     pub is_uninitialized: bool,
-    /// The members that it has founded a group with, if it has founded one; else empty.
+    /// The members of a founding that came to nothing, as it knows them; else empty.
     pub founded_with: Membership,
     /// Core processes that are connected: identity and address.
     pub connected: BTreeSet<(NodeId, String)>,
@@ -166,7 +169,7 @@
         }
         self.waiting_since.get_or_insert(now);
         self.forget_old_offers(now);
-        if !self.is_ready(now) || !self.may_found_but_for_connections(now, status) {
+        if !self.is_ready(now) || !self.hears_of_no_group(now, status) {
             return FoundingStep::Wait;
         }
         if now >= self.next_offer_at {
@@ -212,18 +215,16 @@
     }
 
     fn may_found(&self, now: u64, status: &FoundingStatus) -> bool {
-        let offers = |address: &String| self.offers.contains_key(address);
-        let all_offer = status.connected.iter().all(|(_, address)| offers(address));
-        all_offer && self.may_found_but_for_connections(now, status)
+        let offers =
+            |address: &String| *address == self.candidate.address || self.offers.contains_key(address);
+        let voters = status.founded_with.members.iter().filter(|member| member.voter);
+        self.hears_of_no_group(now, status)
+            && status.connected.iter().all(|(_, address)| offers(address))
+            && voters.into_iter().all(|voter| offers(&voter.address))
     }
 
-    /// Whether this process has no part in any group, hears of none, and has founded with no other seeds.
-    fn may_found_but_for_connections(&self, now: u64, status: &FoundingStatus) -> bool {
-        let founded_with = &status.founded_with.members;
-        let same_seeds = founded_with.iter().all(|member| self.seeds.contains(&member.address));
-        status.is_uninitialized
-            && now >= self.leader_known_until
-            && (founded_with.is_empty() || (same_seeds && founded_with.len() == self.seeds.len()))
+    fn hears_of_no_group(&self, now: u64, status: &FoundingStatus) -> bool {
+        status.is_uninitialized && now >= self.leader_known_until
     }
 
     fn is_agreed(&self, now: u64, status: &FoundingStatus) -> bool {
--- a/crates/consensus/src/interface.rs
+++ b/crates/consensus/src/interface.rs
@@ -105,7 +105,8 @@
         /// Its term, or the newest known.
         term: Term,
     },
-    /// This process leads, and [`Output::Commit`] has covered all that was committed before.
+    /// This process leads, and [`Output::Commit`] has covered all that was committed before. Commands may be proposed
+    /// from here on: a group that holds none yet has grown to the voters it wants, or has waited for them in vain.
     BecameLeader {
         /// Its term.
         term: Term,
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::types::{Entry, Index, Term};
+use crate::types::{Entry, Index, Payload, Term};
 
 /// Entries after a base, which is the last entry that was compacted away (0 at first).
 #[derive(Clone, Debug, Default)]
@@ -50,6 +50,11 @@
         self.entries.push_back(entry);
     }
 
+    /// Whether an entry in memory holds a command.
+    pub fn has_command(&self) -> bool {
+        self.entries.iter().any(|entry| matches!(entry.payload, Payload::Command(_)))
+    }
+
     /// Drops entries from this index on.
     pub fn truncate_from(&mut self, index: Index) {
         let remaining = index.saturating_sub(self.base_index + 1);
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -17,6 +17,29 @@
     BOOTSTRAP_INDEX, BOOTSTRAP_TERM,
 };
 
+/// Bits by which identities are shifted when a term is drawn from them.
+const TERM_MIX_BITS: u32 = 7;
+/// The largest distance of the first term of a later founding from the usual one.
+const MAX_TERM_OFFSET: Term = 0x7fff_ffff;
+
+/// What a founder starts with, in this term.
+fn bootstrap_in_term(term: Term, membership: Membership) -> Restored {
+    let payload = Payload::Membership(membership);
+    Restored {
+        hard_state: HardState { term, vote: None },
+        snapshot: None,
+        entries: vec![Entry { index: BOOTSTRAP_INDEX, term, payload }],
+    }
+}
+
+/// Whether nobody can have led yet who counted on this process: no leader is elected in the usual first term, nor in
+/// that of a later founding.
+fn is_fresh(restored: &Restored) -> bool {
+    let HardState { term, vote } = restored.hard_state;
+    let is_founding = matches!(restored.entries.as_slice(), [founding] if founding.term == term);
+    restored.snapshot.is_none() && (term <= BOOTSTRAP_TERM || (is_founding && vote.is_none()))
+}
+
 /// One process of the group, without input and output: events and the time go in, outputs come out.
 ///
 /// What holds between two calls of [`Node::handle`]: at most one vote is given in a term, and it leaves only when it is
@@ -54,7 +77,7 @@
     /// A process that starts, at this time of the steady clock in nanoseconds, with what its disk gave back. `seed`
     /// determines its random timeouts.
     pub fn new(options: Options, restored: Restored, now: u64, seed: u64) -> Node {
-        let fresh = restored.hard_state.term <= BOOTSTRAP_TERM && restored.snapshot.is_none();
+        let fresh = is_fresh(&restored);
         let hard_state = restored.hard_state;
         let (log, memberships, commit) = load(&restored);
         let last_index = log.last_index();
@@ -98,12 +121,16 @@
     /// What each founder of a group starts with. The caller makes it durable before [`Node::new`]. All founders must
     /// name the same members in the same order, and have never been part of a group.
     pub fn bootstrap(membership: Membership) -> Restored {
-        let payload = Payload::Membership(membership);
-        Restored {
-            hard_state: HardState { term: BOOTSTRAP_TERM, vote: None },
-            snapshot: None,
-            entries: vec![Entry { index: BOOTSTRAP_INDEX, term: BOOTSTRAP_TERM, payload }],
-        }
+        bootstrap_in_term(BOOTSTRAP_TERM, membership)
+    }
+
+    /// As [`Node::bootstrap`], for a group that is founded after a former founding may have left logs somewhere. Its
+    /// terms are such that none of its entries is taken for one of another founding: a log that holds others is
+    /// found to differ.
+    pub fn bootstrap_again(membership: Membership) -> Restored {
+        let mix = |mixed: Term, id: NodeId| mixed.rotate_left(TERM_MIX_BITS) ^ id ^ (id >> u32::BITS);
+        let mixed = membership.members.iter().map(|member| member.id).fold(0, mix);
+        bootstrap_in_term(BOOTSTRAP_TERM + 1 + (mixed & MAX_TERM_OFFSET), membership)
     }
 
     /// Takes an event at a time of the steady clock, in nanoseconds, and appends what is to be done. Times never
@@ -175,18 +202,32 @@
         self.membership().contains(self.options.id)
     }
 
-    /// Whether this process certainly has had no part in any group: its log holds nothing beyond a founding, it has voted
-    /// for nobody but itself, and it follows and leads nobody.
+    /// Whether this process certainly holds nothing that a group has committed, and has had no part in committing
+    /// anything: it may be given up for another founding. It follows and leads nobody, and its log holds no command.
     ///
-    /// It may have founded a group by itself, and campaigned in vain. A term beyond the founding's without a vote shows
-    /// only that others campaigned: an earlier vote may have been overwritten, so the process counts as used then.
+    /// A group takes commands only once it has grown to the voters it wants ([`Output::BecameLeader`]). So a process
+    /// that knows of fewer voters was not counted for any command. One that knows of enough must hold no more than the
+    /// founding, and have voted for nobody but itself: a term beyond the founding's without a vote shows only that
+    /// others campaigned, and an earlier vote may have been overwritten.
     pub fn is_uninitialized(&self) -> bool {
-        let only_founded =
-            self.log.last_index() <= BOOTSTRAP_INDEX && self.snapshot.is_none() && self.commit == 0;
+        if self.leader.is_some() || self.is_leader() || self.holds_commands() {
+            return false;
+        }
         let HardState { term, vote } = self.hard_state;
-        let never_voted = vote.is_none() && term <= BOOTSTRAP_TERM;
+        let never_voted = vote.is_none() && term == self.log.last_term();
         let voted_for_itself = vote == Some(self.options.id);
-        only_founded && (never_voted || voted_for_itself) && self.leader.is_none() && !self.is_leader()
+        let only_founded = self.log.last_index() <= BOOTSTRAP_INDEX && self.commit == 0;
+        let has_grown = self.has_wanted_voters(self.membership());
+        !has_grown || (only_founded && (never_voted || voted_for_itself))
+    }
+
+    /// Whether the log holds commands, or has ever been compacted, which takes a snapshot of their effects.
+    pub(crate) fn holds_commands(&self) -> bool {
+        self.snapshot.is_some() || self.log.base_index() > 0 || self.log.has_command()
+    }
+
+    pub(crate) fn has_wanted_voters(&self, membership: &Membership) -> bool {
+        membership.voters().count() >= self.options.target_voters
     }
 
     /// Whether the caller should send, now and then, a join request to the process that is said to lead, which hands
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -50,6 +50,8 @@
     pub replacement_timeout: Duration,
     /// A learner that has not responded for this long is removed.
     pub learner_timeout: Duration,
+    /// How long the leader of a group that holds no command yet waits for the voters that the group wants.
+    pub growth_timeout: Duration,
     /// Time without a finished write after which a leader transfers leadership.
     pub disk_stall_timeout: Duration,
 }
@@ -76,6 +78,7 @@
             promotion_gap: 64,
             replacement_timeout: Duration::from_millis(2_000),
             learner_timeout: Duration::from_millis(5_000),
+            growth_timeout: Duration::from_millis(3_000),
             disk_stall_timeout: Duration::from_millis(1_000),
         }
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -23,8 +23,12 @@
     pub(crate) fn become_leader(&mut self, out: &mut Vec<Output>) {
         let term = self.hard_state.term;
         let noop_index = self.log.last_index() + 1;
-        let mut leadership =
-            Leadership::new(term, noop_index, self.now + nanoseconds(self.options.heartbeat_interval));
+        let mut leadership = Leadership::new(
+            term,
+            noop_index,
+            self.now,
+            self.now + nanoseconds(self.options.heartbeat_interval),
+        );
         leadership.track_members(self.options.id, self.memberships.current(), noop_index, self.now);
         self.role = Role::Leader(leadership);
         self.unanimous_election_at = None;
@@ -109,6 +113,7 @@
             leadership.transfer = None;
         }
         leadership.renew_lease(self.options.id, now, membership, &self.options);
+        self.announce_leadership(false, out);
         self.send_heartbeats(out);
         self.transfer_if_disk_stalls(out);
         self.change_members(out);
@@ -185,7 +190,6 @@
         if index <= self.commit || self.log.term_at(index) != Some(leadership.term) {
             return;
         }
-        let term = leadership.term;
         let first_commit = !leadership.noop_committed && index >= leadership.noop_index;
         leadership.noop_committed |= first_commit;
         let changed_at = self.memberships.changed_at();
@@ -195,14 +199,32 @@
         }
         leadership.renew_lease(self.options.id, self.now, membership, &self.options);
         self.commit_to(index, out);
-        if first_commit {
-            out.push(Output::BecameLeader { term });
-        }
+        self.announce_leadership(first_commit, out);
         if membership_committed {
             self.change_members(out);
         }
     }
 
+    /// Tells the caller that this process leads, once the state is complete. A group that holds no command yet first
+    /// grows to the voters that it wants: with fewer, what it commits might not outlive the losses that it is to bear.
+    /// It does not wait for ever, since some of them may be down. After its first commit only a lease shows that no
+    /// other process has committed more since.
+    pub(crate) fn announce_leadership(&mut self, first_commit: bool, out: &mut Vec<Output>) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let is_confirmed = first_commit || leadership.lease_until() > self.now;
+        if leadership.announced || !leadership.noop_committed || !is_confirmed {
+            return;
+        }
+        let has_grown = self.has_wanted_voters(self.memberships.at(self.commit))
+            || leadership.has_waited_for_voters(self.now, &self.options);
+        if !has_grown && !self.holds_commands() {
+            return;
+        }
+        let Some(leadership) = self.leadership() else { return };
+        leadership.announced = true;
+        out.push(Output::BecameLeader { term: leadership.term });
+    }
+
     pub(crate) fn on_peer_lost(&mut self, to: NodeId, out: &mut Vec<Output>) {
         let Some(leadership) = self.leadership() else { return };
         if let Some(progress) = leadership.progress.get_mut(&to) {
--- /dev/null
+++ b/crates/consensus/tests/group_growth.rs
@@ -0,0 +1,117 @@
+//! A new group takes commands once it can bear the losses that it is to bear.
+
+mod support;
+
+use consensus::{Member, Membership, Node, Options, Output};
+use support::cluster::{nanoseconds, SECOND};
+use support::single::{entry, voters, Single};
+
+const WANTED_VOTERS: usize = 5;
+
+/// Process 1 of a new group of `founders`, which wants five voters, with these commands on its disk.
+fn founder(founders: u64, commands: &[(u64, u64)]) -> Single {
+    let mut options = Options::new(1);
+    options.target_voters = WANTED_VOTERS;
+    let mut restored = Node::bootstrap(voters(founders));
+    restored.entries.extend(commands.iter().map(|(index, term)| entry(*index, *term)));
+    let mut single = Single::founder(founders);
+    single.node = Node::new(options, restored, single.now, 1);
+    single
+}
+
+/// Elects the process and lets the other founders acknowledge what it writes; whether it may take commands.
+fn lead(single: &mut Single, founders: u64) -> bool {
+    let others: Vec<u64> = (2..=founders).collect();
+    single.win(&others);
+    acknowledged(single, &others)
+}
+
+fn acknowledged(single: &mut Single, others: &[u64]) -> bool {
+    let mut outputs = single.persist();
+    for other in others {
+        outputs.extend(single.acknowledge(*other));
+    }
+    outputs.iter().any(|output| matches!(output, Output::BecameLeader { .. }))
+}
+
+fn joiner(id: u64) -> Member {
+    Member { id, address: format!("machine-{id}"), control: String::new(), voter: false }
+}
+
+fn voter_count(membership: &Membership) -> usize {
+    membership.voters().count()
+}
+
+#[test]
+fn a_group_with_the_wanted_voters_takes_commands_at_once() {
+    let mut single = founder(5, &[]);
+    assert!(lead(&mut single, 5));
+}
+
+#[test]
+fn a_new_group_grows_before_it_takes_commands() {
+    let mut single = founder(3, &[]);
+    assert!(!lead(&mut single, 3), "two lost disks would take a majority of three voters");
+    for id in [4, 5] {
+        single.handle(consensus::Event::Join { member: joiner(id) });
+    }
+    let mut ready = false;
+    for _ in 0..20 {
+        let before = voter_count(single.node.membership());
+        let is_committed = single.node.commit_index() == single.node.last_index();
+        assert!(!ready || (before == WANTED_VOTERS && is_committed), "ready with {before} voters");
+        if ready {
+            return;
+        }
+        single.run_timer();
+        ready = acknowledged(&mut single, &[2, 3, 4, 5]);
+    }
+    panic!("the group does not become ready");
+}
+
+#[test]
+fn a_new_group_does_not_wait_for_ever() {
+    let mut single = founder(3, &[]);
+    assert!(!lead(&mut single, 3));
+    let timeout = nanoseconds(Options::new(1).growth_timeout);
+    let led_since = single.now;
+    let mut ready = false;
+    while !ready {
+        assert!(single.now <= led_since + timeout + SECOND, "it waits too long");
+        let outputs = single.run_timer();
+        ready = outputs.iter().any(|output| matches!(output, Output::BecameLeader { .. }))
+            || acknowledged(&mut single, &[2, 3]);
+    }
+    assert!(single.now >= led_since + timeout - SECOND / 2, "it waits too short a time");
+}
+
+#[test]
+fn a_group_that_holds_commands_does_not_wait() {
+    let mut single = founder(3, &[(2, 1)]);
+    assert!(lead(&mut single, 3));
+}
+
+#[test]
+fn a_process_that_knows_of_too_few_voters_holds_nothing_of_the_group() {
+    let mut single = founder(3, &[]);
+    lead(&mut single, 3);
+    assert!(!single.node.is_uninitialized(), "it leads");
+    while single.node.is_leader() {
+        single.run_timer();
+    }
+    assert!(single.node.last_index() > 1 && single.node.is_uninitialized());
+    assert!(!founder(3, &[(2, 1)]).node.is_uninitialized(), "it holds a command");
+}
+
+#[test]
+fn entries_of_two_foundings_are_told_apart() {
+    let first = Node::bootstrap(voters(3));
+    let again = Node::bootstrap_again(voters(3));
+    let mut other_members = voters(3);
+    other_members.members[1].id = 1 << 40;
+    let other = Node::bootstrap_again(other_members);
+    assert_eq!(again, Node::bootstrap_again(voters(3)), "all founders write the same");
+    let terms = [&first, &again, &other].map(|restored| restored.entries[0].term);
+    assert!(terms[0] < terms[1] && terms[0] < terms[2] && terms[1] != terms[2], "{terms:?}");
+    assert!([&again, &other].iter().all(|restored| restored.hard_state.term == restored.entries[0].term));
+}
--- a/crates/control/src/driver/founding.rs
+++ b/crates/control/src/driver/founding.rs
@@ -42,14 +42,20 @@
         let Some(membership) = notice.membership.filter(|_| notice.leader_id != 0) else { return };
         let membership = membership_from_wire(membership);
         self.founding.handle_leader(now, &membership);
-        let node = self.replica.node();
-        let has_founded_alone = node.is_member() && node.is_uninitialized();
-        if has_founded_alone && !membership.contains(node.id()) && !membership.contains(self.founding_id) {
-            log::warn!("a group has a leader and does not know this founder");
+        let own_id = self.replica.node().id();
+        let is_listed = membership.contains(own_id) || membership.contains(self.founding_id);
+        if self.has_founded_alone() && !is_listed {
+            log::warn!("a group has a leader and does not know this member of a former founding");
             self.exit = Some(DriverExit::Removed);
         }
     }
 
+    /// Whether this process is a member of a founding that came to nothing, as far as it knows.
+    pub(super) fn has_founded_alone(&self) -> bool {
+        let node = self.replica.node();
+        node.is_member() && node.is_uninitialized()
+    }
+
     /// Another process offers to found a group.
     pub(super) fn handle_founding_offer(&mut self, now: u64, offer: peer::FoundingOffer) {
         let Some(member) = offer.member.map(member_from_wire) else { return };
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -239,6 +239,8 @@
         }
         match self.group_join.poll(now, self.member_status()) {
             JoinStep::Wait => {}
+            // Members that a former founding has left are given up, not taken into another group with their log.
+            JoinStep::RequestJoin if self.has_founded_alone() => {}
             JoinStep::RequestJoin => self.peers.request_join(&self.group_join.contacts()),
             JoinStep::ReloadSettings => {
                 self.log_missing_group();
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -126,7 +126,7 @@
     clear(settings)?;
     let path = settings.data_directory.as_deref().ok_or(ControlError::NoDataDirectory)?;
     let (mut store, _) = open_store(path)?;
-    found(&mut store, id, &Node::bootstrap(membership))
+    found(&mut store, id, &Node::bootstrap_again(membership))
 }
 
 /// Writes the first log. The identity goes last: without it the disk still counts as empty.
