Register for signals before a process does anything else

Cause: both roles set their handlers after the logger, the settings and the runtime. Until then SIGHUP ended the process by its default action, and SIGTERM without a graceful end. Change: the crate process-signals holds what each role had by itself; the program registers first and hands the registration to the role.

--- a/crates/control/src/driver/founding.rs
+++ b/crates/control/src/driver/founding.rs
@@ -1,20 +1,10 @@
 //! Founds a group by agreement of the seeds where none was founded: see [`consensus::Founding`].
 
 use super::{Driver, DriverExit};
-use crate::error::ControlError;
-use crate::identity;
-use configuration::ProcessSettings;
-use consensus::{Founding, FoundingOffer, FoundingStatus, FoundingStep, NodeId};
+use consensus::{FoundingOffer, FoundingStatus, FoundingStep};
 use log_records::{member_from_wire, member_to_wire, membership_from_wire, membership_to_wire};
 use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, LeaderNotice};
 
-/// The founding of a process that would be the member `id`.
-pub(super) fn start(settings: &ProcessSettings, id: NodeId) -> Result<Founding, ControlError> {
-    let candidate = identity::own_member(settings, id)?;
-    let tolerated_losses = settings.fault_tolerance.machines as usize;
-    Ok(Founding::new(candidate, identity::founding_addresses(settings), tolerated_losses))
-}
-
 impl Driver {
     /// Takes the steps that are due.
     pub(super) fn poll_founding(&mut self, now: u64) {
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -154,7 +154,7 @@
             announced_lease: 0,
             effects: VecDeque::new(),
             group_join: GroupJoin::new(id, &own.address, seeds, now),
-            founding: founding::start(&settings, founding_id)?,
+            founding: identity::founding(&settings, founding_id)?,
             founding_id,
             next_seed_check: 0,
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
--- a/crates/control/src/driver/shutdown.rs
+++ b/crates/control/src/driver/shutdown.rs
@@ -2,8 +2,8 @@
 
 use super::{Driver, DriverExit};
 use crate::clock::MILLISECOND;
-use crate::signals::Signal;
 use consensus::Event;
+use process_signals::Signal;
 
 /// The longest time from the signal to the end: leadership is transferred and replies are sent within it.
 const SHUTDOWN_TIMEOUT: u64 = 2_000 * MILLISECOND;
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -2,10 +2,10 @@
 
 use crate::admin::call::AdminCall;
 use crate::platform::error::PlatformError;
-use crate::signals::Signal;
 use crate::transport::outbox::Outbox;
 use configuration::instances::Instance;
 use messages::peer::mod_PeerFrame::OneOfbody;
+use process_signals::Signal;
 use scheduler::leader::CallId;
 use scheduler::worker::CallOutcome;
 use std::sync::Arc;
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -2,7 +2,7 @@
 
 use crate::error::ControlError;
 use configuration::ProcessSettings;
-use consensus::{Member, Membership, Node, NodeId, Restored};
+use consensus::{Founding, Member, Membership, Node, NodeId, Restored};
 use log_records::{restored, snapshot_to_stored, write_batch};
 use std::collections::BTreeSet;
 use std::fs::{self, File};
@@ -53,6 +53,17 @@
     settings.seed_nodes.iter().map(|seed| peer_address(settings, *seed.ip()).to_string()).collect()
 }
 
+/// How this process, as a member of this identity, would found a group by agreement of the seeds.
+///
+/// # Errors
+///
+/// Fails if the settings give no `Control` address.
+pub fn founding(settings: &ProcessSettings, id: NodeId) -> Result<Founding, ControlError> {
+    let candidate = own_member(settings, id)?;
+    let tolerated_losses = settings.fault_tolerance.machines as usize;
+    Ok(Founding::new(candidate, founding_addresses(settings), tolerated_losses))
+}
+
 /// Opens the disk. An empty disk gets an identity before anything else: that of a founder on the very first start,
 /// otherwise one that was never used before, since the votes of an earlier identity are lost with its disk.
 pub fn open(settings: &ProcessSettings) -> Result<OpenedDisk, ControlError> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,5 +35,5 @@
 
 pub use error::ControlError;
 pub use process::{run, run_with_signals};
+pub use process_signals::Signal;
 pub use scheduler::leader::{Mechanism, Mechanisms};
-pub use signals::Signal;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,13 +5,14 @@
 use crate::driver::{Driver, DriverExit, ProcessContext};
 use crate::error::ControlError;
 use crate::events::DriverEvent;
-use crate::signals::{Signal, SignalSource};
+use crate::signals::SignalSource;
 use crate::{identity, operator_api, transport};
 use configuration::ProcessSettings;
+use process_signals::{ProcessRuntime, Signal};
 use scheduler::leader::Mechanisms;
 use std::path::PathBuf;
 use std::time::Duration;
-use tokio::runtime::Builder;
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::timeout;
@@ -21,18 +22,20 @@
 /// How long callers of the operator's API may take to read their responses at shutdown.
 const API_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Runs the control role until the platform asks it to stop.
+/// Runs the control role in this process until the platform asks it to stop.
 ///
 /// # Errors
 ///
 /// Fails if the settings lack what the role needs, if an address cannot be bound, or if the store fails in a way that a
 /// retry does not repair. The platform is expected to start the process again.
 pub fn run(
+    process: ProcessRuntime,
     settings: ProcessSettings,
     settings_path: PathBuf,
     mechanisms: Mechanisms,
 ) -> Result<(), ControlError> {
-    run_with_signals(settings, settings_path, mechanisms, None)
+    let ProcessRuntime { runtime, signals } = process;
+    run_in(runtime, settings, settings_path, mechanisms, SignalSource::Process(signals))
 }
 
 /// As `run`, but with signals from a channel in place of the process's own.
@@ -44,9 +47,19 @@
     settings: ProcessSettings,
     settings_path: PathBuf,
     mechanisms: Mechanisms,
-    signals: Option<mpsc::Receiver<Signal>>,
+    signals: mpsc::Receiver<Signal>,
 ) -> Result<(), ControlError> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(ControlError::Runtime)?;
+    run_in(runtime, settings, settings_path, mechanisms, SignalSource::Channel(signals))
+}
+
+fn run_in(
+    runtime: Runtime,
+    settings: ProcessSettings,
+    settings_path: PathBuf,
+    mechanisms: Mechanisms,
+    signals: SignalSource,
+) -> Result<(), ControlError> {
     let local = LocalSet::new();
     let result = local.block_on(&runtime, serve(settings, settings_path, mechanisms, signals));
     runtime.shutdown_background();
@@ -57,15 +70,11 @@
     settings: ProcessSettings,
     settings_path: PathBuf,
     mechanisms: Mechanisms,
-    signals: Option<mpsc::Receiver<Signal>>,
+    signals: SignalSource,
 ) -> Result<(), ControlError> {
     let (sender, events) = mpsc::channel(MAX_WAITING_EVENTS);
     let mut context = ProcessContext { clock: Clock::start(), settings_path, mechanisms, sender, events };
     let sender = &context.sender;
-    let signals = match signals {
-        Some(signals) => SignalSource::Channel(signals),
-        None => SignalSource::process().map_err(ControlError::Runtime)?,
-    };
     spawn_local(forward_signals(signals, sender.clone()));
     let peer_address = identity::peer_address(&settings, settings.ip);
     let listener =
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -104,7 +104,7 @@
         let settings = ProcessSettings::read(&text).expect("proper settings");
         let (signals, received) = mpsc::channel(4);
         let thread = std::thread::spawn(move || {
-            control::run_with_signals(settings, path, Mechanisms::default(), Some(received))
+            control::run_with_signals(settings, path, Mechanisms::default(), received)
         });
         Process { signals, thread }
     }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -20,9 +20,11 @@
 
 pub use error::DataPlaneError;
 pub use options::{peer_addresses, ClientLimits, DataPlaneOptions, DrainTimes};
-pub use server::{DataPlane, Signal};
+pub use process_signals::Signal;
+pub use server::DataPlane;
 
 use configuration::ProcessSettings;
+use process_signals::ProcessRuntime;
 use std::path::PathBuf;
 
 /// Runs the role until SIGTERM and the graceful shutdown after it. `settings_path` is read again on SIGHUP, and when no
@@ -31,12 +33,16 @@
 /// # Errors
 ///
 /// The settings lack a listening address, or an address cannot be listened on.
-pub fn run(settings: ProcessSettings, settings_path: PathBuf) -> Result<(), DataPlaneError> {
+pub fn run(
+    process: ProcessRuntime,
+    settings: ProcessSettings,
+    settings_path: PathBuf,
+) -> Result<(), DataPlaneError> {
     let options = DataPlaneOptions::from_settings(&settings)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let ProcessRuntime { runtime, signals } = process;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async move {
-        let signals = server::signals()?;
+        let signals = server::forward_signals(signals);
         let plane = DataPlane::start(options)?;
         plane.run(settings_path, signals).await;
         Ok(())
--- a/crates/data-plane/src/server.rs
+++ b/crates/data-plane/src/server.rs
@@ -9,26 +9,16 @@
 use crate::readiness::Readiness;
 use crate::upstream::Forwarder;
 use configuration::ProcessSettings;
-use std::io;
+use process_signals::{ProcessSignals, Signal};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, AbortHandle};
 
 /// Capacity of the channel for signals.
 const SIGNAL_CAPACITY: usize = 4;
 
-/// What the platform asks of the process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Signal {
-    /// Drain and end (SIGTERM, SIGINT).
-    Stop,
-    /// Read the settings again (SIGHUP).
-    Reload,
-}
-
 /// The running role. Lives on one thread, within a `LocalSet`.
 pub struct DataPlane {
     forwarder: Rc<Forwarder>,
@@ -113,24 +103,15 @@
     Ok(peer_addresses(&settings))
 }
 
-/// The process's signals.
-pub fn signals() -> io::Result<mpsc::Receiver<Signal>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+/// Passes the process's signals on, as the role receives them.
+pub fn forward_signals(mut signals: ProcessSignals) -> mpsc::Receiver<Signal> {
     let (sender, receiver) = mpsc::channel(SIGNAL_CAPACITY);
     spawn_local(async move {
-        loop {
-            let received = tokio::select! {
-                Some(()) = terminate.recv() => Signal::Stop,
-                Some(()) = interrupt.recv() => Signal::Stop,
-                Some(()) = hangup.recv() => Signal::Reload,
-                else => return,
-            };
-            if sender.send(received).await.is_err() {
+        while let Some(signal) = signals.recv().await {
+            if sender.send(signal).await.is_err() {
                 return;
             }
         }
     });
-    Ok(receiver)
+    receiver
 }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -66,6 +66,10 @@
         OwnPath(error: io::Error) {
             display("the program cannot be found ({error}): start it by its path")
         }
+        /// The runtime cannot start.
+        Runtime(error: io::Error) {
+            display("the runtime cannot start ({error}): see whether descriptors or threads run out")
+        }
         /// The role ended with an error.
         Role(reason: String) {
             display("{reason}")
@@ -85,6 +89,7 @@
             | NodeError::Problems(..)
             | NodeError::Settings(..) => EXIT_CONFIGURATION,
             NodeError::Logger(_)
+            | NodeError::Runtime(_)
             | NodeError::Role(_)
             | NodeError::Demo(_)
             | NodeError::OwnPath(_)
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,6 +9,7 @@
 use error::NodeError;
 use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle};
 use log::Record;
+use process_signals::ProcessRuntime;
 use std::io::{self, stdout, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -47,7 +48,9 @@
         Request::Demo { play } => return play_demo(play),
         Request::Run(arguments) => arguments,
     };
-    run_role(&arguments)
+    // Before anything else: a signal that arrives first would end the process.
+    let process = ProcessRuntime::start().map_err(NodeError::Runtime)?;
+    run_role(process, &arguments)
 }
 
 /// Plays the demonstration with processes of this very program.
@@ -57,15 +60,15 @@
     write!(stdout(), "{report}").map_err(NodeError::Output)
 }
 
-fn run_role(arguments: &Arguments) -> Result<(), NodeError> {
+fn run_role(process: ProcessRuntime, arguments: &Arguments) -> Result<(), NodeError> {
     let _logger = start_logger(arguments)?;
     let path = settings_path()?;
     let settings = read_settings(&path)?;
     match arguments.role {
         Role::DataPlane => {
-            data_plane::run(settings, path).map_err(|error| NodeError::Role(error.to_string()))
+            data_plane::run(process, settings, path).map_err(|error| NodeError::Role(error.to_string()))
         }
-        Role::Control => control::run(settings, path, arguments.mechanisms.clone())
+        Role::Control => control::run(process, settings, path, arguments.mechanisms.clone())
             .map_err(|error| NodeError::Role(error.to_string())),
     }
 }
--- a/crates/node/tests/architecture.rs
+++ b/crates/node/tests/architecture.rs
@@ -19,6 +19,7 @@
     "messages",
     "mqos",
     "node",
+    "process-signals",
     "program-support",
     "registry",
     "scheduler",
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -270,3 +270,65 @@
     let output = program(&["demo", "--seconds", "0"]);
     assert_eq!(output.status.code(), Some(EXIT_USAGE));
 }
+
+/// A process that has begun to read its settings, and gets them when the test writes them.
+struct StartingProcess {
+    child: Child,
+    settings: std::fs::File,
+}
+
+/// Starts a role with a pipe in place of its settings file, and returns once it has opened that pipe.
+fn start_without_settings(role: &str, name: &str) -> (StartingProcess, PathBuf) {
+    let path = std::env::temp_dir().join(format!("sprucehatch-node-{}-{name}.json", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let child = Command::new(PROGRAM).arg(role).env(SETTINGS, &path).spawn().unwrap();
+    // Opening a pipe for writing returns once the other side has opened it.
+    let settings = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    (StartingProcess { child, settings }, path)
+}
+
+fn send_signal(child: &Child, signal: &str) {
+    assert!(Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success());
+}
+
+#[test]
+fn a_signal_before_the_settings_are_read_ends_no_process() {
+    let (front, readiness) = (reserved_address(), reserved_address());
+    let text = format!(
+        r#"{{"NodeId":"edge-1","Ip":"127.0.0.1","PortRange":[1,1],"SeedNodes":["127.0.0.1:2"],
+            "ListenAddrs":{{"Front":"{front}","Readiness":"{readiness}"}},"Bounds":{{"GraceS":1}}}}"#
+    );
+    let (mut starting, path) = start_without_settings("data-plane", "early-hup");
+    for _ in 0..3 {
+        send_signal(&starting.child, "-HUP");
+    }
+    // From now on the settings are a file, which the process reads again.
+    let file = settings_file("early-hup-file", &text);
+    std::fs::rename(file, &path).unwrap();
+    starting.settings.write_all(text.as_bytes()).unwrap();
+    drop(starting.settings);
+    let answer = ask_when_it_listens(&mut starting.child, readiness, "/v1/readyz");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    send_signal(&starting.child, "-TERM");
+    assert_eq!(starting.child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn a_stop_before_the_settings_are_read_is_a_graceful_end() {
+    let (control, folder) = (reserved_address(), std::env::temp_dir());
+    let disk = folder.join(format!("sprucehatch-node-{}-early-stop-disk", std::process::id()));
+    let text = format!(
+        r#"{{"NodeId":"core-1","Ip":"127.0.0.1","PortRange":[{port},{port}],"SeedNodes":["{control}"],"Bootstrap":true,
+            "ListenAddrs":{{"Control":"{control}"}},"DataDir":{disk:?},"Discovery":"cloud_api"}}"#,
+        port = reserved_address().port(),
+    );
+    let (mut starting, path) = start_without_settings("control", "early-stop");
+    send_signal(&starting.child, "-TERM");
+    starting.settings.write_all(text.as_bytes()).unwrap();
+    drop(starting.settings);
+    assert_eq!(starting.child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(path).unwrap();
+    std::fs::remove_dir_all(disk).unwrap();
+}
