Wait for a disk that is full or fails at the start, instead of ending by itself

A founder that ended so was no founder any more. Change: the disk is prepared and opened apart from the driver; while that fails in a way that may pass, the process tries again each 0.5 s and answers that it does not lead. Errors that last, such as a missing permission, end it as before. Result: a test with a real process whose files may not grow at first failed before and passes.

--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -118,18 +118,19 @@
 }
 
 impl Driver {
-    /// Opens the disk and starts.
+    /// Starts from what the disk held.
     ///
     /// # Errors
     ///
-    /// Fails if the settings lack a data directory or a `Control` address, if the disk cannot be opened or read, or if
-    /// the writer's thread cannot start.
+    /// Fails if the settings lack a `Control` address, if the stored snapshot cannot be restored, or if the writer's
+    /// thread cannot start.
     pub fn start(
+        opened: OpenedDisk,
         settings: ProcessSettings,
         context: &ProcessContext,
         clients: Clients,
     ) -> Result<Self, ControlError> {
-        let OpenedDisk { store, id, restored } = identity::open(&settings)?;
+        let OpenedDisk { store, id, restored } = opened;
         log::info!("core process {id:#x} at {}", settings.ip);
         if settings.order_delivery == OrderDelivery::Heartbeats {
             log::error!("Commands is heartbeat, but orders are delivered by calls only: set it to rpc");
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -8,6 +8,14 @@
 use std::net::SocketAddr;
 use storage::StorageError;
 
+/// Kinds of errors of the data folder that last until somebody changes the machine or its settings.
+const LASTING_KINDS: [io::ErrorKind; 4] = [
+    io::ErrorKind::NotFound,
+    io::ErrorKind::PermissionDenied,
+    io::ErrorKind::NotADirectory,
+    io::ErrorKind::ReadOnlyFilesystem,
+];
+
 quick_error! {
     /// Errors that end the process. The platform starts it again.
     #[derive(Debug)]
@@ -52,3 +60,16 @@
         }
     }
 }
+
+impl ControlError {
+    /// Whether the disk refuses something that it may allow a moment later, as when it is full.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            ControlError::DataDirectory(error) | ControlError::Storage(StorageError::Io { error, .. }) => {
+                !LASTING_KINDS.contains(&error.kind())
+            }
+            ControlError::Storage(error) => error.is_full(),
+            _ => false,
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod clock;
 pub mod connection_budget;
+mod disk_opening;
 mod driver;
 mod error;
 pub mod events;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -2,11 +2,12 @@
 
 use crate::clients::Clients;
 use crate::clock::Clock;
+use crate::disk_opening::DiskPreparation;
 use crate::driver::{Driver, DriverExit, ProcessContext};
 use crate::error::ControlError;
 use crate::events::DriverEvent;
 use crate::signals::SignalSource;
-use crate::{identity, operator_api, transport};
+use crate::{disk_opening, identity, operator_api, transport};
 use configuration::ProcessSettings;
 use process_signals::{ProcessRuntime, Signal};
 use scheduler::leader::Mechanisms;
@@ -96,22 +97,24 @@
     context: &mut ProcessContext,
 ) -> Result<(), ControlError> {
     let mut clients = Clients::default();
+    let mut preparation = DiskPreparation::None;
     loop {
-        let mut driver = Driver::start(settings, context, clients)?;
-        match driver.run(&mut context.events).await {
+        let opened = disk_opening::open(&settings, &preparation, &mut clients, &mut context.events).await?;
+        let Some(opened) = opened else { return Ok(()) };
+        let mut driver = Driver::start(opened, settings, context, clients)?;
+        preparation = match driver.run(&mut context.events).await {
             DriverExit::Stopped => return Ok(()),
             DriverExit::Failed(error) => return Err(error),
             DriverExit::Removed => {
                 log::warn!("the group has removed this process: it clears its disk and joins again");
-                (settings, clients) = driver.into_parts();
-                identity::clear(&settings)?;
+                DiskPreparation::Clear
             }
             DriverExit::Founds { id, membership } => {
                 log::warn!("founds a group as {id:#x} by agreement of the seeds: none has found one");
-                (settings, clients) = driver.into_parts();
-                identity::found_group(&settings, id, membership)?;
+                DiskPreparation::Found { id, membership }
             }
-        }
+        };
+        (settings, clients) = driver.into_parts();
         // The group exists: a process that starts with an empty disk now joins it.
         settings.bootstrap = false;
     }
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -1,10 +1,10 @@
 //! The program as the platform runs it: arguments, settings, exit codes, and the end on SIGTERM.
 
 use gateway_test_support::reserved_address;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Output};
+use std::process::{Child, Command, Output, Stdio};
 use std::thread::yield_now;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sprucehatch-node");
@@ -315,6 +315,36 @@
     std::fs::remove_file(path).unwrap();
 }
 
+#[test]
+fn a_core_process_outlasts_a_disk_that_is_full_at_its_start() {
+    let (control, folder) = (reserved_address(), std::env::temp_dir());
+    let disk = folder.join(format!("sprucehatch-node-{}-full-disk", std::process::id()));
+    let text = format!(
+        r#"{{"NodeId":"core-1","Ip":"127.0.0.1","PortRange":[{port},{port}],"SeedNodes":["{control}"],"Bootstrap":true,
+            "ListenAddrs":{{"Control":"{control}"}},"DataDir":{disk:?},"Discovery":"cloud_api"}}"#,
+        port = reserved_address().port(),
+    );
+    let path = settings_file("full-disk", &text);
+    // Files may not grow, as on a disk without space: writes fail, and the signal for it is ignored.
+    let script = format!("trap '' XFSZ; ulimit -S -f 0; exec {PROGRAM} control --log info");
+    let mut child =
+        Command::new("sh").args(["-c", &script]).env(SETTINGS, &path).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut wait_for = |text: &str| {
+        let found = lines.by_ref().map_while(Result::ok).any(|line| line.contains(text));
+        assert!(found, "the program has ended and not said {text:?}");
+    };
+    wait_for("disk full");
+    wait_for("disk full");
+    let limit = ["--pid", &child.id().to_string(), "--fsize=unlimited"];
+    assert!(Command::new("prlimit").args(limit).status().unwrap().success());
+    wait_for("leads term");
+    send_signal(&child, "-TERM");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(path).unwrap();
+    std::fs::remove_dir_all(disk).unwrap();
+}
+
 #[test]
 fn a_stop_before_the_settings_are_read_is_a_graceful_end() {
     let (control, folder) = (reserved_address(), std::env::temp_dir());
