Soak the system: overlapping series of faults on real processes, from the first moment on

Need: no test struck processes before they were ready, let signals and restarts overlap, or lost disks while all other machines ended. Change: a seeded play of 3 or 5 core machines and 4 edges (40 with each fifth seed) with clients that keep their connections: kills and SIGHUP at the start, series of 3 to 9 faults, exchanged seeds, lost disks with all others killed. Checked: no end by itself, service after each series, processor time and memory, acknowledged jobs and configurations, no answer broken off by a process that was not killed, graceful ends within the grace period.

--- /dev/null
+++ b/crates/node/tests/soak/site.rs
@@ -0,0 +1,187 @@
+//! The machines of a play: addresses, settings, disks, and their processes.
+
+use crate::process::{Process, SignalName};
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Instant;
+
+const CONTROL_PORT: u16 = 8_146;
+const FRONT_PORT: u16 = 8_144;
+const READINESS_PORT: u16 = 8_140;
+const FIRST_PEER_PORT: u16 = 7_660;
+const LAST_PEER_PORT: u16 = 7_675;
+const SEEDS: usize = 3;
+/// The last byte of the first edge's address.
+const FIRST_EDGE: usize = 101;
+/// Memory that a process may use, in MB.
+pub const MEMORY_LIMIT_MB: u64 = 160;
+
+/// What a machine runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    Control,
+    DataPlane,
+}
+
+/// A machine, whose process is started again whenever it has ended.
+pub struct Machine {
+    pub role: Role,
+    pub name: String,
+    pub ip: Ipv4Addr,
+    pub process: Option<Process>,
+    /// When its process was killed.
+    pub kills: Vec<Instant>,
+    has_started: bool,
+}
+
+/// All machines of a play.
+pub struct Site {
+    folder: PathBuf,
+    pub machines: Vec<Machine>,
+    /// Core machines, which come first.
+    pub cores: usize,
+    /// The first of the core machines that are seeds.
+    first_seed: usize,
+}
+
+impl Site {
+    pub fn new(seed: u64, cores: usize, edges: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let [second, third] = [fastrand::u8(1..=254), fastrand::u8(1..=254)];
+        let machine = |role: Role, last: usize, name: String| Machine {
+            role,
+            name,
+            ip: Ipv4Addr::new(127, second, third, last as u8),
+            process: None,
+            kills: Vec::new(),
+            has_started: false,
+        };
+        let core = |number: usize| machine(Role::Control, number + 1, format!("core-{number}"));
+        let edge = |number: usize| machine(Role::DataPlane, FIRST_EDGE + number, format!("edge-{number}"));
+        let machines = (0..cores).map(core).chain((0..edges).map(edge)).collect();
+        Site { folder, machines, cores, first_seed: 0 }
+    }
+
+    /// Disks that may be lost at one time.
+    pub fn tolerated_losses(&self) -> usize {
+        (self.cores - 1) / 2
+    }
+
+    pub fn control(&self, machine: usize) -> SocketAddr {
+        (self.machines[machine].ip, CONTROL_PORT).into()
+    }
+
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        (0..self.cores).map(|machine| self.control(machine)).collect()
+    }
+
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.machines[self.cores..].iter().map(|machine| (machine.ip, FRONT_PORT).into()).collect()
+    }
+
+    /// Other core machines are the seeds from now on, in all settings files.
+    pub fn turn_seeds_over(&mut self) {
+        self.first_seed = (self.first_seed + 1) % self.cores;
+        (0..self.machines.len()).for_each(|machine| self.write_settings(machine));
+    }
+
+    /// Starts the process of a machine, unless it runs.
+    pub fn start(&mut self, machine: usize) {
+        if self.machines[machine].process.is_some() {
+            return;
+        }
+        self.write_settings(machine);
+        let (settings, log) = (self.file(machine, "json"), self.file(machine, "log"));
+        let machine = &mut self.machines[machine];
+        machine.has_started = true;
+        let role = match machine.role {
+            Role::Control => "control",
+            Role::DataPlane => "data-plane",
+        };
+        machine.process = Some(Process::start(role, &settings, log));
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.machines.len()).for_each(|machine| self.start(machine));
+    }
+
+    pub fn signal(&mut self, machine: usize, signal: SignalName) {
+        if let Some(process) = &mut self.machines[machine].process {
+            process.signal(signal);
+        }
+    }
+
+    pub fn kill(&mut self, machine: usize) {
+        let machine = &mut self.machines[machine];
+        machine.kills.push(Instant::now());
+        // Dropped, it is killed.
+        machine.process = None;
+    }
+
+    /// Takes all files off the disk of a core machine, whose process is killed.
+    pub fn lose_disk(&mut self, machine: usize) {
+        self.kill(machine);
+        let _ = fs::remove_dir_all(self.file(machine, "disk"));
+    }
+
+    /// Takes away processes that have ended. Those that ended by themselves are named.
+    pub fn reap(&mut self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for machine in &mut self.machines {
+            let Some(process) = &mut machine.process else { continue };
+            let Some(status) = process.ended() else { continue };
+            if !process.is_asked_to_stop() || !status.success() {
+                faults.push(format!(
+                    "{} ended by itself with {status}\n{}",
+                    machine.name,
+                    process.last_lines()
+                ));
+            }
+            machine.process = None;
+        }
+        faults
+    }
+
+    fn file(&self, machine: usize, suffix: &str) -> PathBuf {
+        self.folder.join(format!("{}.{suffix}", self.machines[machine].name))
+    }
+
+    fn write_settings(&self, machine: usize) {
+        let seed = |number: usize| format!("\"{}\"", self.control((self.first_seed + number) % self.cores));
+        let seeds: Vec<String> = (0..SEEDS).map(seed).collect();
+        let Machine { role, name, ip, has_started, .. } = &self.machines[machine];
+        let listen = match role {
+            Role::Control => format!(r#""Control":"{ip}:{CONTROL_PORT}""#),
+            Role::DataPlane => {
+                format!(r#""Front":"{ip}:{FRONT_PORT}","Readiness":"{ip}:{READINESS_PORT}""#)
+            }
+        };
+        let disk = self.file(machine, "disk");
+        if *role == Role::Control {
+            fs::create_dir_all(&disk).expect("a disk");
+        }
+        let text = format!(
+            r#"{{"NodeId":"{name}","Ip":"{ip}","Zone":"z","ListenAddrs":{{{listen}}},"PortRange":[{FIRST_PEER_PORT},{LAST_PEER_PORT}],
+            "SeedNodes":[{}],"Bootstrap":{},"CountsForQuorum":true,"DataDir":{disk:?},"Discovery":"cloud_api",
+            "FaultTolerance":{{"Machines":{}}},"Bounds":{{"GraceS":6}},"Limits":{{"MemoryMb":{MEMORY_LIMIT_MB}}}}}"#,
+            seeds.join(","),
+            !has_started,
+            self.tolerated_losses(),
+        );
+        // As a platform does: whole or not at all.
+        let path = self.file(machine, "json");
+        let new = path.with_extension("new");
+        fs::write(&new, text).and_then(|()| fs::rename(&new, &path)).expect("a settings file");
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.machines.clear();
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
