--- a/crates/node/tests/soak/play.rs
+++ b/crates/node/tests/soak/play.rs
@@ -1,7 +1,7 @@
 //! The course of a play: series of faults, with a time of service after each.
 
 use crate::clients::{knows_job, read_version, run_client, run_operator, Ledger, Observations};
-use crate::process::SignalName;
+use crate::process::{Process, SignalName};
 use crate::site::{Role, Site, MEMORY_LIMIT_MB};
 use fastrand::Rng;
 use std::time::{Duration, Instant};
@@ -180,7 +180,7 @@
     fn check_processors(&mut self, observations: &Observations) -> Result<(), String> {
         let seconds = |site: &Site| -> Vec<f64> {
             let processes = site.machines.iter().map(|machine| machine.process.as_ref());
-            processes.map(|process| process.map_or(0.0, |process| process.processor_seconds())).collect()
+            processes.map(|process| process.map_or(0.0, Process::processor_seconds)).collect()
         };
         let (before, began) = (seconds(&self.site), Instant::now());
         self.wait_for_service(observations)?;
@@ -193,7 +193,7 @@
                     machine.name
                 ));
             }
-            let memory = machine.process.as_ref().map_or(0, |process| process.peak_memory_mb());
+            let memory = machine.process.as_ref().map_or(0, Process::peak_memory_mb);
             if memory > MEMORY_LIMIT_MB {
                 return Err(format!("{} has used {memory} MB", machine.name));
             }
@@ -247,7 +247,7 @@
     fn logs(&self) -> String {
         let cores = self.site.machines.iter().filter(|machine| machine.role == Role::Control);
         let lines = cores.map(|machine| {
-            let log = machine.process.as_ref().map_or_else(String::new, |process| process.last_lines());
+            let log = machine.process.as_ref().map_or_else(String::new, Process::last_lines);
             format!("{} (seed {}):\n{log}\n", machine.name, self.seed)
         });
         lines.collect()
