--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration_changes;
+mod foundings;
 mod membership_changes;
 mod snapshots;
 mod terms_and_leases;
@@ -14,6 +15,7 @@
         terms_and_leases::MUTANTS,
         configuration_changes::MUTANTS,
         membership_changes::MUTANTS,
+        foundings::MUTANTS,
         snapshots::MUTANTS,
         answers::MUTANTS,
     ]
