--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -59,9 +59,10 @@
         Process { child: child.expect("the program starts"), log, asked_to_stop: None }
     }
 
-    /// Sends a signal as soon as the process takes it over, which is before it listens.
+    /// Sends a signal. A hangup is sent as soon as the process takes it over, which is before it listens; one that is paused
+    /// before could never do so.
     pub fn signal(&mut self, signal: SignalName) {
-        if signal == SignalName::Hangup {
+        if matches!(signal, SignalName::Hangup | SignalName::Pause) {
             self.wait_for_registration();
         }
         if signal == SignalName::Terminate {
