--- a/crates/node/tests/soak/play.rs
+++ b/crates/node/tests/soak/play.rs
@@ -4,6 +4,7 @@
 use crate::process::{Process, SignalName};
 use crate::site::{Role, Site, MEMORY_LIMIT_MB};
 use fastrand::Rng;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Series of faults in a play.
@@ -21,6 +22,8 @@
 const SERVED_AFTER_A_SERIES: u64 = 40;
 /// Share of a core that a process may use while clients are served and nothing else happens.
 const MAX_PROCESSOR_SHARE: f64 = 0.9;
+/// Longest time for one attempt to ask an edge.
+const ATTEMPT_PATIENCE: Duration = Duration::from_secs(1);
 /// A client notices within this time that the other process was killed.
 const KILL_NOTICED: Duration = Duration::from_secs(5);
 /// Accepted jobs that are asked for at the end.
@@ -210,7 +213,7 @@
         let fronts = self.site.fronts();
         for number in 0..JOBS_ASKED_FOR.min(ledger.accepted.len()) {
             let job = &ledger.accepted[self.rng.usize(0..ledger.accepted.len())];
-            match knows_job(fronts[number % fronts.len()], job, PATIENCE) {
+            match self.ask_for_job(fronts[number % fronts.len()], job)? {
                 Some(true) => {}
                 Some(false) => return Err(format!("job {job} was accepted and is not known")),
                 None => return Err(format!("nobody tells of job {job}\n{}", self.logs())),
@@ -220,6 +223,19 @@
         self.check_ends()
     }
 
+    /// Asks an edge whether it knows a job. An edge that was asked to stop ends meanwhile, and is started again.
+    fn ask_for_job(&mut self, edge: SocketAddr, job: &str) -> Result<Option<bool>, String> {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            self.check_ends()?;
+            self.site.start_all();
+            if let Some(knows) = knows_job(edge, job, ATTEMPT_PATIENCE) {
+                return Ok(Some(knows));
+            }
+        }
+        Ok(None)
+    }
+
     /// Only a process that is killed leaves half an answer behind.
     fn check_torn_answers(&self, ledger: &Ledger) -> Result<(), String> {
         let fronts = self.site.fronts();
