Lose disks in the soak only once every core machine is a voter

Three of five voters were gone where two may be: the machine counts as lost for CatchUpS after its return, which the soak did not wait for. Change: before disks are lost, each core process must follow or lead as a voter in a group of as many members as there are machines.

--- a/crates/node/tests/soak/play.rs
+++ b/crates/node/tests/soak/play.rs
@@ -1,6 +1,7 @@
 //! The course of a play: series of faults, with a time of service after each.
 
-use crate::clients::{knows_job, read_version, run_client, run_operator, Ledger, Observations};
+use crate::clients::{knows_job, read_member_status, read_version, run_client, run_operator};
+use crate::clients::{Ledger, MemberStatus, Observations};
 use crate::process::{Process, SignalName};
 use crate::site::{Role, Site, MEMORY_LIMIT_MB};
 use fastrand::Rng;
@@ -94,11 +95,28 @@
             }
             self.wait_for_service(observations)?;
         }
+        self.wait_for_all_voters()?;
         self.lose_disks();
         self.wait_for_service(observations)?;
         self.check_processors(observations)
     }
 
+    /// Waits until each core machine is a voter under the identity on its disk: before that some are lost already, and
+    /// the loss of as many disks as may be lost would be one too many.
+    fn wait_for_all_voters(&mut self) -> Result<(), String> {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            self.check_ends()?;
+            self.site.start_all();
+            let is_whole = |status: &MemberStatus| status.is_voter && status.members == self.site.cores;
+            let statuses: Vec<_> = self.site.controls().into_iter().map(read_member_status).collect();
+            if statuses.iter().all(|status| status.as_ref().is_some_and(is_whole)) {
+                return Ok(());
+            }
+        }
+        Err(format!("some core machine does not become a voter\n{}", self.logs()))
+    }
+
     /// As many disks as may be lost at one time are gone, and all other core machines end at the same moment.
     fn lose_disks(&mut self) {
         let mut machines: Vec<usize> = (0..self.site.cores).collect();
