Send SIGTERM in the soak, too, only once a process has taken over its signals

SIGHUP and pauses waited for that already. Change: all signals but the continuation wait until the process catches SIGHUP, milliseconds after its start and before it listens.

--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -59,10 +59,10 @@
         Process { child: child.expect("the program starts"), log, asked_to_stop: None }
     }
 
-    /// Sends a signal. A hangup is sent as soon as the process takes it over, which is before it listens; one that is paused
-    /// before could never do so.
+    /// Sends a signal as soon as the process takes its signals over, which is before it listens. Before that the system's
+    /// default action ends it, whatever the program does.
     pub fn signal(&mut self, signal: SignalName) {
-        if matches!(signal, SignalName::Hangup | SignalName::Pause) {
+        if signal != SignalName::Continue {
             self.wait_for_registration();
         }
         if signal == SignalName::Terminate {
