Reserve addresses in tests while no process is being started

A process that another test starts holds a copy of every open socket until its program runs, also of the one by which an address is tried out. Change: reserved_address and start_process exclude each other; the tests of the program start all processes by the latter.

--- a/crates/gateway-test-support/src/lib.rs
+++ b/crates/gateway-test-support/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod golden;
 mod ports;
 
-pub use ports::reserved_address;
+pub use ports::{reserved_address, start_process};
 
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -1,10 +1,10 @@
 //! The program as the platform runs it: arguments, settings, exit codes, and the end on SIGTERM.
 
-use gateway_test_support::reserved_address;
+use gateway_test_support::{reserved_address, start_process};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::thread::yield_now;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sprucehatch-node");
@@ -14,8 +14,21 @@
 const EXIT_USAGE: i32 = 64;
 const EXIT_CONFIGURATION: i32 = 78;
 
+/// Starts a process that holds none of the addresses which other tests reserve.
+fn start(command: &mut Command) -> Child {
+    start_process(command).unwrap()
+}
+
+fn run(command: &mut Command) -> ExitStatus {
+    start(command).wait().unwrap()
+}
+
+fn run_for_output(command: &mut Command) -> Output {
+    start(command.stdout(Stdio::piped()).stderr(Stdio::piped())).wait_with_output().unwrap()
+}
+
 fn program(arguments: &[&str]) -> Output {
-    Command::new(PROGRAM).args(arguments).env_remove(SETTINGS).output().unwrap()
+    run_for_output(Command::new(PROGRAM).args(arguments).env_remove(SETTINGS))
 }
 
 fn error_text(output: &Output) -> String {
@@ -48,12 +61,12 @@
     assert!(error_text(&output).contains(SETTINGS));
 
     let nowhere =
-        Command::new(PROGRAM).arg("data-plane").env(SETTINGS, "/nowhere/settings.json").output().unwrap();
+        run_for_output(Command::new(PROGRAM).arg("data-plane").env(SETTINGS, "/nowhere/settings.json"));
     assert_eq!(nowhere.status.code(), Some(EXIT_CONFIGURATION));
     assert!(error_text(&nowhere).contains("/nowhere/settings.json"));
 
     let path = settings_file("bad", "{");
-    let bad = Command::new(PROGRAM).arg("data-plane").env(SETTINGS, &path).output().unwrap();
+    let bad = run_for_output(Command::new(PROGRAM).arg("data-plane").env(SETTINGS, &path));
     std::fs::remove_file(&path).unwrap();
     assert_eq!(bad.status.code(), Some(EXIT_CONFIGURATION));
     assert!(error_text(&bad).contains("settings"));
@@ -67,13 +80,13 @@
             "ListenAddrs":{{"Front":"{front}","Readiness":"{readiness}"}},"Bounds":{{"GraceS":1}}}}"#
     );
     let path = settings_file("serve", &text);
-    let mut child = Command::new(PROGRAM).arg("data-plane").env(SETTINGS, &path).spawn().unwrap();
+    let mut child = start(Command::new(PROGRAM).arg("data-plane").env(SETTINGS, &path));
     let answer = ask_when_it_listens(&mut child, readiness, "/v1/readyz");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     let answer = ask_when_it_listens(&mut child, front, "/queue/none");
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
 
-    let signalled = Command::new("kill").arg(child.id().to_string()).status().unwrap();
+    let signalled = run(Command::new("kill").arg(child.id().to_string()));
     assert!(signalled.success());
     assert_eq!(child.wait().unwrap().code(), Some(0));
     std::fs::remove_file(path).unwrap();
@@ -233,17 +246,14 @@
         "core-config",
         r#"{"Version":3,"Routes":[{"PathPrefix":"/a/","Name":"r1","Host":"h.example","TimeoutMs":3000,"Backend":"s"}],"Backends":[{"Name":"s"}]}"#,
     );
-    let child = Command::new(PROGRAM)
-        .args(["control", "--log", "warn,control=info"])
-        .env(SETTINGS, &settings)
-        .stderr(std::process::Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(PROGRAM);
+    command.args(["control", "--log", "warn,control=info"]).env(SETTINGS, &settings).stderr(Stdio::piped());
+    let child = start(&mut command);
     let control = format!("{ip}:8146");
     let put =
         ["ctl", "config", "put", configuration.to_str().unwrap(), "--control", &control, "--timeout", "60"];
     let output = program(&put);
-    let signalled = Command::new("kill").arg(child.id().to_string()).status().unwrap();
+    let signalled = run(Command::new("kill").arg(child.id().to_string()));
     let ended = child.wait_with_output().unwrap();
     for path in [settings, configuration] {
         std::fs::remove_file(path).unwrap();
@@ -281,15 +291,15 @@
 fn start_without_settings(role: &str, name: &str) -> (StartingProcess, PathBuf) {
     let path = std::env::temp_dir().join(format!("sprucehatch-node-{}-{name}.json", std::process::id()));
     let _ = std::fs::remove_file(&path);
-    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
-    let child = Command::new(PROGRAM).arg(role).env(SETTINGS, &path).spawn().unwrap();
+    assert!(run(Command::new("mkfifo").arg(&path)).success());
+    let child = start(Command::new(PROGRAM).arg(role).env(SETTINGS, &path));
     // Opening a pipe for writing returns once the other side has opened it.
     let settings = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
     (StartingProcess { child, settings }, path)
 }
 
 fn send_signal(child: &Child, signal: &str) {
-    assert!(Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success());
+    assert!(run(Command::new("kill").args([signal, &child.id().to_string()])).success());
 }
 
 #[test]
@@ -328,7 +338,7 @@
     // Files may not grow, as on a disk without space: writes fail, and the signal for it is ignored.
     let script = format!("trap '' XFSZ; ulimit -S -f 0; exec {PROGRAM} control --log info");
     let mut child =
-        Command::new("sh").args(["-c", &script]).env(SETTINGS, &path).stderr(Stdio::piped()).spawn().unwrap();
+        start(Command::new("sh").args(["-c", &script]).env(SETTINGS, &path).stderr(Stdio::piped()));
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
     let mut wait_for = |text: &str| {
         let found = lines.by_ref().map_while(Result::ok).any(|line| line.contains(text));
@@ -337,7 +347,7 @@
     wait_for("disk full");
     wait_for("disk full");
     let limit = ["--pid", &child.id().to_string(), "--fsize=unlimited"];
-    assert!(Command::new("prlimit").args(limit).status().unwrap().success());
+    assert!(run(Command::new("prlimit").args(limit)).success());
     wait_for("leads term");
     send_signal(&child, "-TERM");
     assert_eq!(child.wait().unwrap().code(), Some(0));
