Show with two tests how a core is left without a leader for good in its first seconds

Cause: (A) a founder that ended before its first log was durable counts among the voters that make up for a lost disk; after one lost disk of three nobody is elected any more. (B) a founder that is alone waits for an offer of each voter of its founding, and one of them is gone for good.

--- a/crates/consensus/tests/founding.rs
+++ b/crates/consensus/tests/founding.rs
@@ -240,6 +240,17 @@
     assert_eq!((site.founded.len(), site.proposals), (0, 0), "the others may have gone on without it");
 }
 
+/// A founder wrote its first log and heard of nobody since. The second founder has lost its identity, and the third is
+/// gone for good: another machine has taken its place, also among the seeds.
+#[test]
+fn a_lone_founder_founds_anew_though_another_founder_is_gone_for_good() {
+    let mut site = Site::new(&[1, 2, 4], &[1, 2, 4], 1);
+    let earlier = Membership { members: vec![member(1, 1), member(2, 2), member(3, 3)] };
+    site.process(2).founded_with = earlier;
+    site.run_until(3 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
 #[test]
 fn a_proposer_founds_late_if_the_others_already_have_a_leader() {
     let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
--- a/crates/consensus/tests/group_growth.rs
+++ b/crates/consensus/tests/group_growth.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use consensus::{Member, Membership, Node, Options, Output};
-use support::cluster::{nanoseconds, SECOND};
+use support::cluster::{nanoseconds, Cluster, MILLISECOND, SECOND};
 use support::single::{entry, voters, Single};
 
 const WANTED_VOTERS: usize = 5;
@@ -34,6 +34,31 @@
     outputs.iter().any(|output| matches!(output, Output::BecameLeader { .. }))
 }
 
+/// Two of three founders write the first log; the third ends before it has, and comes back as another member. Once a
+/// command is committed, the disk of the leader is lost, which a group of three is to bear.
+#[test]
+fn a_founder_that_lost_its_identity_is_no_voter_that_makes_up_for_a_lost_disk() {
+    for seed in 1..=20 {
+        let mut cluster = Cluster::new(3, 3, seed);
+        cluster.wipe(2);
+        (0..3).for_each(|slot| cluster.start(slot));
+        let commands = |cluster: &Cluster| cluster.oracle.committed_commands();
+        while commands(&cluster) == 0 {
+            assert!(cluster.now < 20 * SECOND, "seed {seed}: no command is taken");
+            cluster.propose(10);
+            cluster.run_for(10 * MILLISECOND);
+        }
+        let leader = cluster.leader().expect("the leader that took the command");
+        cluster.wipe(leader);
+        cluster.start(leader);
+        cluster.run_for(12 * SECOND);
+        let before = commands(&cluster);
+        cluster.propose(10);
+        cluster.run_for(SECOND);
+        assert!(commands(&cluster) > before, "seed {seed}: nobody leads after one lost disk");
+    }
+}
+
 fn joiner(id: u64) -> Member {
     Member { id, address: format!("machine-{id}"), control: String::new(), voter: false }
 }
--- a/crates/consensus/tests/support/oracle.rs
+++ b/crates/consensus/tests/support/oracle.rs
@@ -16,6 +16,11 @@
         self.committed.keys().next_back().copied().unwrap_or(0)
     }
 
+    /// How many commands are committed.
+    pub fn committed_commands(&self) -> usize {
+        self.committed.values().filter(|(_, payload)| matches!(payload, Payload::Command(_))).count()
+    }
+
     /// The newest members that are committed.
     pub fn committed_membership(&self) -> Option<&Membership> {
         self.committed.values().rev().find_map(|(_, payload)| match payload {
