Let a voter campaign that alone has written its own demotion

Cause: a leader makes a voter a learner, and all lose power before the leader itself has written that. The demoted voter holds the longest log: it rejects all others, and never campaigned itself, so nobody is elected any more.

Change: a process that was a voter before a change that is not known to be committed campaigns, counting no vote of its own (section 4.2.2 of the thesis). Should it win, it hands over to a voter once the change is committed. A process that never was a voter does not campaign, as before.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -55,11 +55,27 @@
         }
     }
 
-    /// Whether this process could lead: it is a voter, and its disk finishes writes.
+    /// Whether this process could lead: its disk finishes writes, and it is a voter, or was one before a change that is
+    /// not known to be committed.
+    ///
+    /// A voter that has written its own demotion or removal, and nobody else has, may be needed to elect a leader: its
+    /// log is the longest, so it rejects the others (section 4.2.2 of the thesis). It counts no vote of its own, since it
+    /// is no voter of its newest membership.
     fn may_campaign(&self) -> bool {
-        let disk_stalls =
-            self.durability.oldest_write_age(self.now) > nanoseconds(self.options.disk_stall_timeout);
-        !disk_stalls && self.membership().is_voter(self.options.id)
+        !self.disk_stalls() && (self.is_voter() || self.was_voter_before_uncommitted_change())
+    }
+
+    pub(crate) fn disk_stalls(&self) -> bool {
+        self.durability.oldest_write_age(self.now) > nanoseconds(self.options.disk_stall_timeout)
+    }
+
+    pub(crate) fn is_voter(&self) -> bool {
+        self.membership().is_voter(self.options.id)
+    }
+
+    fn was_voter_before_uncommitted_change(&self) -> bool {
+        let changed_at = self.memberships.changed_at();
+        changed_at > self.commit && self.memberships.at(changed_at - 1).is_voter(self.options.id)
     }
 
     fn start_pre_vote(&mut self, rule: ElectionRule, out: &mut Vec<Output>) {
--- a/crates/consensus/src/leadership_transfer.rs
+++ b/crates/consensus/src/leadership_transfer.rs
@@ -38,9 +38,18 @@
         }
     }
 
+    /// A leader that its newest membership does not count as a voter hands over to one once that is committed.
+    pub(crate) fn transfer_if_no_voter(&mut self, out: &mut Vec<Output>) {
+        let is_committed = self.memberships.changed_at() <= self.commit;
+        let may_serve = matches!(&self.role, Role::Leader(leadership) if leadership.noop_committed);
+        if may_serve && is_committed && !self.is_voter() {
+            self.start_transfer(out);
+        }
+    }
+
     /// A leader whose own disk stalls transfers leadership if a follower has durable what waits for that disk.
     pub(crate) fn transfer_if_disk_stalls(&mut self, out: &mut Vec<Output>) {
-        if self.durability.oldest_write_age(self.now) <= nanoseconds(self.options.disk_stall_timeout) {
+        if !self.disk_stalls() {
             return;
         }
         let Some(stalled) = self.durability.oldest_write_index() else { return };
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -116,6 +116,7 @@
         self.announce_leadership(false, out);
         self.send_heartbeats(out);
         self.transfer_if_disk_stalls(out);
+        self.transfer_if_no_voter(out);
         self.change_members(out);
     }
 
