Append a change of voters only once those that it needs have replied since

Cause: a leader made a learner a voter whose disk had been lost within the last 300 ms, by replies from before. The change could not be committed; the leader, with a longer log than all others, needed three of four voters, two of which were gone. So nobody was elected any more.

Change: the leader decides on a change, sends a heartbeat, and appends the change once a majority of the voters that it leads to, and the voter that it adds, have replied to what was sent since.

One test of two steps of a replacement is told of the replies that each step waits for, and now checks that it waits.

--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -23,6 +23,14 @@
     pub timeout_now_sent: bool,
 }
 
+/// A change of membership that is decided, and appended once those that it needs are known to respond still.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingChange {
+    pub membership: Membership,
+    /// When it was decided, in nanoseconds of the steady clock.
+    pub decided_at: u64,
+}
+
 /// What a process keeps while it leads.
 ///
 /// The lease only grows within a term, and counts from the clock of this process when it sent the messages that a
@@ -50,6 +58,7 @@
     pub membership_committed_at: u64,
     /// Processes that ask to become members, oldest request first.
     pub join_requests: Vec<Member>,
+    pub pending_change: Option<PendingChange>,
     /// When the lease expires, in nanoseconds of the steady clock; 0 before the first.
     lease: u64,
 }
@@ -68,6 +77,7 @@
             transfer: None,
             membership_committed_at: 0,
             join_requests: Vec::new(),
+            pending_change: None,
             lease: 0,
         }
     }
--- a/crates/consensus/src/membership_changes.rs
+++ b/crates/consensus/src/membership_changes.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::nanoseconds;
 use crate::interface::Output;
+use crate::leadership::PendingChange;
 use crate::node::Node;
 use crate::role::Role;
 use crate::types::{Member, Membership, NodeId, Payload};
@@ -33,19 +34,51 @@
         if !leadership.noop_committed || changed_at > self.commit || leadership.transfer.is_some() {
             return;
         }
-        let joiner = leadership.join_requests.first().cloned();
-        let next = match &joiner {
-            Some(joiner) => Some(membership.with_learner(joiner)),
-            None => self.next_membership(),
+        if let Some(joiner) = leadership.join_requests.first().cloned() {
+            let next = membership.with_learner(&joiner);
+            if let Some(leadership) = self.leadership() {
+                leadership.join_requests.retain(|request| request.id != joiner.id);
+            }
+            self.append_membership(next, out);
+            return;
+        }
+        let next = self.next_membership();
+        if self.confirms_change(next.as_ref(), out) {
+            next.into_iter().for_each(|next| self.append_membership(next, out));
+        }
+    }
+
+    /// Whether a majority of the voters of this membership, and those that it adds, have replied to what was sent since
+    /// the change was decided. If not, a heartbeat asks them.
+    ///
+    /// A change that cannot be committed leaves its leader with a longer log than all others and a larger majority to
+    /// win, perhaps for good: a voter that is added must be known to have its disk still.
+    fn confirms_change(&mut self, next: Option<&Membership>, out: &mut Vec<Output>) -> bool {
+        let (now, own_id) = (self.now, self.options.id);
+        let Role::Leader(leadership) = &mut self.role else { return false };
+        let Some(next) = next else {
+            leadership.pending_change = None;
+            return false;
         };
-        if let Some(leadership) = self.leadership() {
-            leadership
-                .join_requests
-                .retain(|request| joiner.as_ref().is_none_or(|joiner| joiner.id != request.id));
+        let is_new = leadership.pending_change.as_ref().is_none_or(|pending| pending.membership != *next);
+        if is_new {
+            leadership.pending_change = Some(PendingChange { membership: next.clone(), decided_at: now });
+            self.send_heartbeats_to_all(out);
+            return false;
         }
-        if let Some(membership) = next {
-            self.append_membership(membership, out);
+        let decided_at = leadership.pending_change.as_ref().map_or(now, |pending| pending.decided_at);
+        let has_replied = |voter: &NodeId| match leadership.progress.get(voter) {
+            Some(progress) => progress.acknowledged_clock >= decided_at,
+            None => *voter == own_id,
+        };
+        let current = self.memberships.current();
+        let added = next.voters().filter(|voter| !current.is_voter(*voter));
+        let is_confirmed = next.voters().filter(has_replied).count() >= next.quorum()
+            && added.into_iter().all(|voter| has_replied(&voter));
+        if is_confirmed {
+            leadership.pending_change = None;
         }
+        is_confirmed
     }
 
     fn append_membership(&mut self, membership: Membership, out: &mut Vec<Output>) {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Sends a heartbeat to each follower at once.
+    pub(crate) fn send_heartbeats_to_all(&mut self, out: &mut Vec<Output>) {
+        let Some(leadership) = self.leadership() else { return };
+        let followers: Vec<NodeId> = leadership.progress.keys().copied().collect();
+        for follower in followers {
+            self.send_heartbeat(follower, out);
+        }
+    }
+
     pub(crate) fn on_append_reply(&mut self, from: NodeId, reply: &AppendReply, out: &mut Vec<Output>) {
         if !self.accept_reply(from, reply.term, out) {
             return;
@@ -177,7 +186,11 @@
         if membership.is_voter(from) {
             leadership.renew_lease(self.options.id, self.now, membership, &self.options);
         }
+        let awaits_change = leadership.pending_change.is_some();
         self.advance_commit(out);
+        if awaits_change {
+            self.change_members(out);
+        }
         self.replicate_to(from, out);
         self.send_timeout_now(out);
     }
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -51,12 +51,16 @@
     }
     leader.acknowledge(77);
     leader.run_timer();
+    assert!(leader.node.membership().is_voter(2), "no majority has replied since the removal was decided");
+    leader.acknowledge(3);
     let members = leader.node.membership();
     assert!(!members.contains(2) && !members.is_voter(77), "it leaves in a step of its own");
     leader.persist();
     leader.acknowledge(3);
-    leader.acknowledge(77);
     leader.run_timer();
+    leader.acknowledge(3);
+    assert!(!leader.node.membership().is_voter(77), "77 has not replied since its promotion was decided");
+    leader.acknowledge(77);
     assert!(leader.node.membership().is_voter(77));
 }
 
