Take the first command of a group once all its voters are confirmed

Cause: a founder that ended before its first log was durable counted among the voters that make up for a lost disk, and after 3 s a new group took commands with fewer voters than it needs. Beside it, a leader that had stood still was announced by old replies.

Change: the rule has a module of its own, group_growth. A group takes its first command once it has the voters that it wants and each has acknowledged an entry of the leader's term; no time limit stands in for that. Node::propose itself refuses until then. A leader is announced only while it holds a lease. Options::growth_timeout is gone.

A test that a group does not wait for ever held the fault in place; one that it waits however long replaces it. A proposal before the first commit of a term is now tested for a group with commands, and its refusal for one without. Groups of tests with one or two voters want that many.

--- a/crates/consensus/src/interface.rs
+++ b/crates/consensus/src/interface.rs
@@ -86,7 +86,8 @@
         /// The leader's term.
         term: Term,
     },
-    /// The proposal of this call was not accepted: this process does not lead, or transfers leadership.
+    /// The proposal of this call was not accepted: this process does not lead, transfers leadership, or leads a group
+    /// without commands that may not take the first one yet.
     ProposalDropped,
     /// Entries that are committed, in order, each once in an incarnation.
     Commit {
@@ -106,7 +107,7 @@
         term: Term,
     },
     /// This process leads, and [`Output::Commit`] has covered all that was committed before. Commands may be proposed
-    /// from here on: a group that holds none yet has grown to the voters it wants, or has waited for them in vain.
+    /// from here on: all voters that a group without commands wants are confirmed.
     BecameLeader {
         /// Its term.
         term: Term,
--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -43,8 +43,6 @@
     pub noop_index: Index,
     /// Whether it is committed.
     pub noop_committed: bool,
-    /// When this process was elected, in nanoseconds of the steady clock.
-    elected_at: u64,
     /// Whether the caller knows that this process leads with a complete state.
     pub announced: bool,
     /// When heartbeats are due, in nanoseconds of the steady clock.
@@ -64,12 +62,11 @@
 }
 
 impl Leadership {
-    pub fn new(term: Term, noop_index: Index, elected_at: u64, next_heartbeat: u64) -> Leadership {
+    pub fn new(term: Term, noop_index: Index, next_heartbeat: u64) -> Leadership {
         Leadership {
             term,
             noop_index,
             noop_committed: false,
-            elected_at,
             announced: false,
             next_heartbeat,
             late_tick_excused: false,
@@ -82,11 +79,6 @@
         }
     }
 
-    /// Whether this process has led for as long as a group may wait for the voters that it wants.
-    pub fn has_waited_for_voters(&self, now: u64, options: &Options) -> bool {
-        now.saturating_sub(self.elected_at) >= nanoseconds(options.growth_timeout)
-    }
-
     /// How long a majority may not respond before leadership ends (check of quorum), in nanoseconds. Where the process
     /// was too busy to run its timer in time, responses may still wait to be read: they get one more interval.
     pub fn quorum_timeout(&mut self, now: u64, options: &Options) -> u64 {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -21,6 +21,7 @@
 mod error;
 mod follower;
 mod founding;
+mod group_growth;
 mod incoming_snapshot;
 mod interface;
 mod leadership;
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -27,7 +27,8 @@
     pub campaign_stagger: Duration,
     /// How much shorter a lease is than the leader stickiness, for clocks that run at different rates.
     pub lease_margin: Duration,
-    /// Voters the group wants. Learners are promoted up to it, unresponsive voters beyond it removed.
+    /// Voters the group wants: a majority of them must outlive the disks that may be lost at one time. Learners are
+    /// promoted up to it, unresponsive voters beyond it removed, and no command is taken before they are confirmed.
     pub target_voters: usize,
     /// Bytes of entries in one message, except that one entry always fits.
     pub max_entries_bytes: usize,
@@ -50,8 +51,6 @@
     pub replacement_timeout: Duration,
     /// A learner that has not responded for this long is removed.
     pub learner_timeout: Duration,
-    /// How long the leader of a group that holds no command yet waits for the voters that the group wants.
-    pub growth_timeout: Duration,
     /// Time without a finished write after which a leader transfers leadership.
     pub disk_stall_timeout: Duration,
 }
@@ -78,7 +77,6 @@
             promotion_gap: 64,
             replacement_timeout: Duration::from_millis(2_000),
             learner_timeout: Duration::from_millis(5_000),
-            growth_timeout: Duration::from_millis(3_000),
             disk_stall_timeout: Duration::from_millis(1_000),
         }
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -23,12 +23,8 @@
     pub(crate) fn become_leader(&mut self, out: &mut Vec<Output>) {
         let term = self.hard_state.term;
         let noop_index = self.log.last_index() + 1;
-        let mut leadership = Leadership::new(
-            term,
-            noop_index,
-            self.now,
-            self.now + nanoseconds(self.options.heartbeat_interval),
-        );
+        let next_heartbeat = self.now + nanoseconds(self.options.heartbeat_interval);
+        let mut leadership = Leadership::new(term, noop_index, next_heartbeat);
         leadership.track_members(self.options.id, self.memberships.current(), noop_index, self.now);
         self.role = Role::Leader(leadership);
         self.unanimous_election_at = None;
@@ -39,7 +35,13 @@
     }
 
     pub(crate) fn propose(&mut self, payload: Vec<u8>, out: &mut Vec<Output>) {
-        if self.leadership().is_none_or(|leadership| leadership.transfer.is_some()) {
+        let may_propose = match &self.role {
+            Role::Leader(leadership) => {
+                leadership.transfer.is_none() && (leadership.announced || self.holds_commands())
+            }
+            _ => false,
+        };
+        if !may_propose {
             out.push(Output::ProposalDropped);
             return;
         }
@@ -113,7 +115,7 @@
             leadership.transfer = None;
         }
         leadership.renew_lease(self.options.id, now, membership, &self.options);
-        self.announce_leadership(false, out);
+        self.announce_leadership(out);
         self.send_heartbeats(out);
         self.transfer_if_disk_stalls(out);
         self.transfer_if_no_voter(out);
@@ -188,6 +190,7 @@
         }
         let awaits_change = leadership.pending_change.is_some();
         self.advance_commit(out);
+        self.announce_leadership(out);
         if awaits_change {
             self.change_members(out);
         }
@@ -213,32 +216,12 @@
         }
         leadership.renew_lease(self.options.id, self.now, membership, &self.options);
         self.commit_to(index, out);
-        self.announce_leadership(first_commit, out);
+        self.announce_leadership(out);
         if membership_committed {
             self.change_members(out);
         }
     }
 
-    /// Tells the caller that this process leads, once the state is complete. A group that holds no command yet first
-    /// grows to the voters that it wants: with fewer, what it commits might not outlive the losses that it is to bear.
-    /// It does not wait for ever, since some of them may be down. After its first commit only a lease shows that no
-    /// other process has committed more since.
-    pub(crate) fn announce_leadership(&mut self, first_commit: bool, out: &mut Vec<Output>) {
-        let Role::Leader(leadership) = &self.role else { return };
-        let is_confirmed = first_commit || leadership.lease_until() > self.now;
-        if leadership.announced || !leadership.noop_committed || !is_confirmed {
-            return;
-        }
-        let has_grown = self.has_wanted_voters(self.memberships.at(self.commit))
-            || leadership.has_waited_for_voters(self.now, &self.options);
-        if !has_grown && !self.holds_commands() {
-            return;
-        }
-        let Some(leadership) = self.leadership() else { return };
-        leadership.announced = true;
-        out.push(Output::BecameLeader { term: leadership.term });
-    }
-
     pub(crate) fn on_peer_lost(&mut self, to: NodeId, out: &mut Vec<Output>) {
         let Some(leadership) = self.leadership() else { return };
         if let Some(progress) = leadership.progress.get_mut(&to) {
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -388,7 +388,9 @@
 
 #[test]
 fn a_single_voter_leads_alone() {
-    let mut cluster = Cluster::started(1, 1, 1);
+    let mut cluster = Cluster::new(1, 1, 1);
+    cluster.configure = |options| options.target_voters = 1;
+    cluster.start(0);
     assert!(cluster.run_until(2 * SECOND, |cluster| cluster.holds_lease(0)));
     assert!(cluster.propose(10));
     assert!(cluster.run_until(SECOND, |cluster| cluster.oracle.last_committed() >= 3));
--- a/crates/consensus/tests/group_growth.rs
+++ b/crates/consensus/tests/group_growth.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use consensus::{Member, Membership, Node, Options, Output};
-use support::cluster::{nanoseconds, Cluster, MILLISECOND, SECOND};
+use support::cluster::{Cluster, MILLISECOND, SECOND};
 use support::single::{entry, voters, Single};
 
 const WANTED_VOTERS: usize = 5;
@@ -94,20 +94,19 @@
     panic!("the group does not become ready");
 }
 
+/// A machine that cannot be reached may have nothing on its disk, so that no time limit stands in for it.
 #[test]
-fn a_new_group_does_not_wait_for_ever() {
+fn a_new_group_waits_for_its_voters_however_long() {
     let mut single = founder(3, &[]);
     assert!(!lead(&mut single, 3));
-    let timeout = nanoseconds(Options::new(1).growth_timeout);
-    let led_since = single.now;
-    let mut ready = false;
-    while !ready {
-        assert!(single.now <= led_since + timeout + SECOND, "it waits too long");
-        let outputs = single.run_timer();
-        ready = outputs.iter().any(|output| matches!(output, Output::BecameLeader { .. }))
-            || acknowledged(&mut single, &[2, 3]);
+    for _ in 0..1_000 {
+        let mut outputs = single.run_timer();
+        outputs.extend(single.acknowledge(2));
+        outputs.extend(single.acknowledge(3));
+        let is_ready = outputs.iter().any(|output| matches!(output, Output::BecameLeader { .. }));
+        assert!(!is_ready, "two lost disks would take a majority of three voters");
     }
-    assert!(single.now >= led_since + timeout - SECOND / 2, "it waits too short a time");
+    assert!(single.node.is_leader() && single.node.lease_until() > single.now);
 }
 
 #[test]
@@ -117,7 +116,7 @@
 }
 
 #[test]
-fn a_process_that_knows_of_too_few_voters_holds_nothing_of_the_group() {
+fn a_process_without_commands_holds_nothing_of_the_group() {
     let mut single = founder(3, &[]);
     lead(&mut single, 3);
     assert!(!single.node.is_uninitialized(), "it leads");
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -195,10 +195,10 @@
 
 #[test]
 fn proposals_are_accepted_before_the_first_entry_of_the_term_is_committed() {
-    let mut leader = Single::founder(3);
+    let mut leader = Single::with_entries(3, 1, &[(2, 1)]);
     leader.win(&[2]);
     let outputs = leader.handle(Event::Propose { payload: vec![1] });
-    assert!(outputs.contains(&Output::Proposed { index: 3, term: 2 }));
+    assert!(outputs.contains(&Output::Proposed { index: 4, term: 2 }));
     assert_eq!(leader.node.lease_until(), 0);
     leader.persist();
     let outputs = leader.acknowledge(2);
@@ -206,6 +206,25 @@
     assert!(leader.node.lease_until() > 0);
 }
 
+#[test]
+fn the_first_command_is_accepted_once_every_voter_is_confirmed() {
+    let mut leader = Single::founder(3);
+    leader.win(&[2]);
+    let mut outputs = Vec::new();
+    outputs.extend(leader.handle(Event::Propose { payload: vec![1] }));
+    leader.persist();
+    outputs.extend(leader.acknowledge(2));
+    assert!(leader.node.lease_until() > 0);
+    outputs.extend(leader.handle(Event::Propose { payload: vec![1] }));
+    let dropped = outputs.iter().filter(|output| **output == Output::ProposalDropped).count();
+    assert_eq!(dropped, 2, "the third voter may have lost its identity");
+    assert!(!outputs.contains(&Output::BecameLeader { term: 2 }));
+    let outputs = leader.acknowledge(3);
+    assert!(outputs.contains(&Output::BecameLeader { term: 2 }));
+    let outputs = leader.handle(Event::Propose { payload: vec![1] });
+    assert!(outputs.contains(&Output::Proposed { index: 3, term: 2 }));
+}
+
 #[test]
 fn followers_drop_proposals() {
     let mut follower = Single::founder(3);
--- a/crates/consensus/tests/support/single.rs
+++ b/crates/consensus/tests/support/single.rs
@@ -29,9 +29,14 @@
         Single::restored(Node::bootstrap(voters(voters_count)))
     }
 
+    /// Process 1 of a group that wants as many voters as its log begins with.
     pub fn restored(restored: Restored) -> Single {
         let now = SECOND;
-        Single { node: Node::new(Options::new(1), restored, now, 1), now, ticket: 0 }
+        let mut options = Options::new(1);
+        if let Some(Payload::Membership(membership)) = restored.entries.first().map(|entry| &entry.payload) {
+            options.target_voters = membership.voters().count();
+        }
+        Single { node: Node::new(options, restored, now, 1), now, ticket: 0 }
     }
 
     /// Process 1 with these entries on its disk, after the group's first, at least `term` seen.
