Give up a founding by what its log holds, and tell who refuses to found a group

A founder that had voted, or had an entry of a leader, offered nothing, though no command had ever been taken.

Change: a process without a command in its log and without a leader may be given up; more of them than disks may be lost have to offer. One that holds commands, or has a leader, answers an offer with a refusal (a new message), which names the members if it has a leader: a lone founder that they do not list joins them. A connected process that neither offers nor refuses for 1.5 s does not count.

--- a/crates/consensus/src/founding.rs
+++ b/crates/consensus/src/founding.rs
@@ -15,12 +15,13 @@
 //! - every seed offers, with the same seeds in its settings,
 //! - as many processes offer as disks may be lost at one time, and one more: a group that ever was would have a member
 //!   with its disk among them, which never offers,
-//! - no core process is connected that does not offer.
+//! - every core process that is connected and answers offers, too. One that holds commands, or has a leader, refuses.
 //!
 //! Each other seed checks the same when the proposal arrives, writes the first log and starts anew as that member. The
 //! proposer does so last, when all others have connected under their new identities: so it never is the only one, and a
-//! founding that was interrupted leaves seeds that offer again. A member of a founding that came to nothing offers too,
-//! but agrees only if all voters of that founding offer: the others may have gone on without it.
+//! founding that was interrupted leaves seeds that offer again. A member of a founding that came to nothing offers too.
+//! The other members may have gone on without it, but only while its machine counted among those that are lost: then
+//! they and it are more than may be lost at one time, and one of them is connected and does not offer.
 //!
 //! Input and output are the caller's, as with [`crate::Node`]. Times are nanoseconds of the process's steady clock.
 
@@ -32,10 +33,13 @@
 const OFFER_DELAY: u64 = 2_000 * MILLISECOND;
 /// Time between two offers.
 const OFFER_INTERVAL: u64 = 300 * MILLISECOND;
-/// An offer that was not repeated within this time does not count any more.
+/// An offer or a refusal that was not repeated within this time does not count any more.
 const OFFER_LIFETIME: u64 = 1_000 * MILLISECOND;
 /// A proposal that is not carried out within this time is given up.
 const PROPOSAL_LIFETIME: u64 = 2_000 * MILLISECOND;
+/// A connected process that neither offers nor refuses for this long is taken to be out of reach: connections to a machine
+/// without power stay open.
+const SILENCE: u64 = 1_500 * MILLISECOND;
 /// A process that heard of a leader does not offer for this long.
 const LEADER_MEMORY: u64 = 10_000 * MILLISECOND;
 
@@ -53,8 +57,6 @@
 pub struct FoundingStatus {
     /// Whether it holds nothing of any group: [`crate::Node::is_uninitialized`].
     pub is_uninitialized: bool,
-    /// The members of a founding that came to nothing, as it knows them; else empty.
-    pub founded_with: Membership,
     /// Core processes that are connected: identity and address.
     pub connected: BTreeSet<(NodeId, String)>,
 }
@@ -99,6 +101,10 @@
     leader_known_until: u64,
     /// Offers of other processes, by address.
     offers: BTreeMap<String, ReceivedOffer>,
+    /// Until then a process that refused to found a group counts.
+    refused_until: u64,
+    /// When each connected process, by address, was first seen, or last offered.
+    heard_at: BTreeMap<String, u64>,
     proposal: Option<Proposal>,
 }
 
@@ -114,6 +120,8 @@
             next_offer_at: 0,
             leader_known_until: 0,
             offers: BTreeMap::new(),
+            refused_until: 0,
+            heard_at: BTreeMap::new(),
             proposal: None,
         }
     }
@@ -130,9 +138,27 @@
         }
     }
 
+    /// The process at this address refuses to found a group: it holds commands of one, or has a leader, perhaps one that
+    /// does not serve yet. `membership` is that of the leader.
+    pub fn handle_refusal(&mut self, now: u64, address: &str, membership: Option<&Membership>) {
+        self.offers.remove(address);
+        self.refused_until = now + OFFER_LIFETIME;
+        membership.into_iter().for_each(|membership| self.record_carried_out(membership));
+    }
+
+    /// Whether this process has proposed a group in which it is one of these members, and may still found it.
+    pub fn has_proposed(&self, membership: &Membership) -> bool {
+        self.proposal.is_some() && membership.contains(self.candidate.id)
+    }
+
     /// A process names a leader, and these members.
     pub fn handle_leader(&mut self, now: u64, membership: &Membership) {
         self.leader_known_until = now + LEADER_MEMORY;
+        self.record_carried_out(membership);
+    }
+
+    /// The proposal is carried out if a leader's members are those of it.
+    fn record_carried_out(&mut self, membership: &Membership) {
         let is_listed = membership.contains(self.candidate.id);
         if let Some(proposal) = self.proposal.as_mut().filter(|_| is_listed) {
             proposal.is_carried_out = true;
@@ -142,6 +168,7 @@
     /// Another seed proposes a group of these members. Returns whether to found it now.
     pub fn accepts(&mut self, now: u64, status: &FoundingStatus, proposed: &Membership) -> bool {
         self.forget_old_offers(now);
+        self.record_connected(now, status);
         let addresses: BTreeSet<String> =
             proposed.members.iter().map(|member| member.address.clone()).collect();
         let is_offered = |member: &Member| {
@@ -161,6 +188,7 @@
         if !status.is_uninitialized {
             self.waiting_since = None;
             self.offers.clear();
+            self.heard_at.clear();
             self.proposal = None;
             return FoundingStep::Wait;
         }
@@ -169,6 +197,7 @@
         }
         self.waiting_since.get_or_insert(now);
         self.forget_old_offers(now);
+        self.record_connected(now, status);
         if !self.is_ready(now) || !self.hears_of_no_group(now, status) {
             return FoundingStep::Wait;
         }
@@ -217,10 +246,24 @@
     fn may_found(&self, now: u64, status: &FoundingStatus) -> bool {
         let offers =
             |address: &String| *address == self.candidate.address || self.offers.contains_key(address);
-        let voters = status.founded_with.members.iter().filter(|member| member.voter);
+        let is_silent =
+            |address: &String| self.heard_at.get(address).is_some_and(|heard_at| now >= heard_at + SILENCE);
+        let mut connected = status.connected.iter().map(|(_, address)| address);
         self.hears_of_no_group(now, status)
-            && status.connected.iter().all(|(_, address)| offers(address))
-            && voters.into_iter().all(|voter| offers(&voter.address))
+            && now >= self.refused_until
+            && connected.all(|address| offers(address) || is_silent(address))
+    }
+
+    /// Notes since when each process has been connected, or has offered last.
+    fn record_connected(&mut self, now: u64, status: &FoundingStatus) {
+        let is_connected =
+            |address: &String| status.connected.iter().any(|(_, connected)| connected == address);
+        self.heard_at.retain(|address, _| is_connected(address));
+        for (_, address) in &status.connected {
+            let offered_at = self.offers.get(address).map(|received| received.received_at);
+            let heard_at = self.heard_at.entry(address.clone()).or_insert(now);
+            *heard_at = offered_at.map_or(*heard_at, |offered_at| offered_at.max(*heard_at));
+        }
     }
 
     fn hears_of_no_group(&self, now: u64, status: &FoundingStatus) -> bool {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -202,23 +202,14 @@
         self.membership().contains(self.options.id)
     }
 
-    /// Whether this process certainly holds nothing that a group has committed, and has had no part in committing
-    /// anything: it may be given up for another founding. It follows and leads nobody, and its log holds no command.
+    /// Whether this process may be given up for another founding, as one whose disk is lost: it follows and leads
+    /// nobody, and its log holds no command.
     ///
-    /// A group takes commands only once it has grown to the voters it wants ([`Output::BecameLeader`]). So a process
-    /// that knows of fewer voters was not counted for any command. One that knows of enough must hold no more than the
-    /// founding, and have voted for nobody but itself: a term beyond the founding's without a vote shows only that
-    /// others campaigned, and an earlier vote may have been overwritten.
+    /// What a group acknowledged is on the disks of a majority of the voters that it wants, less those that are lost at
+    /// this time. So a process without a command counts for nothing that was acknowledged, whatever it voted for, and
+    /// [`crate::Founding`] asks more of them than may be lost.
     pub fn is_uninitialized(&self) -> bool {
-        if self.leader.is_some() || self.is_leader() || self.holds_commands() {
-            return false;
-        }
-        let HardState { term, vote } = self.hard_state;
-        let never_voted = vote.is_none() && term == self.log.last_term();
-        let voted_for_itself = vote == Some(self.options.id);
-        let only_founded = self.log.last_index() <= BOOTSTRAP_INDEX && self.commit == 0;
-        let has_grown = self.has_wanted_voters(self.membership());
-        !has_grown || (only_founded && (never_voted || voted_for_itself))
+        self.leader.is_none() && !self.is_leader() && !self.holds_commands()
     }
 
     /// Whether the log holds commands, or has ever been compacted, which takes a snapshot of their effects.
@@ -226,10 +217,6 @@
         self.snapshot.is_some() || self.log.base_index() > 0 || self.log.has_command()
     }
 
-    pub(crate) fn has_wanted_voters(&self, membership: &Membership) -> bool {
-        membership.voters().count() >= self.options.target_voters
-    }
-
     /// Whether the caller should send, now and then, a join request to the process that is said to lead, which hands
     /// it in as [`Event::Join`]: this process is no member, or it hears from no leader and may have been removed.
     pub fn should_join(&self) -> bool {
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 mod disk;
+pub mod first_start;
 mod invariants;
 mod oracle;
 pub mod single;
--- a/crates/control/src/driver/event_handlers.rs
+++ b/crates/control/src/driver/event_handlers.rs
@@ -57,8 +57,9 @@
             OneOfbody::ping(ping) => {
                 self.clients.push(connection, OneOfbody::pong(Pong { number: ping.number }));
             }
-            OneOfbody::founding_offer(offer) => self.handle_founding_offer(now, offer),
+            OneOfbody::founding_offer(offer) => self.handle_founding_offer(now, connection, offer),
             OneOfbody::founding_proposal(proposal) => self.handle_founding_proposal(now, proposal),
+            OneOfbody::founding_refusal(refusal) => self.handle_founding_refusal(now, refusal),
             OneOfbody::join(Join { member: None })
             | OneOfbody::reply(_)
             | OneOfbody::pong(_)
--- a/crates/control/src/driver/founding.rs
+++ b/crates/control/src/driver/founding.rs
@@ -1,9 +1,11 @@
 //! Founds a group by agreement of the seeds where none was founded: see [`consensus::Founding`].
 
 use super::{Driver, DriverExit};
-use consensus::{FoundingOffer, FoundingStatus, FoundingStep};
+use crate::events::ConnectionId;
+use crate::identity;
+use consensus::{FoundingOffer, FoundingStatus, FoundingStep, Membership};
 use log_records::{member_from_wire, member_to_wire, membership_from_wire, membership_to_wire};
-use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, LeaderNotice};
+use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, FoundingRefusal, LeaderNotice};
 
 impl Driver {
     /// Takes the steps that are due.
@@ -32,8 +34,22 @@
         let Some(membership) = notice.membership.filter(|_| notice.leader_id != 0) else { return };
         let membership = membership_from_wire(membership);
         self.founding.handle_leader(now, &membership);
+        self.leave_founding_unless_listed(&membership);
+    }
+
+    /// A process refuses to found a group.
+    pub(super) fn handle_founding_refusal(&mut self, now: u64, refusal: FoundingRefusal) {
+        let membership = refusal.membership.map(membership_from_wire);
+        self.founding.handle_refusal(now, &refusal.address, membership.as_ref());
+        if let Some(membership) = membership {
+            self.leave_founding_unless_listed(&membership);
+        }
+    }
+
+    /// A group has a leader. A member of a former founding that it does not know gives that founding up.
+    fn leave_founding_unless_listed(&mut self, membership: &Membership) {
         let own_id = self.replica.node().id();
-        let is_listed = membership.contains(own_id) || membership.contains(self.founding_id);
+        let is_listed = membership.contains(own_id) || self.founding.has_proposed(membership);
         if self.has_founded_alone() && !is_listed {
             log::warn!("a group has a leader and does not know this member of a former founding");
             self.exit = Some(DriverExit::Removed);
@@ -46,8 +62,21 @@
         node.is_member() && node.is_uninitialized()
     }
 
-    /// Another process offers to found a group.
-    pub(super) fn handle_founding_offer(&mut self, now: u64, offer: peer::FoundingOffer) {
+    /// Another process offers to found a group. One that holds commands of a group, or has a leader, refuses.
+    pub(super) fn handle_founding_offer(
+        &mut self,
+        now: u64,
+        connection: ConnectionId,
+        offer: peer::FoundingOffer,
+    ) {
+        if !self.replica.node().is_uninitialized() {
+            let address = identity::peer_address(&self.settings, self.settings.ip).to_string();
+            let node = self.replica.node();
+            let membership = node.leader().map(|_| membership_to_wire(node.membership()));
+            let refusal = FoundingRefusal { address, membership };
+            self.clients.push(connection, OneOfbody::founding_refusal(refusal));
+            return;
+        }
         let Some(member) = offer.member.map(member_from_wire) else { return };
         self.founding.handle_offer(now, FoundingOffer { member, seeds: offer.seeds.into_iter().collect() });
     }
@@ -76,10 +105,6 @@
         if !node.is_uninitialized() {
             return FoundingStatus::default();
         }
-        FoundingStatus {
-            is_uninitialized: true,
-            founded_with: node.membership().clone(),
-            connected: self.clients.core_processes(),
-        }
+        FoundingStatus { is_uninitialized: true, connected: self.clients.core_processes() }
     }
 }
--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -322,6 +322,10 @@
     peer::FoundingProposal { membership: Some(membership()) }
 }
 
+fn founding_refusal() -> peer::FoundingRefusal {
+    peer::FoundingRefusal { address: "10.0.0.2:7660".to_owned(), membership: Some(membership()) }
+}
+
 fn frames() -> Vec<(String, mod_PeerFrame::OneOfbody)> {
     use mod_PeerFrame::OneOfbody;
     let hello = peer::Hello {
@@ -344,6 +348,7 @@
         ("pong".to_owned(), OneOfbody::pong(peer::Pong { number: 8 })),
         ("founding_offer".to_owned(), OneOfbody::founding_offer(founding_offer())),
         ("founding_proposal".to_owned(), OneOfbody::founding_proposal(founding_proposal())),
+        ("founding_refusal".to_owned(), OneOfbody::founding_refusal(founding_refusal())),
     ];
     for (name, call) in client_requests() {
         let request = peer::ClientRequest {
