Say why no leader takes commands: whose vote, whose disk, which rule is missing

Need: the log said "no leader is known" each 3 s, whatever the reason.

Change: Node::leadership_obstacle names what is missing: the votes of an election (granted, rejected, unanswered), the voters that have not confirmed, the lease, a stalled disk. The core logs it after 2 s, once for each reason and at most once a second, and ctl members shows it; the status document has it as LeadershipObstacle.

Result: four tests.

--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -65,6 +65,9 @@
     pub known_jobs: u64,
     /// Whether it was asked to stop.
     pub stopping: bool,
+    /// Why it knows no leader that takes commands, in the words of its log; none if it knows one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leadership_obstacle: Option<String>,
     /// All members, voters and learners.
     pub members: Vec<MemberEntry>,
 }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -61,7 +61,7 @@
     /// A voter that has written its own demotion or removal, and nobody else has, may be needed to elect a leader: its
     /// log is the longest, so it rejects the others (section 4.2.2 of the thesis). It counts no vote of its own, since it
     /// is no voter of its newest membership.
-    fn may_campaign(&self) -> bool {
+    pub(crate) fn may_campaign(&self) -> bool {
         !self.disk_stalls() && (self.is_voter() || self.was_voter_before_uncommitted_change())
     }
 
@@ -80,6 +80,9 @@
 
     fn start_pre_vote(&mut self, rule: ElectionRule, out: &mut Vec<Output>) {
         self.role = Role::PreCandidate { rule, granted: BTreeSet::from([self.options.id]) };
+        if self.votes.has_replies(self.options.id) {
+            self.earlier_votes = std::mem::take(&mut self.votes);
+        }
         if self.has_won() {
             self.campaign(rule, CampaignReason::Timeout, out);
             return;
@@ -222,6 +225,8 @@
 
     pub(crate) fn on_vote_reply(&mut self, from: NodeId, reply: &VoteReply, out: &mut Vec<Output>) {
         if !reply.granted {
+            self.votes.granted.remove(&from);
+            self.votes.rejected.insert(from);
             let known = self.membership().contains(from);
             if known && !self.is_leader() && reply.term > self.hard_state.term {
                 self.become_follower(reply.term, None, out);
@@ -238,6 +243,8 @@
             }
             _ => return,
         }
+        self.votes.rejected.remove(&from);
+        self.votes.granted.insert(from);
         self.finish_election(out);
     }
 
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -25,6 +25,7 @@
 mod incoming_snapshot;
 mod interface;
 mod leadership;
+mod leadership_obstacle;
 mod leadership_transfer;
 mod log;
 mod membership_changes;
@@ -43,6 +44,7 @@
 pub use error::{OptionsError, RestoredError};
 pub use founding::{Founding, FoundingOffer, FoundingStatus, FoundingStep};
 pub use interface::{Event, Output};
+pub use leadership_obstacle::LeadershipObstacle;
 pub use message::{
     AppendReply, AppendRequest, Message, SnapshotChunk, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
 };
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -6,6 +6,7 @@
 use crate::durability::Durability;
 use crate::incoming_snapshot::IncomingSnapshot;
 use crate::interface::{Event, Output};
+use crate::leadership_obstacle::VoteTally;
 use crate::log::Log;
 use crate::memberships::Memberships;
 use crate::message::Message;
@@ -69,6 +70,10 @@
     pub(crate) unanimous_election_at: Option<u64>,
     /// Until then the leader's process is taken to have ended: campaigns follow one another at short intervals.
     pub(crate) leader_down_until: u64,
+    /// Replies of the election under way.
+    pub(crate) votes: VoteTally,
+    /// Replies of the one before.
+    pub(crate) earlier_votes: VoteTally,
     /// Whether a membership with this process was in force and its removal has not been reported yet.
     pub(crate) was_member: bool,
 }
@@ -99,6 +104,8 @@
             election_at: now,
             unanimous_election_at: None,
             leader_down_until: 0,
+            votes: VoteTally::default(),
+            earlier_votes: VoteTally::default(),
             was_member,
             options,
         };
--- /dev/null
+++ b/crates/consensus/tests/leadership_obstacle.rs
@@ -0,0 +1,59 @@
+//! A process tells why it knows no leader that takes commands.
+
+mod support;
+
+use consensus::{Event, LeadershipObstacle, Node, Options, Restored};
+use support::cluster::SECOND;
+use support::single::{vote_reply, voters, Single};
+
+fn obstacle_of(single: &Single) -> Option<LeadershipObstacle> {
+    single.node.leadership_obstacle()
+}
+
+#[test]
+fn a_candidate_names_whose_vote_is_missing() {
+    let mut single = Single::founder(5);
+    single.wait(600);
+    single.handle(Event::Tick);
+    single.receive(2, vote_reply(2, true, true));
+    single.receive(3, vote_reply(1, false, true));
+    let expected = LeadershipObstacle::VotesMissing {
+        needed: 3,
+        granted: vec![1, 2],
+        rejected: vec![3],
+        unanswered: vec![4, 5],
+    };
+    assert_eq!(obstacle_of(&single), Some(expected.clone()));
+    let text = "obstacle=votes-missing needed=3 granted=1,2 rejected=3 unanswered=4,5";
+    assert_eq!(expected.to_string(), text);
+    // The next election has no replies yet.
+    single.wait(600);
+    single.handle(Event::Tick);
+    assert_eq!(obstacle_of(&single), Some(expected));
+}
+
+#[test]
+fn the_leader_of_a_new_group_names_the_voters_that_are_not_confirmed() {
+    let mut single = Single::founder(3);
+    single.win(&[2]);
+    single.persist();
+    single.acknowledge(2);
+    let expected = LeadershipObstacle::VotersUnconfirmed { wanted: 3, voters: 3, unconfirmed: vec![3] };
+    assert_eq!(obstacle_of(&single), Some(expected));
+    single.acknowledge(3);
+    assert_eq!(obstacle_of(&single), None);
+}
+
+#[test]
+fn a_process_without_a_membership_is_no_member() {
+    let node = Node::new(Options::new(7), Restored::default(), SECOND, 1);
+    assert_eq!(node.leadership_obstacle(), Some(LeadershipObstacle::NotMember));
+}
+
+#[test]
+fn a_learner_does_not_campaign() {
+    let mut membership = voters(4);
+    membership.members[0].voter = false;
+    let single = Single::restored(Node::bootstrap(membership));
+    assert_eq!(obstacle_of(&single), Some(LeadershipObstacle::Learner));
+}
--- a/crates/control/src/admin/reports.rs
+++ b/crates/control/src/admin/reports.rs
@@ -77,6 +77,7 @@
             open_jobs: open_jobs as u64,
             known_jobs: state.jobs().count() as u64,
             stopping: self.is_stopping(),
+            leadership_obstacle: node.leadership_obstacle().map(|obstacle| obstacle.to_string()),
             members: node.membership().members.iter().map(member_entry).collect(),
         }
     }
--- a/crates/control/src/driver/event_log.rs
+++ b/crates/control/src/driver/event_log.rs
@@ -3,11 +3,17 @@
 //! A line is a few words, then fields as `name=value`.
 
 use super::Driver;
+use crate::clock::MILLISECOND;
 use log::Level;
 use messages::job::JobPhase;
 use scheduler::leader::WorkerEvent;
 use scheduler::state::{State, StateChange};
 
+/// Without a leader for this long, the reason is recorded: an election takes less.
+const OBSTACLE_DELAY: u64 = 2_000 * MILLISECOND;
+/// Least time between two records of reasons.
+const OBSTACLE_INTERVAL: u64 = 1_000 * MILLISECOND;
+
 impl Driver {
     /// Records what an applied batch changed.
     pub(super) fn record_applied(&mut self, now: u64, changes: &[StateChange]) {
@@ -28,23 +34,33 @@
         }
     }
 
-    /// Records that no leader was heard of for a while.
-    pub(super) fn log_missing_group(&self) {
-        let node = self.replica.node();
-        let part = match (node.is_uninitialized(), node.is_member()) {
-            (true, false) => "none",
-            (true, true) => "founder",
-            (false, false) => "former",
-            (false, true) => "member",
+    /// Records why no leader takes commands, once for each reason. Short spans without a leader are not recorded.
+    pub(super) fn record_leadership_obstacle(&mut self, now: u64) {
+        let Some(obstacle) = self.replica.node().leadership_obstacle() else {
+            self.leaderless_since = None;
+            if self.logged_obstacle.take().is_some() {
+                log::info!("a leader is known again");
+            }
+            return;
         };
-        let contacts = self.group_join.contacts().len();
-        let connected = self.clients.core_processes().len();
+        let since = *self.leaderless_since.get_or_insert(now);
+        let is_logged = self
+            .logged_obstacle
+            .as_ref()
+            .is_some_and(|(logged, at)| *logged == obstacle || now < at + OBSTACLE_INTERVAL);
+        if now < since + OBSTACLE_DELAY || is_logged {
+            return;
+        }
+        let node = self.replica.node();
         log::warn!(
-            "no leader is known: see whether a majority of the core runs; part={part} term={} last_index={} \
-             contacts={contacts} connected={connected}",
+            "no leader takes commands: {obstacle} term={} last_index={} commands={} members={} connected={}",
             node.term(),
             node.last_index(),
+            if node.is_uninitialized() { "none" } else { "some" },
+            node.membership().members.len(),
+            self.clients.core_processes().len(),
         );
+        self.logged_obstacle = Some((obstacle, now));
     }
 
     /// Records that another leader is known, or none.
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -22,7 +22,7 @@
 use crate::writer::{Writer, Written};
 use crate::{replica, settings_file, wire};
 use configuration::{OrderDelivery, ProcessSettings};
-use consensus::{Event, Founding, Membership, NodeId};
+use consensus::{Event, Founding, LeadershipObstacle, Membership, NodeId};
 use scheduler::leader::{Input, Leader, Mechanisms, Output};
 use std::collections::VecDeque;
 use std::path::PathBuf;
@@ -95,6 +95,10 @@
     founding: Founding,
     /// The member that this process would be in a group that it founds by agreement.
     founding_id: NodeId,
+    /// Since when no leader that takes commands is known.
+    leaderless_since: Option<u64>,
+    /// The reason for that, as it was logged last, and when.
+    logged_obstacle: Option<(LeadershipObstacle, u64)>,
     /// When a leader reads the seeds in the settings file next, in nanoseconds of `clock`.
     next_seed_check: u64,
     /// Set once the process was asked to stop: the latest time at which it ends, in nanoseconds of `clock`.
@@ -157,6 +161,8 @@
             group_join: GroupJoin::new(id, &own.address, seeds, now),
             founding: identity::founding(&settings, founding_id)?,
             founding_id,
+            leaderless_since: None,
+            logged_obstacle: None,
             next_seed_check: 0,
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
             clients,
@@ -243,12 +249,10 @@
             // Members that a former founding has left are given up, not taken into another group with their log.
             JoinStep::RequestJoin if self.has_founded_alone() => {}
             JoinStep::RequestJoin => self.peers.request_join(&self.group_join.contacts()),
-            JoinStep::ReloadSettings => {
-                self.log_missing_group();
-                self.reload_settings();
-            }
+            JoinStep::ReloadSettings => self.reload_settings(),
         }
         self.poll_founding(now);
+        self.record_leadership_obstacle(now);
         if self.leader.is_some() && self.next_seed_check <= now {
             self.next_seed_check = now + SEED_CHECK_INTERVAL;
             self.reload_settings();
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -66,7 +66,15 @@
         "ID", "CONTROL", "VOTER", "NAME", "ROLE", "TERM", "COMMIT", "APPLIED", "LAST", "SNAPSHOT", "CONFIG",
     ]);
     lines.iter().for_each(|line| table.row(member_row(line)));
-    output::table(&table, out)
+    output::table(&table, out)?;
+    for (line, obstacle) in lines.iter().filter_map(|line| Some((line, leadership_obstacle(line)?))) {
+        output::line(&format!("{} at {}: no leader takes commands: {obstacle}", line.id, line.control), out)?;
+    }
+    Ok(())
+}
+
+fn leadership_obstacle(line: &MemberLine) -> Option<&str> {
+    line.status.as_ref()?.leadership_obstacle.as_deref()
 }
 
 fn member_row(line: &MemberLine) -> Vec<String> {
