--- a/crates/mutants/src/list/membership_changes.rs
+++ b/crates/mutants/src/list/membership_changes.rs
@@ -76,4 +76,20 @@
             replace: "None => None,",
             test: "-p consensus --test membership_rules a_surplus_voter_becomes_a_learner_again_when_the_unresponsive_one_returns",
         },
+    Mutant {
+        name: "change-of-voters-without-a-reply",
+        point: 3,
+        file: "crates/consensus/src/membership_changes.rs",
+        find: "        if self.confirms_change(next.as_ref(), out) {",
+        replace: "        if self.confirms_change(next.as_ref(), out) || next.is_some() {",
+        test: "-p consensus --test members",
+    },
+    Mutant {
+        name: "added-voter-without-a-reply",
+        point: 3,
+        file: "crates/consensus/src/membership_changes.rs",
+        find: "added.into_iter().all(|voter| has_replied(&voter))",
+        replace: "added.into_iter().all(|_| true)",
+        test: "-p consensus --test members",
+    },
 ];
--- a/crates/mutants/src/list/terms_and_leases.rs
+++ b/crates/mutants/src/list/terms_and_leases.rs
@@ -144,4 +144,28 @@
             replace: "self.node.is_leader() && now > 0",
             test: "-p control --test lone_leader",
         },
+    Mutant {
+        name: "demoted-voter-does-not-campaign",
+        point: 1,
+        file: "crates/consensus/src/election.rs",
+        find: "(self.is_voter() || self.was_voter_before_uncommitted_change())",
+        replace: "self.is_voter()",
+        test: "-p consensus --test random_faults",
+    },
+    Mutant {
+        name: "learner-campaigns",
+        point: 1,
+        file: "crates/consensus/src/election.rs",
+        find: "(self.is_voter() || self.was_voter_before_uncommitted_change())",
+        replace: "self.is_member()",
+        test: "-p consensus --test leadership_obstacle",
+    },
+    Mutant {
+        name: "leader-announced-without-a-lease",
+        point: 1,
+        file: "crates/consensus/src/group_growth.rs",
+        find: "leadership.announced || leadership.lease_until() <= self.now",
+        replace: "leadership.announced || !leadership.noop_committed",
+        test: "-p consensus --test random_faults",
+    },
 ];
