Join groups that were founded apart, and keep the tally of votes in a file of its own

Cause: where the core is cut in two for longer than 2 s at its first start, and the seeds are exchanged meanwhile, each part may found a group. Neither dissolved: two groups without the voters that they need, for good; or a second one beside one that serves, to which a machine with an empty disk could join later.

Change: a process whose log holds no command gives its group up for another that has a leader, that does not list it and does not follow the same leader: once it has waited for a leader of its own, or if the other takes commands, or by the order of the voters. Leaders tell seeds that are no members of their group each second; that message is the former refusal, with the leader and whether commands are taken. The order of a leader's notice is the same.

The file circle of node and leadership_obstacle is resolved with vote_tally.

--- a/crates/consensus/src/founding.rs
+++ b/crates/consensus/src/founding.rs
@@ -23,8 +23,13 @@
 //! The other members may have gone on without it, but only while its machine counted among those that are lost: then
 //! they and it are more than may be lost at one time, and one of them is connected and does not offer.
 //!
+//! Where the core is cut in two for longer than the delay, and the seeds are exchanged meanwhile, each part may found a
+//! group. At most one of them has the voters that it needs to take commands. Once they reach one another, the other gives
+//! way ([`Founding::gives_way`]): a leader tells seeds that are no members of its group.
+//!
 //! Input and output are the caller's, as with [`crate::Node`]. Times are nanoseconds of the process's steady clock.
 
+use crate::node::Node;
 use crate::types::{Member, Membership, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -61,6 +66,17 @@
     pub connected: BTreeSet<(NodeId, String)>,
 }
 
+/// Another group that has a leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OtherGroup {
+    /// Its leader.
+    pub leader: NodeId,
+    /// Its members.
+    pub membership: Membership,
+    /// Whether it holds commands, or its leader takes them.
+    pub takes_commands: bool,
+}
+
 /// What is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FoundingStep {
@@ -138,16 +154,35 @@
         }
     }
 
-    /// The process at this address refuses to found a group: it holds commands of one, or has a leader, perhaps one that
-    /// does not serve yet. `membership` is that of the leader.
-    pub fn handle_refusal(&mut self, now: u64, address: &str, membership: Option<&Membership>) {
+    /// The process at this address tells of its group, and so refuses to found another.
+    pub fn handle_group(&mut self, now: u64, address: &str, group: Option<&OtherGroup>) {
         self.offers.remove(address);
         self.refused_until = now + OFFER_LIFETIME;
-        membership.into_iter().for_each(|membership| self.record_carried_out(membership));
+        group.into_iter().for_each(|group| self.record_carried_out(&group.membership));
+    }
+
+    /// Whether the process, this node, gives its own group up to join another that has a leader.
+    ///
+    /// Its log holds no command, the other group does not list it, and its own leader, if it has one, leads another group
+    /// than that. Without a leader it gives way once it has waited for one. Of two groups with leaders that take no
+    /// commands yet, the one with fewer voters gives way, of equal ones that with the lesser identities.
+    pub fn gives_way(&self, now: u64, node: &Node, other: &OtherGroup) -> bool {
+        let members = &other.membership;
+        let is_listed = members.contains(node.id()) || self.has_proposed(members);
+        // A process that has just joined names a leader before it has the membership.
+        let is_known = members.contains(other.leader);
+        if !node.is_member() || node.holds_commands() || is_listed || !is_known {
+            return false;
+        }
+        match node.leader() {
+            None => self.is_ready(now),
+            Some(leader) if members.contains(leader) => false,
+            Some(_) => other.takes_commands || group_order(node.membership()) < group_order(members),
+        }
     }
 
     /// Whether this process has proposed a group in which it is one of these members, and may still found it.
-    pub fn has_proposed(&self, membership: &Membership) -> bool {
+    fn has_proposed(&self, membership: &Membership) -> bool {
         self.proposal.is_some() && membership.contains(self.candidate.id)
     }
 
@@ -298,3 +333,9 @@
         self.offers.retain(|_, received| now < received.received_at + OFFER_LIFETIME);
     }
 }
+
+/// Ranks groups without commands: by the number of voters, then by their identities.
+fn group_order(membership: &Membership) -> (usize, BTreeSet<NodeId>) {
+    let voters: BTreeSet<NodeId> = membership.voters().collect();
+    (voters.len(), voters)
+}
--- a/crates/consensus/src/leadership_obstacle.rs
+++ b/crates/consensus/src/leadership_obstacle.rs
@@ -1,26 +1,11 @@
 //! Why this process knows no leader that takes commands, as far as it can tell.
 
-use std::collections::BTreeSet;
 use std::fmt::{self, Display, Formatter};
 
 use crate::node::Node;
 use crate::role::Role;
 use crate::types::{Membership, NodeId};
 
-/// What one election has brought so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct VoteTally {
-    pub granted: BTreeSet<NodeId>,
-    pub rejected: BTreeSet<NodeId>,
-}
-
-impl VoteTally {
-    /// Whether any other process has replied.
-    pub fn has_replies(&self, own_id: NodeId) -> bool {
-        !self.rejected.is_empty() || self.granted.iter().any(|voter| *voter != own_id)
-    }
-}
-
 /// Why no leader is known, or why the one that this process is takes no commands yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeadershipObstacle {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -40,9 +40,10 @@
 mod role;
 mod snapshots;
 mod types;
+mod vote_tally;
 
 pub use error::{OptionsError, RestoredError};
-pub use founding::{Founding, FoundingOffer, FoundingStatus, FoundingStep};
+pub use founding::{Founding, FoundingOffer, FoundingStatus, FoundingStep, OtherGroup};
 pub use interface::{Event, Output};
 pub use leadership_obstacle::LeadershipObstacle;
 pub use message::{
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -6,7 +6,6 @@
 use crate::durability::Durability;
 use crate::incoming_snapshot::IncomingSnapshot;
 use crate::interface::{Event, Output};
-use crate::leadership_obstacle::VoteTally;
 use crate::log::Log;
 use crate::memberships::Memberships;
 use crate::message::Message;
@@ -17,6 +16,7 @@
     Entry, HardState, Index, Membership, NodeId, Payload, Restored, Snapshot, SnapshotMeta, Term,
     BOOTSTRAP_INDEX, BOOTSTRAP_TERM,
 };
+use crate::vote_tally::VoteTally;
 
 /// Bits by which identities are shifted when a term is drawn from them.
 const TERM_MIX_BITS: u32 = 7;
@@ -220,7 +220,7 @@
     }
 
     /// Whether the log holds commands, or has ever been compacted, which takes a snapshot of their effects.
-    pub(crate) fn holds_commands(&self) -> bool {
+    pub fn holds_commands(&self) -> bool {
         self.snapshot.is_some() || self.log.base_index() > 0 || self.log.has_command()
     }
 
--- a/crates/consensus/tests/founding.rs
+++ b/crates/consensus/tests/founding.rs
@@ -123,7 +123,7 @@
             }
         }
         for refusing in refusals {
-            self.process(from).founding.handle_refusal(now, &refusing, None);
+            self.process(from).founding.handle_group(now, &refusing, None);
         }
     }
 
@@ -203,6 +203,24 @@
     assert_eq!(site.founded.len(), 3);
 }
 
+/// A process that has just connected may not have received an offer yet.
+#[test]
+fn a_process_that_has_just_connected_prevents_a_founding_until_it_is_silent() {
+    let mut site = Site::new(&[1, 2, 3], &[1, 2, 3], 1);
+    let mut connected_at = 0;
+    while site.now < 1_900 * MS {
+        connected_at = site.now + TURN;
+        site.run_until(connected_at);
+    }
+    for machine in 1..=3 {
+        site.process(machine).open_connections.insert((900, address(9)));
+    }
+    site.run_until(connected_at + 1_400 * MS);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0));
+    site.run_until(connected_at + 2_500 * MS);
+    assert_eq!(site.founded.len(), 3);
+}
+
 #[test]
 fn more_processes_offer_than_disks_may_be_lost() {
     let mut site = Site::new(&[1, 2, 3, 4], &[1, 2, 3], 3);
--- a/crates/consensus/tests/founding_under_faults.rs
+++ b/crates/consensus/tests/founding_under_faults.rs
@@ -12,6 +12,8 @@
 const LAST_FAULT: u64 = 8 * SECOND;
 /// The longest time until the group serves once it is left alone.
 const RECOVERY: u64 = 15 * SECOND;
+/// The longest time until all machines follow one leader.
+const REUNION: u64 = 20 * SECOND;
 /// Plays of each layout; `FIRST_STARTS` in the environment asks for another number.
 const PLAYS: u64 = 100;
 
@@ -67,6 +69,11 @@
         }
     }
     site.check_nothing_is_lost();
+    let deadline = site.now + REUNION;
+    while !site.is_one_group() {
+        assert!(site.now < deadline, "{layout:?}, seed {seed}, {script:?}: not one group:{}", site.state());
+        site.turn();
+    }
     site.foundings
 }
 
@@ -101,3 +108,27 @@
 fn nine_machines_come_to_one_group_whatever_strikes_their_first_start() {
     play_drawn(LAYOUTS[3]);
 }
+
+/// The seeds are exchanged for machines that are cut off from their first moment, for longer than any group waits for.
+fn cut_off_seeds(cut_off: &[usize], seeds: [usize; 3]) -> Vec<(u64, Fault)> {
+    let span = 7 * SECOND;
+    vec![
+        (0, Fault::Cut { machines: cut_off.iter().copied().collect(), span }),
+        (400 * MILLISECOND, Fault::ExchangeSeeds { seeds: seeds.into() }),
+        (span, Fault::Reload),
+    ]
+}
+
+#[test]
+fn two_groups_without_commands_become_one() {
+    for seed in 1..=20 {
+        play(LAYOUTS[2], seed, &cut_off_seeds(&[2, 3, 4], [2, 3, 4]));
+    }
+}
+
+#[test]
+fn a_group_without_commands_joins_one_that_takes_them() {
+    for seed in 1..=20 {
+        play(LAYOUTS[3], seed, &cut_off_seeds(&[5, 6, 7, 8], [5, 6, 7]));
+    }
+}
--- a/crates/consensus/tests/support/first_start.rs
+++ b/crates/consensus/tests/support/first_start.rs
@@ -3,7 +3,7 @@
 
 use consensus::{
     Entry, Event, Founding, FoundingOffer, FoundingStatus, FoundingStep, Index, Member, Membership, Message,
-    Node, NodeId, Options, Output, Payload, Restored,
+    Node, NodeId, Options, OtherGroup, Output, Payload, Restored,
 };
 use fastrand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +19,10 @@
 const MACHINE_BITS: u32 = 32;
 /// Interval of requests to join.
 const JOIN_INTERVAL: u64 = 300 * MILLISECOND;
+/// Without a leader for this long, a member asks to join again.
+const CONTACT_TIMEOUT: u64 = 3 * SECOND;
+/// Interval at which a leader tells seeds that are no members of its group.
+const GROUP_NOTICE_INTERVAL: u64 = SECOND;
 /// Machines start within this time of one another.
 const START_SPREAD: u64 = 300 * MILLISECOND;
 /// The longest time until other seeds stand in the settings of a machine.
@@ -38,7 +42,7 @@
 enum Frame {
     Consensus { from: NodeId, to: NodeId, message: Message },
     Offer(FoundingOffer),
-    Refusal(Option<Membership>),
+    Group(Option<OtherGroup>),
     Proposal(Membership),
     Notice { leader: Option<NodeId>, membership: Membership },
     Join(Member),
@@ -68,6 +72,9 @@
     /// It was announced as the leader.
     is_announced: bool,
     next_join: u64,
+    /// When it last knew a leader.
+    last_contact: u64,
+    next_group_notice: u64,
     /// Machines that it knows beside its seeds and members.
     known: BTreeSet<usize>,
     notice: Option<(Option<NodeId>, Membership)>,
@@ -128,11 +135,9 @@
         machine: usize,
         pause: u64,
     },
+    /// These machines and all others do not reach each other.
     Cut {
-        machine: usize,
-        span: u64,
-    },
-    Split {
+        machines: BTreeSet<usize>,
         span: u64,
     },
     Freeze {
@@ -143,8 +148,10 @@
         machine: usize,
         span: u64,
     },
-    /// The settings name other seeds.
-    ExchangeSeeds,
+    /// The settings name other seeds. Nothing happens if one of them is gone.
+    ExchangeSeeds {
+        seeds: BTreeSet<usize>,
+    },
     /// The settings are written anew: `Bootstrap` is false at later starts.
     Reload,
 }
@@ -162,11 +169,13 @@
             4 => Fault::LosePowerOfAll { pause },
             5..=7 => Fault::LoseDisk { machine, pause },
             8 | 9 => Fault::Replace { machine, pause },
-            10 => Fault::Cut { machine, span },
-            11 => Fault::Split { span },
+            10 => Fault::Cut { machines: [machine].into(), span },
+            11 => Fault::Cut { machines: (0..machines).filter(|_| rng.bool()).collect(), span },
             12 => Fault::Freeze { machine, span },
             13 => Fault::RefuseWrites { machine, span },
-            14 => Fault::ExchangeSeeds,
+            14 => {
+                Fault::ExchangeSeeds { seeds: rng.choose_multiple(0..machines, SEEDS).into_iter().collect() }
+            }
             _ => Fault::Reload,
         }
     }
@@ -231,11 +240,7 @@
             Fault::LosePowerOfAll { pause } => self.end_all(pause, true),
             Fault::LoseDisk { machine, pause } => self.lose_disk(machine, pause),
             Fault::Replace { machine, pause } => self.replace(machine, pause),
-            Fault::Cut { machine, span } => self.cut(&[machine].into(), span),
-            Fault::Split { span } => {
-                let half = self.running_machines().into_iter().filter(|_| self.rng.bool()).collect();
-                self.cut(&half, span);
-            }
+            Fault::Cut { ref machines, span } => self.cut(machines, span),
             Fault::Freeze { machine, span } => {
                 self.machines[machine].frozen_until = self.now + span;
                 self.delay_catch_up(machine, span);
@@ -244,7 +249,7 @@
                 self.machines[machine].disk_refuses_until = self.now + span;
                 self.delay_catch_up(machine, span);
             }
-            Fault::ExchangeSeeds => self.exchange_seeds(),
+            Fault::ExchangeSeeds { ref seeds } => self.exchange_seeds(seeds),
             Fault::Reload => self.bootstrap = false,
         }
     }
@@ -338,11 +343,10 @@
         this.next_seeds.as_ref().map_or_else(|| this.seeds.clone(), |(_, seeds)| seeds.clone())
     }
 
-    fn exchange_seeds(&mut self) {
-        let mut candidates = self.running_machines();
-        self.rng.shuffle(&mut candidates);
-        let seeds = candidates.into_iter().take(SEEDS).collect();
-        self.set_seeds(&seeds);
+    fn exchange_seeds(&mut self, seeds: &BTreeSet<usize>) {
+        if !seeds.iter().any(|seed| self.machines[*seed].is_gone) {
+            self.set_seeds(seeds);
+        }
     }
 
     fn set_seeds(&mut self, seeds: &BTreeSet<usize>) {
@@ -429,6 +433,8 @@
             writes: Vec::new(),
             is_announced: false,
             next_join: self.now,
+            last_contact: self.now,
+            next_group_notice: self.now,
             known: this.accepted.keys().copied().collect(),
             notice: None,
         });
@@ -440,7 +446,7 @@
         let Some(process) = &this.process else { return BTreeSet::new() };
         let node = &process.node;
         let members = node.membership().members.iter().map(|member| machine_at(&member.address));
-        let known = process.known.iter().copied().filter(|_| !node.is_member() || node.is_uninitialized());
+        let known = process.known.iter().copied().filter(|_| node.leader().is_none());
         members.chain(known).chain(this.seeds.iter().copied()).filter(|other| *other != machine).collect()
     }
 
@@ -574,16 +580,13 @@
             Frame::Consensus { .. } => {}
             Frame::Join(member) => self.handle(machine, Event::Join { member }),
             Frame::Offer(_) if !process.node.is_uninitialized() => {
-                let node = &process.node;
-                let membership = node.leader().map(|_| node.membership().clone());
-                self.send(machine, from, Frame::Refusal(membership));
+                let group = group_of(process);
+                self.send(machine, from, Frame::Group(group));
             }
             Frame::Offer(offer) => process.founding.handle_offer(now, offer),
-            Frame::Refusal(membership) => {
-                process.founding.handle_refusal(now, &address(from), membership.as_ref());
-                if let Some(membership) = membership {
-                    self.leave_founding_unless_listed(machine, &membership);
-                }
+            Frame::Group(group) => {
+                process.founding.handle_group(now, &address(from), group.as_ref());
+                group.into_iter().for_each(|group| self.give_way(machine, &group));
             }
             Frame::Proposal(membership) => {
                 let status = self.status(machine);
@@ -599,24 +602,46 @@
     fn receive_notice(&mut self, machine: usize, leader: Option<NodeId>, membership: &Membership) {
         let Some(process) = self.machines[machine].process.as_mut() else { return };
         process.known.extend(membership.members.iter().map(|member| machine_at(&member.address)));
-        if leader.is_some() {
+        if let Some(leader) = leader {
             process.founding.handle_leader(self.now, membership);
-            self.leave_founding_unless_listed(machine, membership);
+            let membership = membership.clone();
+            self.give_way(machine, &OtherGroup { leader, membership, takes_commands: false });
         }
     }
 
-    fn leave_founding_unless_listed(&mut self, machine: usize, membership: &Membership) {
-        let Some(process) = self.machines[machine].process.as_mut() else { return };
-        let is_listed = membership.contains(process.id) || process.founding.has_proposed(membership);
-        if process.node.is_member() && process.node.is_uninitialized() && !is_listed {
+    fn give_way(&mut self, machine: usize, other: &OtherGroup) {
+        let process = self.machines[machine].process.as_ref();
+        if process.is_some_and(|process| process.founding.gives_way(self.now, &process.node, other)) {
             self.join_anew(machine);
         }
     }
 
+    /// A leader tells seeds that are no members of its group.
+    fn announce_group(&mut self, machine: usize) {
+        let now = self.now;
+        let Some(process) = self.machines[machine].process.as_mut() else { return };
+        if !process.node.is_leader() || now < process.next_group_notice {
+            return;
+        }
+        process.next_group_notice = now + GROUP_NOTICE_INTERVAL;
+        let (group, members) = (group_of(process), process.node.membership().clone());
+        for seed in self.machines[machine].seeds.clone() {
+            if !members.members.iter().any(|member| machine_at(&member.address) == seed) {
+                self.send(machine, seed, Frame::Group(group.clone()));
+            }
+        }
+    }
+
     fn request_join(&mut self, machine: usize) {
         let now = self.now;
         let Some(process) = self.machines[machine].process.as_mut() else { return };
-        if now < process.next_join || process.node.is_member() {
+        if process.node.leader().is_some() {
+            process.last_contact = now;
+        }
+        // A member without a leader may have been removed.
+        let is_needed = !process.node.is_member()
+            || (now >= process.last_contact + CONTACT_TIMEOUT && !process.node.is_uninitialized());
+        if now < process.next_join || !is_needed {
             return;
         }
         process.next_join = now + JOIN_INTERVAL;
@@ -708,10 +733,25 @@
             self.handle(machine, Event::Tick);
         }
         self.announce(machine);
+        self.announce_group(machine);
         self.request_join(machine);
         self.poll_founding(machine);
     }
 
+    /// Whether all processes follow one leader that takes commands.
+    pub fn is_one_group(&self) -> bool {
+        let processes: Vec<Option<&Process>> = self
+            .running_machines()
+            .into_iter()
+            .map(|machine| self.machines[machine].process.as_ref())
+            .collect();
+        let leader =
+            processes.iter().flatten().find(|process| process.is_announced).map(|process| process.id);
+        let follows =
+            |process: &Option<&Process>| process.is_some_and(|process| process.node.leader() == leader);
+        leader.is_some() && processes.iter().all(follows)
+    }
+
     /// Whoever leads holds all commands that were committed.
     pub fn check_nothing_is_lost(&self) {
         let running = self.machines.iter().filter_map(|machine| machine.process.as_ref());
@@ -771,3 +811,11 @@
     let leader = process.node.leader().filter(|leader| *leader != process.id || process.is_announced);
     (leader, process.node.membership().clone())
 }
+
+/// What a process tells others of its group.
+fn group_of(process: &Process) -> Option<OtherGroup> {
+    let node = &process.node;
+    let takes_commands = node.holds_commands() || process.is_announced;
+    let membership = node.membership().clone();
+    node.leader().map(|leader| OtherGroup { leader, membership, takes_commands })
+}
--- a/crates/control/src/driver/event_handlers.rs
+++ b/crates/control/src/driver/event_handlers.rs
@@ -59,7 +59,7 @@
             }
             OneOfbody::founding_offer(offer) => self.handle_founding_offer(now, connection, offer),
             OneOfbody::founding_proposal(proposal) => self.handle_founding_proposal(now, proposal),
-            OneOfbody::founding_refusal(refusal) => self.handle_founding_refusal(now, refusal),
+            OneOfbody::group_notice(notice) => self.handle_group_notice(now, notice),
             OneOfbody::join(Join { member: None })
             | OneOfbody::reply(_)
             | OneOfbody::pong(_)
--- a/crates/control/src/driver/founding.rs
+++ b/crates/control/src/driver/founding.rs
@@ -3,9 +3,10 @@
 use super::{Driver, DriverExit};
 use crate::events::ConnectionId;
 use crate::identity;
-use consensus::{FoundingOffer, FoundingStatus, FoundingStep, Membership};
+use consensus::{FoundingOffer, FoundingStatus, FoundingStep, OtherGroup};
 use log_records::{member_from_wire, member_to_wire, membership_from_wire, membership_to_wire};
-use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, FoundingRefusal, LeaderNotice};
+use messages::peer::{self, mod_PeerFrame::OneOfbody, FoundingProposal, GroupNotice, LeaderNotice};
+use std::net::SocketAddr;
 
 impl Driver {
     /// Takes the steps that are due.
@@ -29,33 +30,51 @@
         }
     }
 
-    /// A process names its leader and its members.
+    /// A process names its leader, which may take no commands yet, and its members.
     pub(super) fn handle_leader_notice(&mut self, now: u64, notice: LeaderNotice) {
-        let Some(membership) = notice.membership.filter(|_| notice.leader_id != 0) else { return };
-        let membership = membership_from_wire(membership);
-        self.founding.handle_leader(now, &membership);
-        self.leave_founding_unless_listed(&membership);
+        let Some(group) = other_group(notice.leader_id, notice.membership, false) else { return };
+        self.founding.handle_leader(now, &group.membership);
+        self.give_way(now, &group);
     }
 
-    /// A process refuses to found a group.
-    pub(super) fn handle_founding_refusal(&mut self, now: u64, refusal: FoundingRefusal) {
-        let membership = refusal.membership.map(membership_from_wire);
-        self.founding.handle_refusal(now, &refusal.address, membership.as_ref());
-        if let Some(membership) = membership {
-            self.leave_founding_unless_listed(&membership);
-        }
+    /// A process tells of its group.
+    pub(super) fn handle_group_notice(&mut self, now: u64, notice: GroupNotice) {
+        let group = other_group(notice.leader_id, notice.membership, notice.takes_commands);
+        self.founding.handle_group(now, &notice.address, group.as_ref());
+        group.into_iter().for_each(|group| self.give_way(now, &group));
     }
 
-    /// A group has a leader. A member of a former founding that it does not know gives that founding up.
-    fn leave_founding_unless_listed(&mut self, membership: &Membership) {
-        let own_id = self.replica.node().id();
-        let is_listed = membership.contains(own_id) || self.founding.has_proposed(membership);
-        if self.has_founded_alone() && !is_listed {
-            log::warn!("a group has a leader and does not know this member of a former founding");
+    fn give_way(&mut self, now: u64, other: &OtherGroup) {
+        if self.founding.gives_way(now, self.replica.node(), other) {
+            log::warn!("another group has a leader: this process gives up its founding, which holds nothing");
             self.exit = Some(DriverExit::Removed);
         }
     }
 
+    /// What this process tells others of its group.
+    fn group_notice(&self) -> GroupNotice {
+        let node = self.replica.node();
+        GroupNotice {
+            address: identity::peer_address(&self.settings, self.settings.ip).to_string(),
+            leader_id: node.leader().unwrap_or_default(),
+            membership: Some(membership_to_wire(node.membership())),
+            takes_commands: node.holds_commands() || self.leader.is_some(),
+        }
+    }
+
+    /// Tells seeds that are no members of the group that this process leads: they may have founded another.
+    pub(super) fn announce_group(&mut self) {
+        let node = self.replica.node();
+        let members: Vec<SocketAddr> =
+            node.membership().members.iter().filter_map(|member| member.address.parse().ok()).collect();
+        let mut others = self.group_join.seeds().to_vec();
+        others.retain(|seed| !members.contains(seed));
+        if !others.is_empty() {
+            let notice = OneOfbody::group_notice(self.group_notice());
+            self.peers.send_to_addresses(&others, &notice);
+        }
+    }
+
     /// Whether this process is a member of a founding that came to nothing, as far as it knows.
     pub(super) fn has_founded_alone(&self) -> bool {
         let node = self.replica.node();
@@ -70,11 +89,7 @@
         offer: peer::FoundingOffer,
     ) {
         if !self.replica.node().is_uninitialized() {
-            let address = identity::peer_address(&self.settings, self.settings.ip).to_string();
-            let node = self.replica.node();
-            let membership = node.leader().map(|_| membership_to_wire(node.membership()));
-            let refusal = FoundingRefusal { address, membership };
-            self.clients.push(connection, OneOfbody::founding_refusal(refusal));
+            self.clients.push(connection, OneOfbody::group_notice(self.group_notice()));
             return;
         }
         let Some(member) = offer.member.map(member_from_wire) else { return };
@@ -108,3 +123,13 @@
         FoundingStatus { is_uninitialized: true, connected: self.clients.core_processes() }
     }
 }
+
+/// A group with this leader and these members; `None` if a process names no leader.
+fn other_group(
+    leader: u64,
+    membership: Option<peer::Membership>,
+    takes_commands: bool,
+) -> Option<OtherGroup> {
+    let membership = membership.filter(|_| leader != 0).map(membership_from_wire)?;
+    Some(OtherGroup { leader, membership, takes_commands })
+}
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -229,7 +229,10 @@
         let join_timer = self.group_join.next_timer(self.member_status());
         let mut next = self.replica.node().next_timer().min(join_timer).min(self.founding.next_timer());
         if self.leader.is_some() {
-            next = next.min(self.wake_at).min(self.next_seed_check);
+            next = next.min(self.wake_at);
+        }
+        if self.replica.node().is_leader() {
+            next = next.min(self.next_seed_check);
         }
         if self.stop_by.is_some() {
             next = next.min(self.clock.now() + SHUTDOWN_CHECK_INTERVAL);
@@ -253,9 +256,10 @@
         }
         self.poll_founding(now);
         self.record_leadership_obstacle(now);
-        if self.leader.is_some() && self.next_seed_check <= now {
+        if self.replica.node().is_leader() && self.next_seed_check <= now {
             self.next_seed_check = now + SEED_CHECK_INTERVAL;
             self.reload_settings();
+            self.announce_group();
         }
     }
 
--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -322,8 +322,10 @@
     peer::FoundingProposal { membership: Some(membership()) }
 }
 
-fn founding_refusal() -> peer::FoundingRefusal {
-    peer::FoundingRefusal { address: "10.0.0.2:7660".to_owned(), membership: Some(membership()) }
+fn group_notice() -> peer::GroupNotice {
+    let address = "10.0.0.2:7660".to_owned();
+    let leader_id = 0x5152_5354_5556_5758;
+    peer::GroupNotice { address, leader_id, membership: Some(membership()), takes_commands: true }
 }
 
 fn frames() -> Vec<(String, mod_PeerFrame::OneOfbody)> {
@@ -348,7 +350,7 @@
         ("pong".to_owned(), OneOfbody::pong(peer::Pong { number: 8 })),
         ("founding_offer".to_owned(), OneOfbody::founding_offer(founding_offer())),
         ("founding_proposal".to_owned(), OneOfbody::founding_proposal(founding_proposal())),
-        ("founding_refusal".to_owned(), OneOfbody::founding_refusal(founding_refusal())),
+        ("group_notice".to_owned(), OneOfbody::group_notice(group_notice())),
     ];
     for (name, call) in client_requests() {
         let request = peer::ClientRequest {
