Search faults exhaustively beside the demotion of a voter

Need: promotion, replacement and demotion, each with loss of power of all before, between and after each durable step.

Change: a search that begins when a silent voter, which the spare has replaced, returns: four voters, of which one becomes a learner again.

--- a/crates/consensus/tests/fault_placements.rs
+++ b/crates/consensus/tests/fault_placements.rs
@@ -267,3 +267,18 @@
     cluster.run_for(300 * MILLISECOND);
     report("faults beside a replaced disk", &search(cluster, bounds));
 }
+
+/// A silent voter is replaced by the spare and returns: there is a voter too many, one becomes a learner again, and the
+/// group goes on. Faults come from the moment on at which the voter returns.
+#[test]
+fn every_pair_of_faults_while_a_voter_is_demoted_is_survived() {
+    let bounds = if is_large() { Bounds { first: 120, second: 12 } } else { Bounds { first: 30, second: 0 } };
+    let mut cluster = running_group(|_| {});
+    cluster.start(SPARE);
+    let follower = (cluster.leader().expect("a leader") + 1) % FOUNDERS;
+    cluster.isolate(follower);
+    let voters = |cluster: &Cluster| cluster.committed_voters();
+    assert!(cluster.run_until(5 * SECOND, |cluster| voters(cluster) > FOUNDERS), "the spare becomes a voter");
+    cluster.heal();
+    report("faults beside a demotion", &search(cluster, bounds));
+}
