Ask a confirmed voter for a majority of its voters before it founds anew or gives way

A voter that acknowledged the first entry of a group and is cut off in the moment of the first command holds no command itself; with machines that never were members it could found a second group, or join one, while the others serve.

Change: a process whose membership has the wanted voters and that has had a leader hears offers of a majority of them, by address, before it founds; and gives way to a group without commands only if a majority of them is in that group.

Result: four tests and a mutant.

--- a/crates/consensus/src/founding.rs
+++ b/crates/consensus/src/founding.rs
@@ -15,7 +15,9 @@
 //! - every seed offers, with the same seeds in its settings,
 //! - as many processes offer as disks may be lost at one time, and one more: a group that ever was would have a member
 //!   with its disk among them, which never offers,
-//! - every core process that is connected and answers offers, too. One that holds commands, or has a leader, refuses.
+//! - every core process that is connected and answers offers, too. One that holds commands, or has a leader, refuses;
+//! - a voter of a group that had a leader and the voters that it wants hears offers of a majority of them: the others
+//!   may have taken commands without it.
 //!
 //! Each other seed checks the same when the proposal arrives, writes the first log and starts anew as that member. The
 //! proposer does so last, when all others have connected under their new identities: so it never is the only one, and a
@@ -64,6 +66,9 @@
     pub is_uninitialized: bool,
     /// Core processes that are connected: identity and address.
     pub connected: BTreeSet<(NodeId, String)>,
+    /// Addresses of the voters of a group that may have taken commands without this process:
+    /// [`crate::Node::possible_group`].
+    pub possible_group: BTreeSet<String>,
 }
 
 /// Another group that has a leader.
@@ -164,8 +169,9 @@
     /// Whether the process, this node, gives its own group up to join another that has a leader.
     ///
     /// Its log holds no command, the other group does not list it, and its own leader, if it has one, leads another group
-    /// than that. Without a leader it gives way once it has waited for one. Of two groups with leaders that take no
-    /// commands yet, the one with fewer voters gives way, of equal ones that with the lesser identities.
+    /// than that. If the other takes no commands yet, a voter of a group that may have taken some stays, unless a majority
+    /// of those voters is in the other; one without a leader gives way once it has waited for one; of two groups with
+    /// leaders the one with fewer voters gives way, of equal ones that with the lesser identities.
     pub fn gives_way(&self, now: u64, node: &Node, other: &OtherGroup) -> bool {
         let members = &other.membership;
         let is_listed = members.contains(node.id()) || self.has_proposed(members);
@@ -175,9 +181,11 @@
             return false;
         }
         match node.leader() {
-            None => self.is_ready(now),
             Some(leader) if members.contains(leader) => false,
-            Some(_) => other.takes_commands || group_order(node.membership()) < group_order(members),
+            _ if other.takes_commands => true,
+            _ if may_be_needed(node, members) => false,
+            None => self.is_ready(now),
+            Some(_) => group_order(node.membership()) < group_order(members),
         }
     }
 
@@ -284,8 +292,12 @@
         let is_silent =
             |address: &String| self.heard_at.get(address).is_some_and(|heard_at| now >= heard_at + SILENCE);
         let mut connected = status.connected.iter().map(|(_, address)| address);
+        let of_group = status.possible_group.iter().filter(|address| offers(address)).count();
+        let group_has_no_majority =
+            status.possible_group.is_empty() || of_group > status.possible_group.len() / 2;
         self.hears_of_no_group(now, status)
             && now >= self.refused_until
+            && group_has_no_majority
             && connected.all(|address| offers(address) || is_silent(address))
     }
 
@@ -339,3 +351,12 @@
     let voters: BTreeSet<NodeId> = membership.voters().collect();
     (voters.len(), voters)
 }
+
+/// Whether this node may have been confirmed as a voter of a group that took commands without it, and whose voters are
+/// for the most part not among these members.
+fn may_be_needed(node: &Node, members: &Membership) -> bool {
+    let group = node.possible_group();
+    let is_member = |address: &&String| members.members.iter().any(|member| member.address == **address);
+    let moved = group.iter().filter(is_member).count();
+    !group.is_empty() && moved <= group.len() / 2
+}
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,7 @@
 //! One process of the group: its state, and the dispatch of events.
 
+use std::collections::BTreeSet;
+
 use fastrand::Rng;
 
 use crate::clock::nanoseconds;
@@ -219,6 +221,19 @@
         self.leader.is_none() && !self.is_leader() && !self.holds_commands()
     }
 
+    /// Addresses of the voters of the group that this process, without a command itself, may have been confirmed for:
+    /// they have had a leader, and are as many as the group wants. Empty if there is no such group.
+    pub fn possible_group(&self) -> BTreeSet<String> {
+        let voters = self.membership().members.iter().filter(|member| member.voter);
+        let addresses: BTreeSet<String> = voters.map(|member| member.address.clone()).collect();
+        let had_leader = self.log.last_index() > BOOTSTRAP_INDEX;
+        if had_leader && addresses.len() >= self.options.target_voters {
+            addresses
+        } else {
+            BTreeSet::new()
+        }
+    }
+
     /// Whether the log holds commands, or has ever been compacted, which takes a snapshot of their effects.
     pub fn holds_commands(&self) -> bool {
         self.snapshot.is_some() || self.log.base_index() > 0 || self.log.has_command()
--- a/crates/consensus/tests/founding.rs
+++ b/crates/consensus/tests/founding.rs
@@ -2,8 +2,8 @@
 
 use consensus::{
     AppendRequest, Entry, Event, Founding, FoundingOffer, FoundingStatus, FoundingStep, HardState, Index,
-    Member, Membership, Message, Node, NodeId, Options, Payload, Restored, Snapshot, SnapshotMeta,
-    BOOTSTRAP_TERM,
+    Member, Membership, Message, Node, NodeId, Options, OtherGroup, Payload, Restored, Snapshot,
+    SnapshotMeta, BOOTSTRAP_TERM,
 };
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -83,6 +83,7 @@
                 .map(|other| (other.id, address(other.machine)))
                 .chain(own.open_connections.iter().cloned())
                 .collect(),
+            possible_group: node(own.id, own.restored.clone()).possible_group(),
         }
     }
 
@@ -294,6 +295,26 @@
     }
 }
 
+/// Voter 2 acknowledged the leader's first entry. The others, which do not reach it, may have taken commands since; once
+/// a majority of the voters offers, none was committed.
+#[test]
+fn a_confirmed_voter_founds_anew_only_with_a_majority_of_its_voters() {
+    let confirmed = || {
+        let mut restored = Node::bootstrap(founders());
+        restored.entries.push(entry(2, Payload::Noop));
+        restored
+    };
+    let mut site = Site::new(&[2, 4, 5], &[2, 4, 5], 1);
+    site.process(2).restored = confirmed();
+    site.run_until(LONG);
+    assert_eq!((site.founded.len(), site.proposals), (0, 0), "voters 1 and 3 are a majority");
+
+    let mut site = Site::new(&[1, 2, 4], &[1, 2, 4], 1);
+    site.process(2).restored = confirmed();
+    site.run_until(3 * SECOND);
+    assert_eq!(site.founded.len(), 3);
+}
+
 /// A founder wrote its first log and heard of nobody since. The second founder has lost its identity, and the third is
 /// gone for good: another machine has taken its place, also among the seeds.
 #[test]
@@ -329,6 +350,86 @@
     assert_eq!(founding.poll(now, &status), FoundingStep::Found(membership));
 }
 
+/// A founding that is ready to found anew, for machine 2.
+fn ready_founding() -> Founding {
+    let mut founding = Founding::new(member(2, 202), seeds(&[2, 4, 5]), 1);
+    let status = FoundingStatus { is_uninitialized: true, ..FoundingStatus::default() };
+    founding.poll(0, &status);
+    founding
+}
+
+/// Machine 2 as voter 2 of the founders, with entries beyond the founding if it was `confirmed`.
+fn voter_two(confirmed: bool) -> Node {
+    let mut restored = Node::bootstrap(founders());
+    if confirmed {
+        restored.entries.push(entry(2, Payload::Noop));
+    }
+    node(2, restored)
+}
+
+fn group(machines: &[u64], takes_commands: bool) -> OtherGroup {
+    let members = machines.iter().map(|machine| member(*machine, 300 + machine)).collect();
+    OtherGroup { leader: 300 + machines[0], membership: Membership { members }, takes_commands }
+}
+
+#[test]
+fn a_lone_founder_gives_way_once_it_has_waited_for_a_leader() {
+    let founding = ready_founding();
+    let (lone, other) = (voter_two(false), group(&[4, 5], false));
+    assert!(!founding.gives_way(SECOND, &lone, &other));
+    assert!(founding.gives_way(3 * SECOND, &lone, &other));
+    assert!(founding.gives_way(SECOND, &lone, &group(&[4, 5], true)));
+    assert!(!founding.gives_way(3 * SECOND, &node(2, with_command()), &group(&[4, 5], true)));
+    assert!(!founding.gives_way(3 * SECOND, &node(7, Restored::default()), &other), "it is in no group");
+    let mut listing = group(&[4, 5], true);
+    listing.membership.members.push(member(2, 2));
+    assert!(!founding.gives_way(3 * SECOND, &lone, &listing), "it is a member");
+    let not_known = OtherGroup { leader: 999, ..group(&[4, 5], true) };
+    assert!(!founding.gives_way(3 * SECOND, &lone, &not_known), "these are not the leader's members");
+}
+
+/// Voters 1 and 3 may have taken commands with what voter 2 acknowledged.
+#[test]
+fn a_confirmed_voter_stays_unless_the_others_have_moved() {
+    let founding = ready_founding();
+    let confirmed = voter_two(true);
+    assert!(!founding.gives_way(3 * SECOND, &confirmed, &group(&[4, 5], false)));
+    assert!(!founding.gives_way(3 * SECOND, &confirmed, &group(&[1, 4, 5], false)));
+    assert!(founding.gives_way(3 * SECOND, &confirmed, &group(&[1, 3, 4], false)));
+    assert!(founding.gives_way(3 * SECOND, &confirmed, &group(&[4, 5], true)));
+}
+
+/// Of two groups with leaders and without commands exactly one gives way.
+#[test]
+fn one_of_two_groups_without_commands_gives_way() {
+    let follower_of = |leader: NodeId, membership: Membership| {
+        let id = membership.members[1].id;
+        let mut options = Options::new(id);
+        options.target_voters = 5;
+        let mut follower = Node::new(options, Node::bootstrap(membership), 0, 7);
+        let request = AppendRequest {
+            term: 2,
+            previous_index: 1,
+            previous_term: BOOTSTRAP_TERM,
+            entries: Vec::new(),
+            commit: 0,
+            leader_clock: 1,
+        };
+        let event = Event::Message { from: leader, message: Message::AppendRequest(request) };
+        follower.handle(1, event, &mut Vec::new());
+        follower
+    };
+    let founding = ready_founding();
+    for (one, other) in [(vec![1, 2, 3], vec![4, 5, 6]), (vec![1, 2, 3, 7], vec![4, 5, 6])] {
+        let (one, other) = (group(&one, false), group(&other, false));
+        let gives_way = |own: &OtherGroup, other: &OtherGroup| {
+            founding.gives_way(SECOND, &follower_of(own.leader, own.membership.clone()), other)
+        };
+        assert_ne!(gives_way(&one, &other), gives_way(&other, &one));
+        assert!(!gives_way(&one, &one), "it is its own group");
+    }
+}
+
 fn node(id: NodeId, restored: Restored) -> Node {
     Node::new(Options::new(id), restored, 0, 7)
 }
--- a/crates/consensus/tests/support/first_start.rs
+++ b/crates/consensus/tests/support/first_start.rs
@@ -495,7 +495,7 @@
             return FoundingStatus::default();
         }
         let connected = this.accepted.iter().map(|(other, id)| (*id, address(*other))).collect();
-        FoundingStatus { is_uninitialized: true, connected }
+        FoundingStatus { is_uninitialized: true, connected, possible_group: process.node.possible_group() }
     }
 
     fn found(&mut self, machine: usize, membership: Membership) {
--- a/crates/control/src/driver/founding.rs
+++ b/crates/control/src/driver/founding.rs
@@ -120,7 +120,11 @@
         if !node.is_uninitialized() {
             return FoundingStatus::default();
         }
-        FoundingStatus { is_uninitialized: true, connected: self.clients.core_processes() }
+        FoundingStatus {
+            is_uninitialized: true,
+            connected: self.clients.core_processes(),
+            possible_group: node.possible_group(),
+        }
     }
 }
 
--- a/crates/mutants/src/list/foundings.rs
+++ b/crates/mutants/src/list/foundings.rs
@@ -28,6 +28,14 @@
         replace: "offers(address)",
         test: "-p consensus --test founding",
     },
+    Mutant {
+        name: "founding-beside-a-majority-of-voters",
+        point: 3,
+        file: "crates/consensus/src/founding.rs",
+        find: "            && group_has_no_majority\n",
+        replace: "",
+        test: "-p consensus --test founding",
+    },
     Mutant {
         name: "founding-in-spite-of-a-refusal",
         point: 3,
