Decide on a change of voters at heartbeats, and let replies only confirm it

Cause: a mutant under which another voter counts as silent at each moment ran for ever: each reply brought about another decision, each decision heartbeats, and these replies. With the real time-outs decisions may change as well.

Change: a reply confirms the change that is pending, or gives it up; the next one is decided at a heartbeat or a commit. The function that did all of this is split.

--- a/crates/consensus/src/membership_changes.rs
+++ b/crates/consensus/src/membership_changes.rs
@@ -28,57 +28,88 @@
     /// Begins the next change of members if one is due and none is under way.
     pub(crate) fn change_members(&mut self, out: &mut Vec<Output>) {
         self.drop_non_members();
-        let (changed_at, membership) = (self.memberships.changed_at(), self.memberships.current());
-        let Role::Leader(leadership) = &self.role else { return };
-        // Until an entry of its own term is committed, an earlier leader's change may still be under way.
-        if !leadership.noop_committed || changed_at > self.commit || leadership.transfer.is_some() {
+        if !self.may_change_members() {
             return;
         }
-        if let Some(joiner) = leadership.join_requests.first().cloned() {
-            let next = membership.with_learner(&joiner);
-            if let Some(leadership) = self.leadership() {
-                leadership.join_requests.retain(|request| request.id != joiner.id);
-            }
+        if let Some(joiner) = self.next_join_request() {
+            let next = self.membership().with_learner(&joiner);
             self.append_membership(next, out);
             return;
         }
-        let next = self.next_membership();
-        if self.confirms_change(next.as_ref(), out) {
-            next.into_iter().for_each(|next| self.append_membership(next, out));
+        let Some(next) = self.next_membership() else {
+            self.set_pending_change(None);
+            return;
+        };
+        if self.is_pending(&next) {
+            self.append_if_confirmed(next, out);
+            return;
+        }
+        self.set_pending_change(Some(PendingChange { membership: next, decided_at: self.now }));
+        self.send_heartbeats_to_all(out);
+    }
+
+    /// A follower has replied: a change that was decided may be confirmed by that. One that is not due any more is given
+    /// up; what is due instead is decided at the next heartbeat, so that replies bring about no further messages.
+    pub(crate) fn confirm_pending_change(&mut self, out: &mut Vec<Output>) {
+        let is_pending =
+            matches!(&self.role, Role::Leader(leadership) if leadership.pending_change.is_some());
+        if !is_pending || !self.may_change_members() {
+            return;
+        }
+        match self.next_membership() {
+            Some(next) if self.is_pending(&next) => self.append_if_confirmed(next, out),
+            _ => self.set_pending_change(None),
+        }
+    }
+
+    /// Until an entry of its own term is committed, an earlier leader's change may still be under way.
+    fn may_change_members(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        let is_committed = self.memberships.changed_at() <= self.commit;
+        leadership.noop_committed && is_committed && leadership.transfer.is_none()
+    }
+
+    fn next_join_request(&mut self) -> Option<Member> {
+        let leadership = self.leadership()?;
+        let joiner = leadership.join_requests.first().cloned()?;
+        leadership.join_requests.retain(|request| request.id != joiner.id);
+        Some(joiner)
+    }
+
+    fn set_pending_change(&mut self, change: Option<PendingChange>) {
+        if let Some(leadership) = self.leadership() {
+            leadership.pending_change = change;
+        }
+    }
+
+    fn is_pending(&self, next: &Membership) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        leadership.pending_change.as_ref().is_some_and(|pending| pending.membership == *next)
+    }
+
+    /// Appends the change that was decided, if it is confirmed.
+    fn append_if_confirmed(&mut self, next: Membership, out: &mut Vec<Output>) {
+        if self.is_confirmed(&next) {
+            self.set_pending_change(None);
+            self.append_membership(next, out);
         }
     }
 
-    /// Whether a majority of the voters of this membership, and those that it adds, have replied to what was sent since
-    /// the change was decided. If not, a heartbeat asks them.
+    /// Whether a majority of the voters of the pending change, and those that it adds, have replied to what was sent since
+    /// it was decided.
     ///
     /// A change that cannot be committed leaves its leader with a longer log than all others and a larger majority to
     /// win, perhaps for good: a voter that is added must be known to have its disk still.
-    fn confirms_change(&mut self, next: Option<&Membership>, out: &mut Vec<Output>) -> bool {
-        let (now, own_id) = (self.now, self.options.id);
-        let Role::Leader(leadership) = &mut self.role else { return false };
-        let Some(next) = next else {
-            leadership.pending_change = None;
-            return false;
-        };
-        let is_new = leadership.pending_change.as_ref().is_none_or(|pending| pending.membership != *next);
-        if is_new {
-            leadership.pending_change = Some(PendingChange { membership: next.clone(), decided_at: now });
-            self.send_heartbeats_to_all(out);
-            return false;
-        }
-        let decided_at = leadership.pending_change.as_ref().map_or(now, |pending| pending.decided_at);
+    fn is_confirmed(&self, next: &Membership) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        let Some(pending) = &leadership.pending_change else { return false };
         let has_replied = |voter: &NodeId| match leadership.progress.get(voter) {
-            Some(progress) => progress.acknowledged_clock >= decided_at,
-            None => *voter == own_id,
+            Some(progress) => progress.acknowledged_clock >= pending.decided_at,
+            None => *voter == self.options.id,
         };
-        let current = self.memberships.current();
-        let added = next.voters().filter(|voter| !current.is_voter(*voter));
-        let is_confirmed = next.voters().filter(has_replied).count() >= next.quorum()
-            && added.into_iter().all(|voter| has_replied(&voter));
-        if is_confirmed {
-            leadership.pending_change = None;
-        }
-        is_confirmed
+        let mut added = next.voters().filter(|voter| !self.membership().is_voter(*voter));
+        let replies = next.voters().filter(has_replied).count();
+        replies >= next.quorum() && added.all(|voter| has_replied(&voter))
     }
 
     fn append_membership(&mut self, membership: Membership, out: &mut Vec<Output>) {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -188,12 +188,9 @@
         if membership.is_voter(from) {
             leadership.renew_lease(self.options.id, self.now, membership, &self.options);
         }
-        let awaits_change = leadership.pending_change.is_some();
         self.advance_commit(out);
         self.announce_leadership(out);
-        if awaits_change {
-            self.change_members(out);
-        }
+        self.confirm_pending_change(out);
         self.replicate_to(from, out);
         self.send_timeout_now(out);
     }
