Let a leader step down whose hand-over timed out after it had dropped a proposal

Two core machines are stopped at once. The leader hands over to the other one, which is gone; proposals are dropped meanwhile, with ends of tasks in them, and ignored. After 300 ms it led on. A later end of the same worker was recorded, LastSeen passed the earlier one, which was in no log, and the worker forgot it; the next leader started the task again. A leader that led on without that would act on a state that its log does not have.

Change: a hand-over that times out ends the leadership if a proposal was dropped, not only if the target was asked to campaign. Without one it leads on, as before.

--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -21,6 +21,15 @@
     pub until: u64,
     /// TimeoutNow has gone out: an election without regard to the lease may begin at any time.
     pub timeout_now_sent: bool,
+    /// A proposal was dropped: the caller's state machine lacks what it takes for proposed.
+    pub dropped_proposals: bool,
+}
+
+impl Transfer {
+    /// Whether leadership ends if the transfer times out.
+    pub fn ends_leadership(&self) -> bool {
+        self.timeout_now_sent || self.dropped_proposals
+    }
 }
 
 /// A change of membership that is decided, and appended once those that it needs are known to respond still.
--- a/crates/consensus/src/leadership_transfer.rs
+++ b/crates/consensus/src/leadership_transfer.rs
@@ -19,7 +19,8 @@
         }
         let Some(target) = leadership.transfer_target(membership, contact_since) else { return };
         let until = self.now + nanoseconds(self.options.election_timeout);
-        leadership.transfer = Some(Transfer { target, until, timeout_now_sent: false });
+        leadership.transfer =
+            Some(Transfer { target, until, timeout_now_sent: false, dropped_proposals: false });
         self.send_timeout_now(out);
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::nanoseconds;
 use crate::interface::Output;
-use crate::leadership::Leadership;
+use crate::leadership::{Leadership, Transfer};
 use crate::message::{AppendReply, SnapshotReply};
 use crate::node::Node;
 use crate::progress::{LeaderView, Progress, SendMode};
@@ -35,13 +35,10 @@
     }
 
     pub(crate) fn propose(&mut self, payload: Vec<u8>, out: &mut Vec<Output>) {
-        let may_propose = match &self.role {
-            Role::Leader(leadership) => {
-                leadership.transfer.is_none() && (leadership.announced || self.holds_commands())
+        if !self.may_propose() {
+            if let Some(transfer) = self.leadership().and_then(|leadership| leadership.transfer.as_mut()) {
+                transfer.dropped_proposals = true;
             }
-            _ => false,
-        };
-        if !may_propose {
             out.push(Output::ProposalDropped);
             return;
         }
@@ -50,6 +47,11 @@
         self.replicate_to_all(out);
     }
 
+    fn may_propose(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else { return false };
+        leadership.transfer.is_none() && (leadership.announced || self.holds_commands())
+    }
+
     /// Appends an entry of the leader's own term.
     pub(crate) fn append_as_leader(&mut self, payload: Payload, out: &mut Vec<Output>) -> u64 {
         let index = self.log.last_index() + 1;
@@ -105,9 +107,10 @@
         let membership = self.memberships.current();
         let quorum_contact_at = leadership.quorum_contact_at(self.options.id, now, membership);
         let timed_out = leadership.transfer.as_ref().is_some_and(|transfer| now >= transfer.until);
-        let timeout_now_sent = leadership.transfer.as_ref().is_some_and(|transfer| transfer.timeout_now_sent);
-        if now.saturating_sub(quorum_contact_at) > quorum_timeout || (timed_out && timeout_now_sent) {
-            // Once the target was asked to campaign, no lease can be held in this term any more.
+        let ends = timed_out && leadership.transfer.as_ref().is_some_and(Transfer::ends_leadership);
+        if now.saturating_sub(quorum_contact_at) > quorum_timeout || ends {
+            // Once the target was asked to campaign, no lease can be held in this term any more. And a leader that goes on
+            // after a proposal was dropped would act on what is in no log.
             self.step_down(out);
             return;
         }
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -365,6 +365,26 @@
     assert!(!outputs.contains(&Output::ProposalDropped));
 }
 
+/// The caller takes the command for proposed. If the leader went on, what follows would be applied without it.
+#[test]
+fn a_transfer_that_times_out_after_a_dropped_proposal_ends_the_leadership() {
+    let mut leader = Single::leader(3);
+    leader.handle(Event::Propose { payload: vec![1] });
+    leader.handle(Event::Transfer);
+    let outputs = leader.handle(Event::Propose { payload: vec![2] });
+    assert!(outputs.contains(&Output::ProposalDropped));
+    let (term, behind) = (leader.node.term(), leader.node.last_index() - 1);
+    let mut outputs = Vec::new();
+    for _ in 0..7 {
+        outputs.extend(leader.run_timer());
+        if leader.node.is_leader() {
+            leader.receive(2, append_reply(term, behind, leader.now));
+            leader.receive(3, append_reply(term, behind, leader.now));
+        }
+    }
+    assert!(outputs.contains(&Output::SteppedDown));
+}
+
 #[test]
 fn timeout_now_of_an_earlier_leader_starts_no_election() {
     let mut follower = Single::founder(3);
--- a/crates/mutants/src/list/terms_and_leases.rs
+++ b/crates/mutants/src/list/terms_and_leases.rs
@@ -99,7 +99,7 @@
             name: "leads-without-a-majority",
             point: 1,
             file: "crates/consensus/src/replication.rs",
-            find: "if now.saturating_sub(quorum_contact_at) > quorum_timeout || (timed_out && timeout_now_sent) {",
+            find: "if now.saturating_sub(quorum_contact_at) > quorum_timeout || ends {",
             replace: "if timed_out && timeout_now_sent {",
             test: "-p consensus --test elections a_leader_that_hears_no_majority_steps_down",
         },
@@ -168,4 +168,12 @@
         replace: "leadership.announced || !leadership.noop_committed",
         test: "-p consensus --test random_faults",
     },
+    Mutant {
+        name: "leads-on-after-a-dropped-proposal",
+        point: 1,
+        file: "crates/consensus/src/leadership.rs",
+        find: "self.timeout_now_sent || self.dropped_proposals",
+        replace: "self.timeout_now_sent",
+        test: "-p consensus --test elections",
+    },
 ];
