--- a/crates/mutants/src/list/terms_and_leases.rs
+++ b/crates/mutants/src/list/terms_and_leases.rs
@@ -100,7 +100,7 @@
             point: 1,
             file: "crates/consensus/src/replication.rs",
             find: "if now.saturating_sub(quorum_contact_at) > quorum_timeout || ends {",
-            replace: "if timed_out && timeout_now_sent {",
+            replace: "if ends {",
             test: "-p consensus --test elections a_leader_that_hears_no_majority_steps_down",
         },
         Mutant {
