--- a/crates/control/tests/founding.rs
+++ b/crates/control/tests/founding.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::time::Instant;
-use support::http::{call, call_until_clear, status_text};
+use support::http::{call, call_until_clear, status_text, wait_for_api};
 use support::{Site, TEST_TIMEOUT};
 
 const CONFIGURATION: &[u8] = br#"{"Version":3,"Routes":[{"Name":"r1","Host":"h.example","PathPrefix":"/a/","RouteType":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":1,"Backend":"s","MaxRetries":3,"Stretch":2.2}],"Backends":[{"Name":"s","HealthCheck":"/healthz","MaxConnections":64,"Protocol":"h1","Tls":false,"Guards":true}]}"#;
@@ -36,7 +36,7 @@
 fn a_group_takes_its_first_command_once_its_last_machine_has_come() {
     let site = Site::new("last-machine", 3);
     let mut processes = vec![site.start(0, true), site.start(1, true)];
-    let _listening = [site.watch(0), site.watch(1)];
+    (0..2).for_each(|machine| wait_for_api(site.control(machine)));
     let deadline = Instant::now() + TEST_TIMEOUT;
     let waits =
         |machine: usize| status_text(site.control(machine)).contains("obstacle=voters-unconfirmed wanted=3");
--- a/crates/control/tests/support/http.rs
+++ b/crates/control/tests/support/http.rs
@@ -24,6 +24,14 @@
     call_path(address, method, "/v1/config", headers, body)
 }
 
+/// Connects as soon as the operator's API listens, which it does after the address for other processes.
+pub fn wait_for_api(address: SocketAddr) {
+    let deadline = Instant::now() + super::TEST_TIMEOUT;
+    while TcpStream::connect(address).is_err() {
+        assert!(Instant::now() < deadline, "the operator's API does not listen on {address}");
+    }
+}
+
 /// The status document of a process, as text.
 pub fn status_text(address: SocketAddr) -> String {
     let reply = call_path(address, "GET", "/v1/admin/status", "", b"");
