Let the group take a command before its leader is stopped in the test of the hand-over

The hand-over itself is not what was at fault.

That a group without commands waits, and for what, has a test of its own (a_group_takes_its_first_command_once_its_last_machine_has_come).

--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -88,6 +88,8 @@
     let mut processes: Vec<_> = site.found().into_iter().map(Some).collect();
     let first = site.watch(0).wait_for_leader();
     let leader = site.machine_at(&first.leader_address);
+    // Without a command the next leader would wait for the machine that is stopped here.
+    assert_eq!(put(&site, leader, 0, FIRST), 200);
     let mut watcher = site.watch((leader + 1) % 3);
     processes[leader].take().expect("it runs").stop();
     let next = watcher.wait_for(|notice| notice.leader_id != 0 && notice.leader_id != first.leader_id);
