Record what a busy leader's turns cost, and count its work in units

Need: the sheet's processor time is a mean and hides a leader that spends its quota at once; nothing told admission, calls, lists and late turns apart.

Change: time and events by part of the driver's turns and a histogram of turns as metrics; counted work of the leader (inputs, admission passes, steps and workers examined, sessions polled, calls cancelled); one record a second at level warn while a leader is busy for 70% of the time or had a turn of 100 ms, with workers by state and what waits.

--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -4,6 +4,7 @@
 mod event_log;
 mod founding;
 mod leadership;
+mod load_log;
 mod shutdown;
 
 use crate::clients::Clients;
@@ -13,6 +14,7 @@
 use crate::events::DriverEvent;
 use crate::group_join::{GroupJoin, JoinStep, MemberStatus};
 use crate::identity::{self, OpenedDisk};
+use crate::metrics::turns::TurnPart;
 use crate::metrics::Metrics;
 use crate::operator_calls::OperatorCalls;
 use crate::peer_connections::PeerConnections;
@@ -99,6 +101,8 @@
     leaderless_since: Option<u64>,
     /// The reason for that, as it was logged last, and when.
     logged_obstacle: Option<(LeadershipObstacle, u64)>,
+    /// When the load of this leader was last recorded, in nanoseconds of `clock`.
+    load_recorded_at: u64,
     /// When a leader reads the seeds in the settings file next, in nanoseconds of `clock`.
     next_seed_check: u64,
     /// Set once the process was asked to stop: the latest time at which it ends, in nanoseconds of `clock`.
@@ -163,6 +167,7 @@
             founding_id,
             leaderless_since: None,
             logged_obstacle: None,
+            load_recorded_at: now,
             next_seed_check: 0,
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
             clients,
@@ -204,18 +209,37 @@
                 () = &mut timer => {}
             }
             let now = self.clock.now();
-            for event in received.drain(..) {
-                self.handle_event(now, event);
-            }
-            self.tick(now);
-            self.process_outputs(now);
-            self.replica.take_snapshot_if_due();
+            self.take_turn(now, &mut received);
             if let Some(exit) = self.take_exit(now) {
                 return exit;
             }
         }
     }
 
+    /// Handles the events that were received, then what is due, and carries out what follows from both.
+    fn take_turn(&mut self, now: u64, received: &mut Vec<DriverEvent>) {
+        let mut at = now;
+        for event in received.drain(..) {
+            let part = load_log::part_of(&event);
+            self.handle_event(now, event);
+            at = self.part_ended(part, 1, at);
+        }
+        self.tick(now);
+        at = self.part_ended(TurnPart::Timers, 1, at);
+        self.process_outputs(now);
+        at = self.part_ended(TurnPart::Outputs, 1, at);
+        self.replica.take_snapshot_if_due();
+        self.metrics.turns.ended(at.saturating_sub(now));
+        self.record_load(at);
+    }
+
+    /// Counts the time since `began` for a part of the turn, and returns the time now.
+    fn part_ended(&mut self, part: TurnPart, events: u64, began: u64) -> u64 {
+        let now = self.clock.now();
+        self.metrics.turns.part(part, events, now.saturating_sub(began));
+        now
+    }
+
     /// The settings and the connections of other processes, for the identity that follows.
     pub fn into_parts(mut self) -> (ProcessSettings, Clients) {
         self.step_down();
--- a/crates/control/src/metrics/mod.rs
+++ b/crates/control/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod histogram;
 pub mod text;
+pub mod turns;
 
 use histogram::Histogram;
 use messages::job::{EndKind, JobPhase, Resolution};
@@ -11,6 +12,7 @@
 use scheduler::state::{AttemptOutcome, StateChange};
 use std::collections::{HashMap, VecDeque};
 use text::MetricsText;
+use turns::Turns;
 
 /// How attempts end, as values of the label.
 const OUTCOMES: [&str; 12] = [
@@ -60,6 +62,8 @@
     proposed_at: VecDeque<u64>,
     /// When jobs that have not started were accepted, by this leader.
     accepted_at: HashMap<u64, u64>,
+    /// Turns of the driver.
+    pub turns: Turns,
 }
 
 impl Metrics {
@@ -177,6 +181,7 @@
         text.histogram("commit_latency_seconds", commit, &self.commit_latency);
         let start = "Time from the acceptance of a job to the decision on its first start.";
         text.histogram("accept_to_start_seconds", start, &self.start_latency);
+        self.turns.write(text);
     }
 }
 
--- a/crates/control/src/worker_client.rs
+++ b/crates/control/src/worker_client.rs
@@ -43,6 +43,11 @@
         WorkerClient { workers: HashMap::new(), budget, calls: HashMap::new(), generation: 0, events }
     }
 
+    /// Open connections to workers.
+    pub fn open_connections(&self) -> usize {
+        self.budget.borrow().open()
+    }
+
     /// Sets the number of connections beyond which idle ones of orders are closed.
     pub fn set_max_connections(&mut self, max_connections: usize) {
         self.budget.borrow_mut().set_limit(max_connections);
--- a/crates/control/tests/metrics.rs
+++ b/crates/control/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 use control::metrics::histogram::{Histogram, BOUNDS_MS};
 use control::metrics::text::MetricsText;
+use control::metrics::turns::TurnPart;
 use control::metrics::{Leadership, Metrics};
 use messages::job::{EndKind, JobPhase};
 use quickcheck::quickcheck;
@@ -114,3 +115,23 @@
     assert!(has_line(&text, "sprucehatch_commit_latency_seconds_count 1"), "{text}");
     assert!(has_line(&text, "sprucehatch_accept_to_start_seconds_count 0"), "{text}");
 }
+
+#[test]
+fn the_time_of_turns_is_written_by_part() {
+    let mut metrics = Metrics::default();
+    metrics.turns.part(TurnPart::WorkerCalls, 3, 6 * MS);
+    metrics.turns.part(TurnPart::Timers, 1, MS);
+    metrics.turns.ended(7 * MS);
+    let text = text_of(&metrics);
+    for line in [
+        r#"sprucehatch_turn_events_total{part="worker_calls"} 3"#,
+        r#"sprucehatch_turn_busy_microseconds_total{part="worker_calls"} 6000"#,
+        r#"sprucehatch_turn_busy_microseconds_total{part="timers"} 1000"#,
+        "sprucehatch_turn_seconds_count 1",
+    ] {
+        assert!(has_line(&text, line), "{line}\n{text}");
+    }
+    let span = metrics.turns.take_span();
+    assert_eq!((span.turns, span.busy, span.longest), (1, 7 * MS, 7 * MS));
+    assert_eq!(metrics.turns.take_span().turns, 0);
+}
--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -37,6 +37,7 @@
     }
 
     fn admit_service(&mut self, state: &State, position: usize) {
+        self.work.admission_passes += 1;
         self.services[position].update_plan_heads(self.now);
         self.start_urgent(state, position);
         self.serve_reservation(state, position);
@@ -44,9 +45,12 @@
             return;
         }
         for _ in 0..STEPS_PER_TURN {
-            let Self { services, attempts, failed_on, settings, now, .. } = self;
+            let Self { services, attempts, failed_on, settings, now, work, .. } = self;
             let context = PlacementContext::new(state, attempts, failed_on, settings, *now);
-            let next = services[position].next(|fleet, candidate| choose(&context, fleet, candidate));
+            let next = services[position].next(|fleet, candidate| {
+                work.steps_examined += 1;
+                choose(&context, fleet, candidate)
+            });
             let Some((released, choice)) = next else {
                 self.preempt_for_urgent(state, position);
                 return;
--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -112,6 +112,10 @@
         self.by_key.get_mut(key)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.by_key.is_empty()
     }
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -22,6 +22,7 @@
 use super::service::Service;
 use super::settings::LeaderSettings;
 use super::timers::{Timer, Timers};
+use super::work::LeaderWork;
 use super::worker_entry::WorkerEntry;
 use super::worker_events::{WorkerEvent, WorkerEvents};
 
@@ -88,6 +89,8 @@
     /// Reused between polls of sessions; empty outside of them.
     pub(super) session_outputs: Vec<SessionOutput>,
     pub(super) random: fastrand::Rng,
+    /// Work done since it was last taken.
+    pub(super) work: LeaderWork,
 }
 
 impl Leader {
@@ -129,6 +132,7 @@
             fenced: false,
             session_outputs: Vec::new(),
             random: fastrand::Rng::with_seed(seed),
+            work: LeaderWork::default(),
         };
         leader.recover(state);
         leader.timers.set(now, Timer::ReadInstances);
@@ -158,6 +162,7 @@
     /// Handles one event; `state` is as of all batches handed back so far.
     pub fn handle(&mut self, state: &State, now: u64, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        self.work.inputs += 1;
         match input {
             Input::Client { token, request } => self.client_request(state, token, request, out),
             Input::Abandoned { .. } => {}
--- /dev/null
+++ b/crates/scheduler/src/leader/reports/load.rs
@@ -0,0 +1,43 @@
+//! Report of what a leader carries: its workers, what waits, and what is in flight.
+
+use crate::leader::event_loop::Leader;
+
+/// What a leader carries at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaderLoad {
+    /// Known workers.
+    pub workers: usize,
+    /// Workers that may take starts.
+    pub usable_workers: usize,
+    /// Workers that do not answer.
+    pub unreachable_workers: usize,
+    /// Workers of which an answer is overdue.
+    pub suspected_workers: usize,
+    /// Steps of which tasks wait for a start.
+    pub waiting_steps: usize,
+    /// Those of them that found no capacity.
+    pub blocked_steps: usize,
+    /// Attempts that occupy a worker.
+    pub attempts: usize,
+    /// Tasks of open jobs.
+    pub open_tasks: u64,
+}
+
+impl Leader {
+    /// What this leader carries now.
+    pub fn load_report(&self, now: u64) -> LeaderLoad {
+        let workers = || self.workers.values();
+        let (waiting, blocked): (Vec<usize>, Vec<usize>) =
+            self.services.iter().map(|service| (service.waiting_steps(), service.blocked_steps())).unzip();
+        LeaderLoad {
+            workers: self.workers.len(),
+            usable_workers: workers().filter(|entry| entry.is_usable(now)).count(),
+            unreachable_workers: workers().filter(|entry| !entry.reachable).count(),
+            suspected_workers: workers().filter(|entry| entry.suspect).count(),
+            waiting_steps: waiting.iter().sum(),
+            blocked_steps: blocked.iter().sum(),
+            attempts: self.attempts.len(),
+            open_tasks: self.open_tasks,
+        }
+    }
+}
--- a/crates/scheduler/src/leader/service/report.rs
+++ b/crates/scheduler/src/leader/service/report.rs
@@ -11,6 +11,16 @@
 use super::Service;
 
 impl Service {
+    /// Steps of which tasks wait for a start.
+    pub(in crate::leader) fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Waiting steps that found no capacity.
+    pub(in crate::leader) fn blocked_steps(&self) -> usize {
+        self.blocked.len()
+    }
+
     /// The queues and the capacity as they are. `name_of` gives the incarnation of a worker.
     pub(in crate::leader) fn report(
         &self,
--- /dev/null
+++ b/crates/scheduler/src/leader/work.rs
@@ -0,0 +1,28 @@
+//! How much work a leader has done, in units that do not depend on the machine: what its processor time goes to.
+
+use super::event_loop::Leader;
+
+/// Units of work since they were last taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaderWork {
+    /// Inputs that were handled.
+    pub inputs: u64,
+    /// Passes over the waiting steps of a service.
+    pub admission_passes: u64,
+    /// Waiting steps for which a worker was searched.
+    pub steps_examined: u64,
+    /// Workers that these searches examined.
+    pub workers_examined: u64,
+    /// Polls of workers' sessions.
+    pub sessions_polled: u64,
+    /// Calls to workers that were given up.
+    pub calls_cancelled: u64,
+}
+
+impl Leader {
+    /// The work done since the last call.
+    pub fn take_work(&mut self) -> LeaderWork {
+        let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
+        LeaderWork { workers_examined, ..std::mem::take(&mut self.work) }
+    }
+}
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -100,6 +100,7 @@
     }
 
     fn poll_worker(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        self.work.sessions_polled += 1;
         let mut outputs = std::mem::take(&mut self.session_outputs);
         let wait_ms = self.settings.wait_ms_among(self.workers.len());
         let Some(entry) = self.workers.get_mut(&key) else { return };
@@ -135,6 +136,7 @@
                 out.push(Output::Call { call: CallId { worker: key, call }, address, instance, request });
             }
             SessionOutput::CancelCall { call } => {
+                self.work.calls_cancelled += 1;
                 out.push(Output::CancelCall { call: CallId { worker: key, call } });
             }
             SessionOutput::Started { key: attempt } => self.attempt_started(attempt),
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -27,7 +27,7 @@
     /// Whether workers in the rack of the task's data may take it, now or once they have the capacity.
     pub fn may_fit_near(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand).map(Matcher::near_only) else { return false };
-        self.slots.iter().any(|slot| matcher.may_suit(slot))
+        self.examine().any(|slot| matcher.may_suit(slot))
     }
 
     /// As [`Fleet::place`], but on ejected workers as well.
@@ -38,7 +38,7 @@
     /// Whether workers that are not ejected may take the task, now or once they have the capacity.
     pub fn may_fit(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
-        demand.anti_affinity != Some(0) && self.slots.iter().any(|slot| matcher.may_suit(slot))
+        demand.anti_affinity != Some(0) && self.examine().any(|slot| matcher.may_suit(slot))
     }
 
     /// Whether the task would fit some worker that is not ejected, were nothing reserved. Workers that may take no
@@ -46,18 +46,18 @@
     pub fn could_fit_not_ejected(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let possible = |slot: &Slot| matcher.allows(slot) && demand.need.fits_in(slot.capacity);
-        self.slots.iter().any(|slot| !slot.ejected && possible(slot))
+        self.examine().any(|slot| !slot.ejected && possible(slot))
     }
 
     /// Whether an ejected worker may take the task, now or once it has the capacity.
     pub fn may_fit_ejected(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand).map(Matcher::including_ejected) else { return false };
-        self.slots.iter().any(|slot| slot.ejected && matcher.may_suit(slot))
+        self.examine().any(|slot| slot.ejected && matcher.may_suit(slot))
     }
 
     fn place_by(&self, matcher: &Matcher) -> Option<WorkerKey> {
         let least_quality = LIKE_QUALITY * self.best_quality(matcher)?;
-        let alike = self.slots.iter().filter(|slot| matcher.quality(slot) >= least_quality);
+        let alike = self.examine().filter(|slot| matcher.quality(slot) >= least_quality);
         let waste = |slot: &Slot| if self.first_fit { 0.0 } else { self.waste(matcher, slot) };
         let rank = |slot: &Slot| (Reverse(matcher.packing_rank(slot)), waste(slot), slot.key);
         let ranks = alike.filter(|slot| matcher.suits(slot)).map(rank);
@@ -68,7 +68,7 @@
     /// The best quality among the workers that suit, if any does.
     fn best_quality(&self, matcher: &Matcher) -> Option<f64> {
         let mut best = None;
-        for slot in &self.slots {
+        for slot in self.examine() {
             let quality = matcher.quality(slot);
             if best.is_some_and(|best| quality <= best) || !matcher.suits(slot) {
                 continue;
@@ -86,7 +86,7 @@
     pub fn could_ever_fit(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let possible = |slot: &Slot| matcher.allows(slot) && demand.need.fits_in(slot.capacity);
-        demand.anti_affinity != Some(0) && self.slots.iter().any(possible)
+        demand.anti_affinity != Some(0) && self.examine().any(possible)
     }
 
     /// What is wasted by putting the task on the worker: the capacity that is left there, as a share of the
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::resources::Resources;
 use crate::ids::StepKey;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// The most of a resource that a worker is taken to have: sums over a fleet stay exact.
@@ -108,6 +109,8 @@
     index: BTreeMap<WorkerKey, usize>,
     total: Resources,
     free: Resources,
+    /// How many slots searches have examined since the last call of `take_examined`.
+    examined: Cell<u64>,
 }
 
 impl Fleet {
@@ -214,6 +217,16 @@
         self.slot(key).map(Slot::free)
     }
 
+    /// How many workers searches have examined since the last call: the work that placement has done.
+    pub fn take_examined(&self) -> u64 {
+        self.examined.take()
+    }
+
+    /// All slots, each counted as examined once it is reached.
+    pub(super) fn examine(&self) -> impl Iterator<Item = &Slot> {
+        self.slots.iter().inspect(|_| self.examined.set(self.examined.get() + 1))
+    }
+
     /// How many workers are known.
     pub fn len(&self) -> usize {
         self.slots.len()
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -82,7 +82,7 @@
 
     /// The workers that have capacity for members, by racks, the best first within each.
     fn hosts(&self, matcher: &Matcher, members: impl Fn(&Slot) -> u64) -> Vec<Host> {
-        let allowed = self.slots.iter().filter(|slot| matcher.allows(slot));
+        let allowed = self.examine().filter(|slot| matcher.allows(slot));
         let host = |slot: &Slot| Host {
             key: slot.key,
             rack: slot.rack.map_or(RackGroup::Alone(slot.key), RackGroup::Known),
--- a/crates/scheduler/tests/leader_reports.rs
+++ b/crates/scheduler/tests/leader_reports.rs
@@ -65,6 +65,25 @@
     assert!(report.past_attempts.iter().all(|past| past.how == "done" && past.ran_for_ms.is_some()));
 }
 
+#[test]
+fn the_load_and_the_work_of_a_leader_are_reported() {
+    let mut cluster = Cluster::new(1);
+    cluster.run(1_500);
+    cluster.leader.as_mut().expect("a leader").take_work();
+    cluster.submit("/a/", JOB, job(vec![stage(3, 2_000, 2_000)]));
+    assert!(cluster.run_until(2_000, |cluster| cluster.running() == 2));
+
+    let now = cluster.now;
+    let leader = cluster.leader.as_mut().expect("a leader");
+    let load = leader.load_report(now);
+    assert_eq!((load.workers, load.usable_workers, load.unreachable_workers), (1, 1, 0));
+    assert_eq!((load.waiting_steps, load.blocked_steps, load.attempts, load.open_tasks), (1, 0, 2, 3));
+    let work = leader.take_work();
+    assert!(work.steps_examined >= 2 && work.workers_examined >= 2, "{work:?}");
+    assert!(work.inputs > 0 && work.admission_passes > 0 && work.sessions_polled > 0, "{work:?}");
+    assert_eq!(leader.take_work().inputs, 0);
+}
+
 #[test]
 fn a_job_that_fits_nowhere_reports_why() {
     let mut cluster = Cluster::new(2);
