--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -220,7 +220,7 @@
     fn take_turn(&mut self, now: u64, received: &mut Vec<DriverEvent>) {
         let mut at = now;
         for event in received.drain(..) {
-            let part = load_log::part_of(&event);
+            let part = event.turn_part();
             self.handle_event(now, event);
             at = self.part_ended(part, 1, at);
         }
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -1,6 +1,7 @@
 //! Events that tasks and threads send to the driver.
 
 use crate::admin::call::AdminCall;
+use crate::metrics::turns::TurnPart;
 use crate::platform::error::PlatformError;
 use crate::transport::outbox::Outbox;
 use configuration::instances::Instance;
@@ -63,6 +64,18 @@
     Signal(Signal),
 }
 
+impl DriverEvent {
+    /// The part of a turn that handles the event.
+    pub fn turn_part(&self) -> TurnPart {
+        match self {
+            DriverEvent::Frame { body: OneOfbody::request(_), .. } => TurnPart::Requests,
+            DriverEvent::CallFinished { .. } => TurnPart::WorkerCalls,
+            DriverEvent::Instances(_) | DriverEvent::InstancesUnchanged => TurnPart::Instances,
+            _ => TurnPart::OtherEvents,
+        }
+    }
+}
+
 /// A call of the operator, pending until its reply is sent.
 #[derive(Debug)]
 pub struct OperatorCall {
