Admit and poll once a turn, with an index over workers and a budget of work

Admission and polls of sessions now run in Leader::flush, once a turn; a turn's admission examines 50,000 workers and starts 128 steps at most and goes on in the next turn. Searches skip blocks of workers in which nothing fits. Blocked steps are looked at once for all capacity freed in a turn, gangs only where a member fits; queues are rebuilt once for a list of workers; a started step keeps its position in its queue, so that older ones need not be queued again.

Leader::flush takes the state.

--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Notifies the leader of its lease, if that changed, and lets it propose the commands it has collected.
+    /// Notifies the leader of its lease, if that changed, and lets it end the turn.
     pub(super) fn flush_leader(&mut self, now: u64) {
         let lease_until = self.replica.node().lease_until();
         if let Some(leader) = self.leader.as_mut() {
@@ -61,7 +61,7 @@
                 self.announced_lease = lease_until;
                 leader.set_lease(now, lease_until);
             }
-            leader.flush(now, &mut self.leader_outputs);
+            leader.flush(self.replica.state(), now, &mut self.leader_outputs);
         }
     }
 
--- a/crates/mqos/src/queues.rs
+++ b/crates/mqos/src/queues.rs
@@ -113,6 +113,18 @@
         self.insert(plan, key, need, position)
     }
 
+    /// Queues an item at a position that the caller gives: behind the items of its plan and dominant resource with
+    /// lower positions. Returns false, and changes nothing, if there is no such plan, the key waits already, or
+    /// another item has the position.
+    ///
+    /// A caller that uses this gives all positions itself, and queues nothing by [`Queues::push`] or
+    /// [`Queues::push_front`].
+    pub fn push_at(&mut self, plan: usize, key: K, need: [f64; R], position: i64) -> bool {
+        let resource = dominant(&need.map(non_negative));
+        let is_taken = self.queues[resource].get(plan).is_some_and(|queue| queue.contains_key(&position));
+        !is_taken && self.insert(plan, key, need, position)
+    }
+
     fn insert(&mut self, plan: usize, key: K, need: [f64; R], position: i64) -> bool {
         if plan >= self.plan_lengths.len() || self.index.contains_key(&key) {
             return false;
--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -11,53 +11,93 @@
 use super::demand::demand_of;
 use super::event_loop::Leader;
 use super::placement_choice::{choose, PlacementContext};
-use super::service::Choice;
+use super::service::{Choice, NextStep};
 use super::timers::Timer;
 
-/// Steps of a service that are placed in one turn.
+/// Steps that are started in one turn.
 const STEPS_PER_TURN: usize = 128;
+/// Workers that searches for capacity may examine in one turn before no further search begins.
+const WORKERS_PER_TURN: u64 = 50_000;
 /// Time until the next turn when more steps wait, in nanoseconds.
 const NEXT_TURN_DELAY: u64 = NANOS_PER_MS;
 
+/// What the admission of one turn may still cost: a turn stays short whatever waits.
+#[derive(Debug, Clone, Copy)]
+struct TurnBudget {
+    steps: usize,
+    workers: u64,
+}
+
+impl TurnBudget {
+    fn is_spent(self) -> bool {
+        self.steps == 0 || self.workers == 0
+    }
+}
+
 impl Leader {
-    /// Starts the tasks for which there is capacity, in all services in which something changed.
+    /// Starts the tasks for which there is capacity, in all services in which something changed. Once the turn's
+    /// budget is spent, the next turn continues with the service at which this one stopped.
     pub(super) fn admit(&mut self, state: &State) {
         if self.fenced {
             return;
         }
-        for position in 0..self.services.len() {
-            if std::mem::take(&mut self.services[position].due) {
-                self.services[position].end_expired_waits(self.now);
-                self.admit_service(state, position);
-                if let Some(at) = self.services[position].next_retry_at() {
-                    self.timers.set_no_later(at, Timer::Admit);
-                }
+        let mut budget = TurnBudget { steps: STEPS_PER_TURN, workers: WORKERS_PER_TURN };
+        let (first, count) = (self.next_service, self.services.len());
+        for position in (0..count).map(|turn| (first + turn) % count) {
+            if !self.services[position].due {
+                continue;
             }
+            self.next_service = position;
+            if budget.is_spent() {
+                break;
+            }
+            self.admit_within(state, position, &mut budget);
+        }
+        if self.services.iter().any(|service| service.due) {
+            self.timers.set_no_later(self.now + NEXT_TURN_DELAY, Timer::Admit);
         }
     }
 
-    fn admit_service(&mut self, state: &State, position: usize) {
+    /// A pass over the waiting steps of a service, which remains due if the budget ends it.
+    fn admit_within(&mut self, state: &State, position: usize, budget: &mut TurnBudget) {
         self.work.admission_passes += 1;
-        self.services[position].update_plan_heads(self.now);
+        let examined_before = self.services[position].fleet.examined();
+        self.services[position].prepare_pass(self.now);
         self.start_urgent(state, position);
         self.serve_reservation(state, position);
-        if self.pauses_for_gang(state, position) {
-            return;
+        if !self.pauses_for_gang(state, position) {
+            let examined_limit = examined_before + budget.workers;
+            self.start_waiting(state, position, examined_limit, &mut budget.steps);
+        }
+        let service = &self.services[position];
+        budget.workers = budget.workers.saturating_sub(service.fleet.examined() - examined_before);
+        if let Some(at) = service.next_retry_at() {
+            self.timers.set_no_later(at, Timer::Admit);
         }
-        for _ in 0..STEPS_PER_TURN {
+    }
+
+    /// Starts tasks in the order of the queues.
+    fn start_waiting(&mut self, state: &State, position: usize, examined_limit: u64, steps: &mut usize) {
+        while *steps > 0 {
             let Self { services, attempts, failed_on, settings, now, work, .. } = self;
             let context = PlacementContext::new(state, attempts, failed_on, settings, *now);
-            let next = services[position].next(|fleet, candidate| {
+            let next = services[position].next(examined_limit, |fleet, candidate| {
                 work.steps_examined += 1;
                 choose(&context, fleet, candidate)
             });
-            let Some((released, choice)) = next else {
-                self.preempt_for_urgent(state, position);
-                return;
-            };
-            self.start_released(state, position, &released, choice);
+            match next {
+                NextStep::Step(released, choice) => {
+                    *steps -= 1;
+                    self.start_released(state, position, &released, choice);
+                }
+                NextStep::None => {
+                    self.preempt_for_urgent(state, position);
+                    return;
+                }
+                NextStep::LimitReached => break,
+            }
         }
-        self.timers.set(self.now + NEXT_TURN_DELAY, Timer::Admit);
+        self.services[position].due = true;
     }
 
     fn start_released(
--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -148,15 +148,6 @@
         self.by_key.range(first..=last)
     }
 
-    /// Restarts the detection of stalls for a worker's attempts.
-    pub(super) fn renew_progress(&mut self, worker: WorkerKey, now: u64) {
-        for attempt in self.by_key.values_mut() {
-            if attempt.worker == worker {
-                attempt.progress_at = now;
-            }
-        }
-    }
-
     /// Whether no attempt of the task occupies a worker.
     pub(super) fn is_idle(&self, task: TaskKey) -> bool {
         self.of_task(task).next().is_none()
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -56,13 +56,15 @@
     /// Services by position; `peers` has the same positions.
     pub(super) services: Vec<Service>,
     pub(super) peers: Vec<PeerAverages>,
+    /// The service with which admission continues.
+    pub(super) next_service: usize,
     /// Position of each service by its name.
     pub(super) service_positions: HashMap<String, usize>,
     pub(super) workers: BTreeMap<WorkerKey, WorkerEntry>,
     /// Keys of workers by the instance of their incarnation.
     pub(super) worker_keys: HashMap<Arc<str>, WorkerKey>,
     pub(super) next_worker: WorkerKey,
-    /// Workers whose session is to be polled at the end of this event.
+    /// Workers whose session is to be polled at the end of this turn.
     pub(super) workers_to_poll: Vec<WorkerKey>,
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
@@ -111,6 +113,7 @@
             pending_configurations: PendingConfigurations::default(),
             services: Vec::new(),
             peers: Vec::new(),
+            next_service: 0,
             service_positions: HashMap::new(),
             workers: BTreeMap::new(),
             worker_keys: HashMap::new(),
@@ -154,8 +157,6 @@
             for key in keys {
                 self.schedule_poll(key);
             }
-            // Sessions are polled with the next event: the coming flush asks for one at once.
-            self.timers.set_no_later(self.now, Timer::Admit);
         }
     }
 
@@ -179,13 +180,17 @@
             Input::Tick { time_of_day_ms } => self.tick(time_of_day_ms),
         }
         self.run_timers(state, out);
-        self.admit(state);
-        self.poll_workers(out);
     }
 
-    /// Proposes the commands collected so far, and says when to wake up. To be called once after each run of events.
-    pub fn flush(&mut self, now: u64, out: &mut Vec<Output>) {
+    /// Ends a turn: polls the sessions of workers for which something changed, starts the tasks for which there is
+    /// capacity, proposes the commands collected so far, and says when to wake up. To be called once after each run
+    /// of events, with the state as of all batches handed back so far.
+    pub fn flush(&mut self, state: &State, now: u64, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        self.poll_workers(out);
+        self.admit(state);
+        // Attempts that were preempted are to be stopped.
+        self.poll_workers(out);
         self.propose_ends();
         self.propose_clock();
         if !self.batch.is_empty() {
--- a/crates/scheduler/src/leader/queueing.rs
+++ b/crates/scheduler/src/leader/queueing.rs
@@ -47,11 +47,10 @@
         if tasks.is_empty() || incomplete_gang {
             return;
         }
-        let members = if stage.gang { u64::from(stage.count) } else { 1 };
         let waiting = WaitingStep {
             step,
             plan: plan_of(work.submit().priority),
-            need: need_of(stage).times(members),
+            task_need: need_of(stage),
             gang: stage.gang,
             tasks,
             end,
--- a/crates/scheduler/src/leader/reservations.rs
+++ b/crates/scheduler/src/leader/reservations.rs
@@ -9,11 +9,10 @@
 use crate::time::NANOS_PER_MS;
 
 use super::capacity_reservation::CapacityReservation;
-use super::demand::need_of;
+use super::demand::{demand_of, need_of};
 use super::event_loop::Leader;
 use super::mechanisms::Mechanism;
 use super::service::StepKind;
-use super::worker_entry::WorkerEntry;
 
 /// How long a step waits without capacity before some is reserved for it, in nanoseconds.
 const RESERVATION_WAIT: u64 = 1_000 * NANOS_PER_MS;
@@ -56,31 +55,13 @@
     fn new_reservation(&mut self, state: &State, position: usize) {
         let Some(since) = self.now.checked_sub(RESERVATION_WAIT) else { return };
         let Some(step) = self.services[position].waiting_head(since, StepKind::Single) else { return };
-        if let Some(worker) = self.closest_to_fitting(state, position, step) {
+        let Some(stage) = state.open_stage(step).filter(|stage| stage.anti_affinity == 0) else { return };
+        let demand = demand_of(step, stage, &[]);
+        if let Some(worker) = self.services[position].fleet.closest_to_fitting(&demand) {
             self.reserve_capacity(state, position, step, worker);
         }
     }
 
-    /// The usable worker that lacks least for a task of the step.
-    fn closest_to_fitting(&self, state: &State, position: usize, step: StepKey) -> Option<WorkerKey> {
-        let stage = state.open_stage(step)?;
-        let need = need_of(stage);
-        let shortfall = |worker: WorkerKey| {
-            let free = self.services[position].fleet.free_on(worker)?;
-            Some(need.minus(free).shares_of(need).into_iter().fold(0.0, f64::max))
-        };
-        let suits = |entry: &WorkerEntry| {
-            let listing = entry.listing.as_ref().filter(|listing| need.fits_in(listing.capacity));
-            let labelled =
-                |labels: &[String]| stage.constraint.is_empty() || labels.contains(&stage.constraint);
-            let allowed = listing.is_some_and(|listing| labelled(&listing.labels));
-            entry.service == position && allowed && entry.is_usable(self.now)
-        };
-        let candidates = self.workers.iter().filter(|(_, entry)| suits(entry));
-        let shortfalls = candidates.filter_map(|(key, _)| Some((shortfall(*key)?, *key)));
-        shortfalls.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
-    }
-
     /// Reserves what is free on the worker of what the step's next task needs.
     fn reserve_capacity(&mut self, state: &State, position: usize, step: StepKey, worker: WorkerKey) {
         let stage = state.open_stage(step);
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -1,4 +1,6 @@
 //! Capacity that becomes free: which blocked steps may be placed again.
+//!
+//! What is freed is collected, so that a pass over the blocked steps is made once for all that was freed in a turn.
 
 use mqos::{PlanOptions, Queues};
 
@@ -11,14 +13,36 @@
 impl Service {
     /// Capacity was freed on a worker: the blocked steps that fit there may be placed again.
     pub(in crate::leader) fn capacity_freed(&mut self, worker: WorkerKey) {
-        let Some(free) = self.fleet.free_on(worker) else { return };
         self.due = true;
-        self.blocked.retain(|_, blocked| blocked.need.is_some_and(|need| !need.fits_in(free)));
+        self.freed.push(worker);
     }
 
-    /// Unblocks steps whose wait for better capacity has ended.
-    pub(in crate::leader) fn end_expired_waits(&mut self, now: u64) {
-        self.blocked.retain(|_, blocked| blocked.retry_at.is_none_or(|at| at > now));
+    /// A worker was added, or may take starts again.
+    pub(in crate::leader) fn worker_usable(&mut self, worker: WorkerKey) {
+        self.capacity_freed(worker);
+        self.workers_came_into_use = true;
+    }
+
+    /// Brings the queues up to date with what changed since the last pass over them.
+    pub(in crate::leader) fn prepare_pass(&mut self, now: u64) {
+        self.due = false;
+        self.update_shares();
+        self.unblock_steps(now);
+        self.update_plan_heads(now);
+    }
+
+    /// Unblocks the steps that fit where capacity was freed, or whose wait for better capacity has ended.
+    fn unblock_steps(&mut self, now: u64) {
+        let mut workers = std::mem::take(&mut self.freed);
+        workers.sort_unstable();
+        workers.dedup();
+        let free: Vec<Resources> = workers.iter().filter_map(|key| self.fleet.free_on(*key)).collect();
+        let most = free.iter().fold(Resources::ZERO, |most, free| most.max(*free));
+        let fits = |need: Resources| need.fits_in(most) && free.iter().any(|free| need.fits_in(*free));
+        let is_over = |retry_at: Option<u64>| retry_at.is_some_and(|at| at <= now);
+        self.blocked.retain(|_, blocked| !is_over(blocked.retry_at) && !fits(blocked.need));
+        workers.clear();
+        self.freed = workers;
     }
 
     /// When the next wait for better capacity ends.
@@ -26,23 +50,19 @@
         self.blocked.values().filter_map(|blocked| blocked.retry_at).min()
     }
 
-    /// A worker was added, or may take starts again.
-    pub(in crate::leader) fn worker_usable(&mut self, worker: WorkerKey) {
-        self.capacity_freed(worker);
+    /// Computes the shares of the queues' entries again if workers that came into use changed the total by much.
+    fn update_shares(&mut self) {
         let total = self.fleet.total();
-        if !differs_by_a_tenth(total, self.shares_total) {
+        let came_into_use = std::mem::take(&mut self.workers_came_into_use);
+        if !came_into_use || !differs_by_a_tenth(total, self.shares_total) {
             return;
         }
         self.blocked.clear();
         self.shares_total = total;
         self.queues = Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight }));
-        let mut steps: Vec<(i64, StepKey)> =
-            self.ready.iter().map(|(step, ready)| (ready.order, *step)).collect();
-        steps.sort_unstable();
-        for (_, step) in steps {
-            let Some(ready) = self.ready.get(&step) else { continue };
-            let (plan, need) = self.queue_of(ready);
-            self.queues.push(plan, step, need);
+        let steps: Vec<StepKey> = self.ready.keys().copied().collect();
+        for step in steps {
+            self.queue_step(step);
         }
     }
 }
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -14,11 +14,12 @@
 use mqos::{PlanOptions, Queues};
 
 use crate::ids::{StepKey, TaskKey};
-use crate::placement::{Fleet, Resources, RESOURCES};
+use crate::placement::{Fleet, Resources, WorkerKey, RESOURCES};
 
 use super::capacity_reservation::CapacityReservation;
 use super::mechanisms::{Mechanism, Mechanisms};
 
+pub(super) use scan::NextStep;
 pub(super) use steps::{plan_of, Candidate, Choice, QueueEnd, StepKind, WaitingStep};
 
 use steps::{Blocked, PlanHead, ReadyStep, WEIGHTS};
@@ -33,8 +34,14 @@
     ready: BTreeMap<StepKey, ReadyStep>,
     /// Steps that found no capacity since some was last freed where they fit.
     blocked: BTreeMap<StepKey, Blocked>,
+    /// Workers on which capacity was freed since blocked steps were last looked at.
+    freed: Vec<WorkerKey>,
+    /// Whether workers came into use since the queues' shares were last checked.
+    workers_came_into_use: bool,
     /// All waiting steps by plan and order.
     by_order: BTreeMap<(usize, i64), StepKey>,
+    /// Waiting steps of the first plan other than gangs, by order.
+    urgent: BTreeMap<i64, StepKey>,
     /// The first step of each plan.
     plan_heads: [Option<PlanHead>; WEIGHTS.len()],
     /// Whether something changed that may let a step start.
@@ -64,7 +71,10 @@
             queues: Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight })),
             ready: BTreeMap::new(),
             blocked: BTreeMap::new(),
+            freed: Vec::new(),
+            workers_came_into_use: false,
             by_order: BTreeMap::new(),
+            urgent: BTreeMap::new(),
             plan_heads: [None; WEIGHTS.len()],
             next_preemption: 0,
             reservation: None,
@@ -88,22 +98,30 @@
             return;
         }
         let order = self.next_order(waiting.end);
+        let members = if waiting.gang { waiting.tasks.len() as u64 } else { 1 };
         let ready = ReadyStep {
             plan: waiting.plan,
-            need: waiting.need,
+            need: waiting.task_need.times(members),
+            task_need: waiting.task_need,
             tasks: waiting.tasks,
             gang: waiting.gang,
             preempted_until: 0,
             since: waiting.since,
             order,
         };
-        let (plan, need) = self.queue_of(&ready);
-        match waiting.end {
-            QueueEnd::Front => self.queues.push_front(plan, waiting.step, need),
-            QueueEnd::Back => self.queues.push(plan, waiting.step, need),
-        };
         self.by_order.insert((ready.plan, order), waiting.step);
+        if ready.is_urgent() {
+            self.urgent.insert(order, waiting.step);
+        }
         self.ready.insert(waiting.step, ready);
+        self.queue_step(waiting.step);
+    }
+
+    /// Puts an entry of a waiting step into its queue, at the step's position.
+    fn queue_step(&mut self, step: StepKey) {
+        let Some(ready) = self.ready.get(&step) else { return };
+        let (plan, need) = self.queue_of(ready);
+        self.queues.push_at(plan, step, need, ready.order);
     }
 
     /// The plan of a step's queue, and what one entry of it needs as shares of the total.
@@ -138,6 +156,9 @@
     pub(super) fn remove_step(&mut self, step: StepKey) {
         if let Some(ready) = self.ready.remove(&step) {
             self.by_order.remove(&(ready.plan, ready.order));
+            if ready.is_urgent() {
+                self.urgent.remove(&ready.order);
+            }
         }
         self.blocked.remove(&step);
         self.queues.remove(&step);
--- a/crates/scheduler/src/leader/service/plan_heads.rs
+++ b/crates/scheduler/src/leader/service/plan_heads.rs
@@ -17,7 +17,7 @@
     }
 
     /// Records the first step of each plan.
-    pub(in crate::leader) fn update_plan_heads(&mut self, now: u64) {
+    pub(super) fn update_plan_heads(&mut self, now: u64) {
         for (plan, head) in self.plan_heads.iter_mut().enumerate() {
             let first =
                 self.by_order.range((plan, i64::MIN)..=(plan, i64::MAX)).next().map(|(_, step)| *step);
@@ -38,8 +38,6 @@
 
     /// Waiting steps of the first plan other than gangs, the oldest first.
     pub(in crate::leader) fn urgent_steps(&self, most: usize) -> Vec<StepKey> {
-        let first = self.by_order.range((0, i64::MIN)..=(0, i64::MAX));
-        let single = |step: &&StepKey| self.ready.get(step).is_some_and(|ready| !ready.gang);
-        first.map(|(_, step)| step).filter(single).take(most).copied().collect()
+        self.urgent.values().take(most).copied().collect()
     }
 }
--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -5,48 +5,67 @@
 use crate::ids::StepKey;
 use crate::placement::{Fleet, RESOURCES};
 
-use super::steps::{Blocked, Candidate, Choice};
+use super::steps::{Candidate, Choice};
 use super::Service;
 
 /// How many waiting steps of a queue are scanned for one that has capacity.
 const SCAN_DEPTH: usize = 32;
 
+/// What a scan of the queues found.
+#[derive(Debug)]
+pub(in crate::leader) enum NextStep {
+    /// The step whose turn it is, taken out of its queue, and where it goes.
+    Step(Released<StepKey, RESOURCES>, Choice),
+    /// No step that is not blocked has capacity.
+    None,
+    /// None yet, and more workers were examined than the scan may examine.
+    LimitReached,
+}
+
 impl Service {
-    /// The step whose turn it is, taken out of its queue, and where `choose` puts it. Steps for which there is no
-    /// capacity keep their position.
+    /// The step whose turn it is, and where `choose` puts it. Steps for which there is no capacity keep their position.
+    /// Once the fleet has `examined_limit` examined workers on its account, no search for a further step begins.
     pub(in crate::leader) fn next(
         &mut self,
+        examined_limit: u64,
         mut choose: impl FnMut(&Fleet, Candidate) -> Choice,
-    ) -> Option<(Released<StepKey, RESOURCES>, Choice)> {
+    ) -> NextStep {
         let availability = self.fleet.free().shares_of(self.fleet.total());
         let Self { queues, blocked, ready, fleet, .. } = self;
-        let mut chosen: Option<(StepKey, Choice)> = None;
+        // The first of each queue that has capacity: the queues may ask for it again.
+        let mut chosen: Vec<(StepKey, Choice)> = Vec::new();
+        let mut limit_reached = false;
         let released = queues.next_where(&availability, SCAN_DEPTH, |_, step, _| {
             if blocked.contains_key(step) {
                 return false;
             }
-            if chosen.as_ref().is_some_and(|(of, _)| of == step) {
+            if chosen.iter().any(|(of, _)| of == step) {
                 return true;
             }
             let Some(waiting) = ready.get(step) else { return false };
             let Some(first) = waiting.tasks.first() else { return false };
+            if fleet.examined() >= examined_limit {
+                limit_reached = true;
+                return false;
+            }
             let (task, since) = (step.task(*first), waiting.since);
             let choice = choose(fleet, Candidate { task, since, waiting: waiting.tasks.len() as u64 });
             let retry_at = match choice {
                 Choice::NoCapacity => None,
                 Choice::Later(at) => Some(at),
                 Choice::Task(_) | Choice::Gang(_) | Choice::Gone => {
-                    chosen = Some((*step, choice));
+                    chosen.push((*step, choice));
                     return true;
                 }
             };
             blocked.insert(*step, waiting.blocked(retry_at));
             false
-        })?;
-        // What was accepted last is what was released; were it another step, it would only wait for its next turn.
-        let choice =
-            chosen.filter(|(step, _)| *step == released.key).map_or(Choice::NoCapacity, |(_, choice)| choice);
-        Some((released, choice))
+        });
+        let Some(released) = released else {
+            return if limit_reached { NextStep::LimitReached } else { NextStep::None };
+        };
+        let choice = chosen.into_iter().find(|(step, _)| *step == released.key);
+        NextStep::Step(released, choice.map_or(Choice::NoCapacity, |(_, choice)| choice))
     }
 
     /// A released step of which tasks were started: the next of its tasks waits in its position.
@@ -65,30 +84,12 @@
             self.remove_step(released.key);
             return;
         }
-        let (plan, order) = (ready.plan, ready.order);
-        self.queues.push_front(released.plan, released.key, released.need);
-        self.requeue_older_blocked(plan, order);
+        self.queue_step(released.key);
     }
 
     /// A released step of which nothing was started: it returns to its queue.
     pub(in crate::leader) fn entry_returned(&mut self, released: &Released<StepKey, RESOURCES>) {
         self.queues.refund(released);
-        self.queues.push_front(released.plan, released.key, released.need);
-    }
-
-    /// Steps that were passed over for lack of capacity return to the front of their plan, before the younger step
-    /// that has just been put there.
-    fn requeue_older_blocked(&mut self, plan: usize, order: i64) {
-        let older = |(step, blocked): (&StepKey, &Blocked)| {
-            (blocked.plan == plan && blocked.order < order).then_some((blocked.order, *step))
-        };
-        let mut steps: Vec<(i64, StepKey)> = self.blocked.iter().filter_map(older).collect();
-        steps.sort_unstable();
-        for (_, step) in steps.into_iter().rev() {
-            let Some(ready) = self.ready.get(&step) else { continue };
-            let (queue, need) = self.queue_of(ready);
-            self.queues.remove(&step);
-            self.queues.push_front(queue, step, need);
-        }
+        self.queue_step(released.key);
     }
 }
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -19,6 +19,8 @@
     pub(in crate::leader) plan: usize,
     /// What one entry of the queue needs: a task, or a whole gang.
     pub(in crate::leader) need: Resources,
+    /// What one task needs, or one member of the gang.
+    pub(super) task_need: Resources,
     /// The tasks that wait. Of a gang, all members at once.
     pub(in crate::leader) tasks: BTreeSet<u32>,
     pub(in crate::leader) gang: bool,
@@ -33,10 +35,8 @@
 /// A step that found no capacity.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Blocked {
-    /// What one task of it needs; none for a gang, which may fit wherever some capacity is freed.
-    pub(super) need: Option<Resources>,
-    pub(super) plan: usize,
-    pub(super) order: i64,
+    /// What one task of it needs, or one member of its gang.
+    pub(super) need: Resources,
     /// When it is placed again though no capacity was freed.
     pub(super) retry_at: Option<u64>,
 }
@@ -97,7 +97,8 @@
 pub(in crate::leader) struct WaitingStep {
     pub(in crate::leader) step: StepKey,
     pub(in crate::leader) plan: usize,
-    pub(in crate::leader) need: Resources,
+    /// What one task needs, or one member of the gang.
+    pub(in crate::leader) task_need: Resources,
     pub(in crate::leader) gang: bool,
     pub(in crate::leader) tasks: BTreeSet<u32>,
     pub(in crate::leader) end: QueueEnd,
@@ -106,9 +107,13 @@
 }
 
 impl ReadyStep {
+    /// Whether attempts may be preempted for it.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.plan == 0 && !self.gang
+    }
+
     /// The step as one that found no capacity.
     pub(super) fn blocked(&self, retry_at: Option<u64>) -> Blocked {
-        let need = (!self.gang).then_some(self.need);
-        Blocked { need, plan: self.plan, order: self.order, retry_at }
+        Blocked { need: self.task_need, retry_at }
     }
 }
--- a/crates/scheduler/src/leader/worker_entry.rs
+++ b/crates/scheduler/src/leader/worker_entry.rs
@@ -51,7 +51,7 @@
     pub(super) assigned: Vec<AttemptKey>,
     /// Ends that are to be made durable.
     pub(super) ends: Vec<WorkerEnd>,
-    /// Whether the session is to be polled at the end of this event.
+    /// Whether the session is to be polled at the end of this turn.
     pub(super) poll_scheduled: bool,
     /// The facts last reported to placement.
     pub(super) reported: Option<ReportedFacts>,
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// The session is to be polled at the end of this event.
+    /// The session is to be polled at the end of this turn.
     pub(super) fn schedule_poll(&mut self, key: WorkerKey) {
         let Some(entry) = self.workers.get_mut(&key) else { return };
         if !entry.poll_scheduled {
@@ -160,6 +160,16 @@
         }
     }
 
+    /// Restarts the detection of stalls for a worker's attempts.
+    fn renew_progress(&mut self, worker: WorkerKey) {
+        let Some(entry) = self.workers.get(&worker) else { return };
+        for key in &entry.assigned {
+            if let Some(attempt) = self.attempts.get_mut(key) {
+                attempt.progress_at = self.now;
+            }
+        }
+    }
+
     fn incarnation_ended(&mut self, key: WorkerKey) {
         self.change_worker(key, |entry| entry.incarnation_ended = true);
         if let Some(entry) = self.workers.get(&key) {
@@ -179,7 +189,7 @@
     fn reachability_changed(&mut self, key: WorkerKey, reachable: bool) {
         self.change_worker(key, |entry| entry.reachable = reachable);
         if reachable {
-            self.attempts.renew_progress(key, self.now);
+            self.renew_progress(key);
         }
         if let Some(entry) = self.workers.get(&key) {
             let (instance, attempts) = (entry.instance.clone(), entry.assigned_count());
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -1,8 +1,10 @@
 //! The worker for one task.
 
+use super::blocks::Block;
 use super::fleet::{Fleet, Slot, WorkerKey};
 use super::matching::{Demand, Matcher, BEST_QUALITY, LIKE_QUALITY};
 use super::resources::RESOURCES;
+use std::cell::Cell;
 use std::cmp::Reverse;
 
 /// Weight of the capacity left of a resource that the task needs less of, beside the one it needs most of.
@@ -27,7 +29,8 @@
     /// Whether workers in the rack of the task's data may take it, now or once they have the capacity.
     pub fn may_fit_near(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand).map(Matcher::near_only) else { return false };
-        self.examine().any(|slot| matcher.may_suit(slot))
+        let mut candidates = self.examine(|block| matcher.may_suit_in(block));
+        candidates.any(|slot| matcher.may_suit(slot))
     }
 
     /// As [`Fleet::place`], but on ejected workers as well.
@@ -38,7 +41,8 @@
     /// Whether workers that are not ejected may take the task, now or once they have the capacity.
     pub fn may_fit(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
-        demand.anti_affinity != Some(0) && self.examine().any(|slot| matcher.may_suit(slot))
+        let mut candidates = self.examine(|block| matcher.may_suit_in(block));
+        demand.anti_affinity != Some(0) && candidates.any(|slot| matcher.may_suit(slot))
     }
 
     /// Whether the task would fit some worker that is not ejected, were nothing reserved. Workers that may take no
@@ -46,18 +50,21 @@
     pub fn could_fit_not_ejected(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let possible = |slot: &Slot| matcher.allows(slot) && demand.need.fits_in(slot.capacity);
-        self.examine().any(|slot| !slot.ejected && possible(slot))
+        let mut candidates = self.examine(|block| demand.need.fits_in(block.largest));
+        candidates.any(|slot| !slot.ejected && possible(slot))
     }
 
     /// Whether an ejected worker may take the task, now or once it has the capacity.
     pub fn may_fit_ejected(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand).map(Matcher::including_ejected) else { return false };
-        self.examine().any(|slot| slot.ejected && matcher.may_suit(slot))
+        let mut candidates = self.examine(|block| demand.need.fits_in(block.ejected_capacity));
+        candidates.any(|slot| slot.ejected && matcher.may_suit(slot))
     }
 
     fn place_by(&self, matcher: &Matcher) -> Option<WorkerKey> {
         let least_quality = LIKE_QUALITY * self.best_quality(matcher)?;
-        let alike = self.examine().filter(|slot| matcher.quality(slot) >= least_quality);
+        let may_hold = |block: &Block| block.quality >= least_quality && matcher.suits_in(block);
+        let alike = self.examine(may_hold).filter(|slot| matcher.quality(slot) >= least_quality);
         let waste = |slot: &Slot| if self.first_fit { 0.0 } else { self.waste(matcher, slot) };
         let rank = |slot: &Slot| (Reverse(matcher.packing_rank(slot)), waste(slot), slot.key);
         let ranks = alike.filter(|slot| matcher.suits(slot)).map(rank);
@@ -67,18 +74,20 @@
 
     /// The best quality among the workers that suit, if any does.
     fn best_quality(&self, matcher: &Matcher) -> Option<f64> {
-        let mut best = None;
-        for slot in self.examine() {
+        let best = Cell::new(None);
+        let is_better = |quality: f64| best.get().is_none_or(|best| quality > best);
+        let candidates = self.examine(|block| is_better(block.quality) && matcher.suits_in(block));
+        for slot in candidates {
             let quality = matcher.quality(slot);
-            if best.is_some_and(|best| quality <= best) || !matcher.suits(slot) {
+            if !is_better(quality) || !matcher.suits(slot) {
                 continue;
             }
-            best = Some(quality);
+            best.set(Some(quality));
             if quality >= BEST_QUALITY {
                 break;
             }
         }
-        best
+        best.get()
     }
 
     /// Whether the task would fit some worker, were nothing reserved. Workers that may take no starts now
@@ -86,7 +95,8 @@
     pub fn could_ever_fit(&self, demand: &Demand) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let possible = |slot: &Slot| matcher.allows(slot) && demand.need.fits_in(slot.capacity);
-        demand.anti_affinity != Some(0) && self.examine().any(possible)
+        let mut candidates = self.examine(|block| demand.need.fits_in(block.largest));
+        demand.anti_affinity != Some(0) && candidates.any(possible)
     }
 
     /// What is wasted by putting the task on the worker: the capacity that is left there, as a share of the
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -1,5 +1,6 @@
 //! The workers of one service and what is reserved on them.
 
+use super::blocks::{first_of_block, position_range, Block, BLOCK_SIZE};
 use super::resources::Resources;
 use crate::ids::StepKey;
 use std::cell::Cell;
@@ -95,8 +96,8 @@
 /// The workers of one service, what is reserved on them, and the sums over those that may take starts, if only as
 /// the last resort.
 ///
-/// The sums always equal those over the slots: every change of a slot goes through `change`, `add_to_sums` or
-/// `subtract_from_sums`.
+/// The sums and the blocks always equal those over the slots: every change of a slot goes through `change`,
+/// `add_slot` or `remove_slot`.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub(super) slots: Vec<Slot>,
@@ -106,6 +107,8 @@
     pub(super) largest: Resources,
     /// Of workers of like quality, the first one in order of keys is taken in position of the fullest.
     pub(super) first_fit: bool,
+    /// What searches may find among each run of `BLOCK_SIZE` slots.
+    blocks: Vec<Block>,
     index: BTreeMap<WorkerKey, usize>,
     total: Resources,
     free: Resources,
@@ -145,10 +148,7 @@
             }
             None => {
                 let (reserved, steps) = (Resources::ZERO, Vec::new());
-                let slot = Slot { key, capacity, reserved, usable, ejected, quality, rack, labels, steps };
-                self.add_to_sums(&slot);
-                self.index.insert(key, self.slots.len());
-                self.slots.push(slot);
+                self.add_slot(Slot { key, capacity, reserved, usable, ejected, quality, rack, labels, steps });
                 self.largest = self.largest.max(capacity);
             }
         }
@@ -157,11 +157,7 @@
     /// Forgets a worker and its reservations. Returns whether it was known.
     pub fn remove(&mut self, key: WorkerKey) -> bool {
         let Some(position) = self.index.remove(&key) else { return false };
-        let slot = self.slots.swap_remove(position);
-        self.subtract_from_sums(&slot);
-        if let Some(moved) = self.slots.get(position) {
-            self.index.insert(moved.key, position);
-        }
+        self.remove_slot(position);
         self.recompute_largest();
         true
     }
@@ -217,14 +213,31 @@
         self.slot(key).map(Slot::free)
     }
 
-    /// How many workers searches have examined since the last call: the work that placement has done.
+    /// How many workers, and blocks of them, searches have examined since the last call of `take_examined`: the work
+    /// that placement has done.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    /// As [`Fleet::examined`], and counts from zero again.
     pub fn take_examined(&self) -> u64 {
         self.examined.take()
     }
 
-    /// All slots, each counted as examined once it is reached.
-    pub(super) fn examine(&self) -> impl Iterator<Item = &Slot> {
-        self.slots.iter().inspect(|_| self.examined.set(self.examined.get() + 1))
+    /// The slots of all blocks that `may_hold` accepts; it is asked when the iteration reaches the block. Each block
+    /// and each slot counts as examined once it is reached.
+    pub(super) fn examine<'a>(
+        &'a self,
+        may_hold: impl Fn(&Block) -> bool + 'a,
+    ) -> impl Iterator<Item = &'a Slot> + 'a {
+        let blocks = self.blocks.iter().enumerate().inspect(|_| self.count_examined());
+        let candidates = blocks.filter(move |(_, block)| may_hold(block));
+        let slots = candidates.flat_map(|(number, _)| &self.slots[position_range(number, self.slots.len())]);
+        slots.inspect(|_| self.count_examined())
+    }
+
+    fn count_examined(&self) {
+        self.examined.set(self.examined.get() + 1);
     }
 
     /// How many workers are known.
@@ -243,10 +256,10 @@
 
     /// Finds the most that any worker has.
     fn recompute_largest(&mut self) {
-        self.largest = self.slots.iter().fold(Resources::ZERO, |most, slot| most.max(slot.capacity));
+        self.largest = self.blocks.iter().fold(Resources::ZERO, |most, block| most.max(block.largest));
     }
 
-    /// Changes a slot and keeps the sums.
+    /// Changes a slot and keeps the sums and its block.
     fn change(&mut self, position: usize, change: impl FnOnce(&mut Slot)) {
         let slot = &mut self.slots[position];
         let before = sums(slot);
@@ -255,18 +268,43 @@
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
+        self.update_block(position / BLOCK_SIZE);
     }
 
-    fn add_to_sums(&mut self, slot: &Slot) {
-        let sums = sums(slot);
+    fn add_slot(&mut self, slot: Slot) {
+        let sums = sums(&slot);
         self.total = self.total.plus(sums.total);
         self.free = self.free.plus(sums.free);
+        let position = self.slots.len();
+        self.index.insert(slot.key, position);
+        self.slots.push(slot);
+        self.update_block(position / BLOCK_SIZE);
     }
 
-    fn subtract_from_sums(&mut self, slot: &Slot) {
-        let sums = sums(slot);
+    /// Takes a slot out; the last one takes its position.
+    fn remove_slot(&mut self, position: usize) {
+        let slot = self.slots.swap_remove(position);
+        let sums = sums(&slot);
         self.total = self.total.minus(sums.total);
         self.free = self.free.minus(sums.free);
+        if let Some(moved) = self.slots.get(position) {
+            self.index.insert(moved.key, position);
+            self.update_block(position / BLOCK_SIZE);
+        }
+        self.update_block(self.slots.len() / BLOCK_SIZE);
+    }
+
+    /// Computes a block from its slots; one without slots is dropped.
+    fn update_block(&mut self, number: usize) {
+        if first_of_block(number) >= self.slots.len() {
+            self.blocks.truncate(number);
+            return;
+        }
+        let block = Block::of(&self.slots[position_range(number, self.slots.len())]);
+        match self.blocks.get_mut(number) {
+            Some(current) => *current = block,
+            None => self.blocks.push(block),
+        }
     }
 }
 
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -1,5 +1,6 @@
 //! The workers for a gang: all of its members at once, or none.
 
+use super::blocks::Block;
 use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
 use super::matching::{Demand, Matcher, LIKE_QUALITY};
 use std::cmp::Ordering;
@@ -53,7 +54,7 @@
             true => demand.need.times_in(slot.free(), matcher.tasks_left(slot)),
             false => 0,
         };
-        let hosts = self.hosts(matcher, members);
+        let hosts = self.hosts(matcher, |block| matcher.suits_in(block), members);
         let fast_enough: Vec<Host> =
             hosts.iter().copied().filter(|host| host.quality >= MIN_GANG_QUALITY).collect();
         place(&fast_enough, demand.rack_local, count).or_else(|| place(&hosts, demand.rack_local, count))
@@ -64,7 +65,8 @@
     pub fn could_ever_fit_gang(&self, demand: &Demand, count: usize) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let limit = demand.anti_affinity.map_or(u64::MAX, u64::from);
-        let hosts = self.hosts(&matcher, |slot| demand.need.times_in(slot.capacity, limit));
+        let may_hold = |block: &Block| demand.need.fits_in(block.largest);
+        let hosts = self.hosts(&matcher, may_hold, |slot| demand.need.times_in(slot.capacity, limit));
         place(&hosts, demand.rack_local, count).is_some()
     }
 
@@ -77,12 +79,19 @@
             true => demand.need.times_in(slot.capacity, limit),
             false => 0,
         };
-        place(&self.hosts(&matcher, members), demand.rack_local, count).is_some()
+        let hosts = self.hosts(&matcher, |block| matcher.may_suit_in(block), members);
+        place(&hosts, demand.rack_local, count).is_some()
     }
 
-    /// The workers that have capacity for members, by racks, the best first within each.
-    fn hosts(&self, matcher: &Matcher, members: impl Fn(&Slot) -> u64) -> Vec<Host> {
-        let allowed = self.examine().filter(|slot| matcher.allows(slot));
+    /// The workers that have capacity for members, by racks, the best first within each. Blocks that `may_hold` denies
+    /// have none.
+    fn hosts(
+        &self,
+        matcher: &Matcher,
+        may_hold: impl Fn(&Block) -> bool,
+        members: impl Fn(&Slot) -> u64,
+    ) -> Vec<Host> {
+        let allowed = self.examine(may_hold).filter(|slot| matcher.allows(slot));
         let host = |slot: &Slot| Host {
             key: slot.key,
             rack: slot.rack.map_or(RackGroup::Alone(slot.key), RackGroup::Known),
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -1,5 +1,6 @@
 //! What a task asks of a worker, and how well a worker suits it.
 
+use super::blocks::Block;
 use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
 use super::resources::Resources;
 use crate::ids::StepKey;
@@ -106,6 +107,18 @@
         has_capacity && self.allows(slot) && self.tasks_left(slot) > 0
     }
 
+    /// Whether a worker of the block may take the task now, as far as the block shows.
+    pub(super) fn suits_in(&self, block: &Block) -> bool {
+        let need = self.demand.need;
+        need.fits_in(block.free) || (self.including_ejected && need.fits_in(block.ejected_free))
+    }
+
+    /// Whether a worker of the block may take the task, now or once it has the capacity, as far as the block shows.
+    pub(super) fn may_suit_in(&self, block: &Block) -> bool {
+        let need = self.demand.need;
+        need.fits_in(block.capacity) || (self.including_ejected && need.fits_in(block.ejected_capacity))
+    }
+
     /// Whether the worker is in the rack of the data, or the fleet has no such rack.
     pub(super) fn near(&self, slot: &Slot) -> bool {
         self.affinity.is_none() || slot.rack == self.affinity
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Fleet`] holds the workers of one service and what is reserved on them. It never starts or stops
 //! anything: the caller reserves what it places and releases what has ended.
 
+mod blocks;
 mod choose;
 mod explain;
 mod fleet;
@@ -10,6 +11,7 @@
 mod matching;
 mod preempt;
 mod resources;
+mod shortfall;
 
 pub use explain::PlacementObstacle;
 pub use fleet::{Fleet, WorkerFacts, WorkerKey};
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -215,7 +215,7 @@
         if self.has_lease {
             leader.set_lease(self.now, self.now + LEASE);
         }
-        leader.flush(self.now, &mut out);
+        leader.flush(&self.state, self.now, &mut out);
         for output in out {
             self.output(output);
         }
--- /dev/null
+++ b/crates/scheduler/tests/leader_backlog.rs
@@ -0,0 +1,212 @@
+//! What a turn of a large fleet's leader costs, in units of work that do not depend on the machine.
+
+#[allow(dead_code)]
+mod cluster;
+
+use std::collections::BTreeMap;
+
+use cluster::{configuration, settings, HOST, MS};
+use configuration::{Instance, WorkerResources};
+use messages::job::{EndKind, JobSpec, Stage, WorkerEnd};
+use messages::peer::mod_ClientRequest::OneOfcall;
+use messages::peer::{ClientRequest, SubmitRequest};
+use scheduler::ids::AttemptKey;
+use scheduler::leader::{CallId, Input, Leader, LeaderSettings, LeaderWork, Output};
+use scheduler::state::State;
+use scheduler::worker::{CallOutcome, RunningEntry, WorkerRequest};
+
+const WORKERS: usize = 1_100;
+const DAY_START_MS: u64 = 1_700_000_000_000;
+/// Longer than any of these plays.
+const LEASE: u64 = 3_600_000 * MS;
+/// Two thirds of a worker's memory: each takes one, and what is left fits nothing else.
+const LARGE_MEM_MB: u64 = 8_000;
+const WORKER_MEM_MB: u64 = 12_000;
+const STEPS_PER_JOB: usize = 25;
+const TASKS_PER_STEP: u32 = 4;
+
+/// What a worker of the model runs and has listed.
+#[derive(Debug, Default)]
+struct Worker {
+    lease_renewal: Option<CallId>,
+    running: Vec<AttemptKey>,
+    finished: Vec<WorkerEnd>,
+}
+
+/// A leader, a log that commits at once, and workers that answer at once. Lease renewals wait for an end.
+struct Site {
+    now: u64,
+    state: State,
+    leader: Leader,
+    workers: BTreeMap<String, Worker>,
+    jobs: u64,
+    starts: usize,
+}
+
+fn instance(number: usize) -> Instance {
+    Instance {
+        id: format!("i-{number}"),
+        service: "service".to_owned(),
+        address: format!("10.9.{}.{}:80", number / 250, number % 250),
+        zone: "z".to_owned(),
+        version: "v1".to_owned(),
+        capacity: 8,
+        draining: false,
+        warmup_left_ms: 0,
+        available: WorkerResources { cpu: 8_000, mem_mb: WORKER_MEM_MB, gpu: 0 },
+        labels: vec!["a".to_owned(), format!("r1-{}", number / 20)],
+        remaining_ms: None,
+    }
+}
+
+impl Site {
+    /// A leader that knows all workers and has been answered by each.
+    fn new(workers: usize) -> Self {
+        let now = 1_000 * MS;
+        let state = State::new();
+        let settings = LeaderSettings { max_open_tasks: 1_000_000, ..settings() };
+        let leader = Leader::new(1, settings, &state, now, 1);
+        let mut site = Site { now, state, leader, workers: BTreeMap::new(), jobs: 0, starts: 0 };
+        site.leader.set_lease(now, now + LEASE);
+        let body = configuration(1, &[("/a/", 1)]);
+        site.turn(vec![Input::Tick { time_of_day_ms: DAY_START_MS }]);
+        site.turn(vec![Input::PutConfiguration { token: 0, if_match: Some(0), body }]);
+        let instances: Vec<Instance> = (0..workers).map(instance).collect();
+        site.workers = instances.iter().map(|listed| (listed.id.clone(), Worker::default())).collect();
+        site.turn(vec![Input::Instances { instances }]);
+        let lists: Vec<Input> = site.workers.values_mut().filter_map(Worker::lists).collect();
+        site.turn(lists);
+        site
+    }
+
+    /// Handles these inputs in one turn, and what follows from them in the next ones.
+    fn turn(&mut self, inputs: Vec<Input>) {
+        let mut inputs = inputs;
+        while !inputs.is_empty() {
+            let mut out = Vec::new();
+            for input in inputs.drain(..) {
+                self.leader.handle(&self.state, self.now, input, &mut out);
+            }
+            self.leader.flush(&self.state, self.now, &mut out);
+            for output in out {
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    /// Turns at which only time passes.
+    fn idle_turns(&mut self, turns: usize) {
+        for _ in 0..turns {
+            self.now += 2 * MS;
+            self.turn(vec![Input::Tick { time_of_day_ms: DAY_START_MS + self.now / MS }]);
+        }
+    }
+
+    /// Carries an output out; gives the input that follows at once.
+    fn carry_out(&mut self, output: Output) -> Option<Input> {
+        match output {
+            Output::Propose { batch } => {
+                Some(Input::BatchApplied { changes: self.state.apply(&batch), batch })
+            }
+            Output::Call { call, instance, request, .. } => self.call(call, &instance, &request),
+            _ => None,
+        }
+    }
+
+    fn call(&mut self, call: CallId, instance: &str, request: &WorkerRequest) -> Option<Input> {
+        let worker = self.workers.get_mut(instance).expect("a listed worker");
+        match request {
+            WorkerRequest::RenewLease { last_seen, .. } => {
+                worker.lease_renewal = Some(call);
+                worker.finished.retain(|end| end.sequence > *last_seen);
+                return None;
+            }
+            WorkerRequest::Start { key, .. } => worker.running.push(*key),
+            WorkerRequest::Stop { .. } => panic!("nothing is stopped here"),
+        }
+        self.starts += 1;
+        Some(Input::CallFinished { call, outcome: CallOutcome::Answer { now_ms: self.now / MS } })
+    }
+
+    /// Submits jobs of `STEPS_PER_JOB` steps until so many steps are submitted, and lets the leader admit what it can.
+    fn submit(&mut self, steps: usize, mem_mb: u64) {
+        let stage = Stage {
+            count: TASKS_PER_STEP,
+            cpu: 1_000,
+            mem_mb,
+            est_runtime_ms: 60_000,
+            ..Stage::default()
+        };
+        let stages = vec![stage; STEPS_PER_JOB];
+        for _ in 0..steps / STEPS_PER_JOB {
+            self.jobs += 1;
+            let job = JobSpec { spec: "text".to_owned(), stages: stages.clone(), ..JobSpec::default() };
+            let path = format!("/a/{:016x}", self.jobs);
+            let call = OneOfcall::submit(SubmitRequest { id: self.jobs, job: Some(job) });
+            let host = HOST.to_owned();
+            let request = ClientRequest { request_id: self.jobs, host, path, time_left_ms: 3_000, call };
+            self.turn(vec![Input::Client { token: self.jobs, request }]);
+        }
+        self.idle_turns(50);
+    }
+
+    /// One attempt ends at each of the first `count` workers that run any; the leader gets their lists in one turn.
+    fn end_attempts(&mut self, count: usize) {
+        let busy = self.workers.values_mut().filter(|worker| !worker.running.is_empty());
+        let lists: Vec<Input> = busy.take(count).filter_map(Worker::end_one).collect();
+        assert_eq!(lists.len(), count);
+        self.turn(lists);
+        self.idle_turns(20);
+    }
+
+    fn waiting_steps(&self) -> usize {
+        self.leader.load_report(self.now).waiting_steps
+    }
+}
+
+impl Worker {
+    /// The answer to the lease renewal that waits.
+    fn lists(&mut self) -> Option<Input> {
+        let call = self.lease_renewal.take()?;
+        let entry = |key: &AttemptKey| RunningEntry { key: *key, checkpoint: String::new(), percent: 1 };
+        let running = self.running.iter().map(entry).collect();
+        let outcome = CallOutcome::Lists { now_ms: 1_000, running, finished: self.finished.clone() };
+        Some(Input::CallFinished { call, outcome })
+    }
+
+    /// Ends an attempt, and answers the lease renewal that waits.
+    fn end_one(&mut self) -> Option<Input> {
+        let key = self.running.pop()?;
+        self.finished.push(WorkerEnd {
+            sequence: self.finished.last().map_or(1, |end| end.sequence + 1),
+            task: Some(key.task.into()),
+            attempt: key.attempt,
+            kind: EndKind::DONE,
+            checkpoint: String::new(),
+            counted: false,
+        });
+        self.lists()
+    }
+}
+
+/// The work of so many ends, with so many steps waiting on a fleet that is full.
+fn work_of_ends(waiting_steps: usize, ends: usize) -> LeaderWork {
+    let mut site = Site::new(WORKERS);
+    site.submit(WORKERS / TASKS_PER_STEP as usize + waiting_steps, LARGE_MEM_MB);
+    assert!(site.waiting_steps() + STEPS_PER_JOB >= waiting_steps, "{} wait", site.waiting_steps());
+    assert_eq!(site.starts, WORKERS, "the fleet is full");
+    site.leader.take_work();
+    site.end_attempts(ends);
+    assert_eq!(site.starts, WORKERS + ends, "each end lets a task start");
+    site.leader.take_work()
+}
+
+#[test]
+fn a_backlog_does_not_raise_the_cost_of_a_finished_attempt() {
+    const ENDS: u64 = 50;
+    let few = work_of_ends(100, ENDS as usize);
+    let many = work_of_ends(2_500, ENDS as usize);
+    eprintln!("few: {few:?}\nmany: {many:?}");
+    assert!(many.workers_examined <= ENDS * WORKERS as u64, "{many:?}");
+    assert!(many.workers_examined <= 2 * few.workers_examined, "{many:?} beside {few:?}");
+}
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Updates the lease of the leader, and lets it propose its batch.
+    /// Updates the lease of the leader, and lets it end the turn.
     pub(super) fn flush_leader(&mut self) {
         let lease_until = self.node.lease_until();
         if let Some(leader) = self.leader.as_mut() {
@@ -50,7 +50,7 @@
                 self.announced_lease = lease_until;
                 leader.set_lease(self.now, lease_until);
             }
-            leader.flush(self.now, &mut self.leader_outputs);
+            leader.flush(&self.state, self.now, &mut self.leader_outputs);
         }
     }
 
