--- a/crates/scheduler/src/leader/preemption.rs
+++ b/crates/scheduler/src/leader/preemption.rs
@@ -89,29 +89,20 @@
         let Some(stage) = state.open_stage(step) else { return };
         let waiting = self.services[position].ready(step).map_or(0, |ready| ready.tasks.len());
         let demand = demand_of(step, stage, &[]);
-        let mut preempted = false;
-        for _ in 0..waiting.min(TASKS_PER_STEP) {
-            let Some(preemption) = self.services[position].fleet.preempt(&demand, victims) else { break };
-            let stopped = preemption.attempts;
-            if stopped.is_empty() {
-                break;
-            }
-            victims.retain(|victim| !stopped.contains(&victim.attempt));
-            self.stop_all(&stopped);
-            preempted = true;
-        }
-        if !preempted {
+        let tasks = waiting.min(TASKS_PER_STEP);
+        let preemptions = self.services[position].fleet.preempt_for_each(&demand, victims, tasks);
+        let stopped: Vec<AttemptKey> =
+            preemptions.into_iter().flat_map(|preemption| preemption.attempts).collect();
+        if stopped.is_empty() {
             return;
         }
+        victims.retain(|victim| !stopped.contains(&victim.attempt));
+        for key in stopped {
+            self.stop_attempt(key);
+        }
         let until = self.now + self.settings.stop_ms * NANOS_PER_MS + PREEMPTED_CAPACITY_WAIT;
         if let Some(ready) = self.services[position].ready_mut(step) {
             ready.preempted_until = until;
         }
     }
-
-    fn stop_all(&mut self, attempts: &[AttemptKey]) {
-        for key in attempts {
-            self.stop_attempt(*key);
-        }
-    }
 }
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -148,7 +148,17 @@
             }
             None => {
                 let (reserved, steps) = (Resources::ZERO, Vec::new());
-                self.add_slot(Slot { key, capacity, reserved, usable, ejected, quality, rack, labels, steps });
+                self.add_slot(Slot {
+                    key,
+                    capacity,
+                    reserved,
+                    usable,
+                    ejected,
+                    quality,
+                    rack,
+                    labels,
+                    steps,
+                });
                 self.largest = self.largest.max(capacity);
             }
         }
@@ -236,7 +246,8 @@
         slots.inspect(|_| self.count_examined())
     }
 
-    fn count_examined(&self) {
+    /// Counts an examined worker or block.
+    pub(super) fn count_examined(&self) {
         self.examined.set(self.examined.get() + 1);
     }
 
--- a/crates/scheduler/src/placement/preempt.rs
+++ b/crates/scheduler/src/placement/preempt.rs
@@ -34,24 +34,52 @@
     cost: f64,
 }
 
+/// The victims that are left on a worker, and the cheapest choice among them.
+struct Host<'a> {
+    victims: Vec<&'a Victim>,
+    choice: Choice<'a>,
+}
+
 impl Fleet {
     /// The cheapest attempts, all on one worker, whose end frees enough capacity for the task; none if
     /// that is possible on no worker. Anti-affinity must allow the task there without them.
     pub fn preempt(&self, demand: &Demand, candidates: &[Victim]) -> Option<Preemption> {
-        let matcher = Matcher::new(self, demand)?;
+        self.preempt_for_each(demand, candidates, 1).pop()
+    }
+
+    /// As [`Fleet::preempt`] for up to `tasks` tasks of a step in turn: each attempt is stopped for one of them. Nothing
+    /// follows a task for which no attempt needs to be stopped.
+    pub fn preempt_for_each(&self, demand: &Demand, candidates: &[Victim], tasks: usize) -> Vec<Preemption> {
+        let Some(matcher) = Matcher::new(self, demand) else { return Vec::new() };
         let mut sorted: Vec<&Victim> = candidates.iter().collect();
         sorted.sort_by_key(|victim| (victim.worker, victim.attempt));
         sorted.dedup_by_key(|victim| (victim.worker, victim.attempt));
-        let mut best: Option<Choice> = None;
-        for victims in sorted.chunk_by(|a, b| a.worker == b.worker) {
-            let Some(choice) = self.cheapest_on(&matcher, victims) else { continue };
-            if best.as_ref().is_none_or(|best| cheaper(&choice, best)) {
-                best = Some(choice);
+        let by_worker = sorted.chunk_by(|a, b| a.worker == b.worker);
+        let mut hosts: Vec<Host> =
+            by_worker.filter_map(|victims| self.host(&matcher, victims.to_vec())).collect();
+        let mut preemptions = Vec::new();
+        while preemptions.len() < tasks {
+            let Some(cheapest) = cheapest_host(&hosts) else { break };
+            let Host { victims, choice } = hosts.remove(cheapest);
+            let attempts: Vec<AttemptKey> = choice.victims.iter().map(|victim| victim.attempt).collect();
+            let is_free_already = attempts.is_empty();
+            let left = victims.into_iter().filter(|victim| !attempts.contains(&victim.attempt)).collect();
+            if let Some(host) = self.host(&matcher, left) {
+                hosts.insert(cheapest, host);
+            }
+            preemptions.push(Preemption { worker: choice.worker, attempts });
+            if is_free_already {
+                break;
             }
         }
-        let best = best?;
-        let attempts = best.victims.iter().map(|victim| victim.attempt).collect();
-        Some(Preemption { worker: best.worker, attempts })
+        preemptions
+    }
+
+    /// A worker with these victims, if the task may go there once some of them are stopped.
+    fn host<'a>(&self, matcher: &Matcher, victims: Vec<&'a Victim>) -> Option<Host<'a>> {
+        self.count_examined();
+        let choice = self.cheapest_on(matcher, &victims)?;
+        Some(Host { victims, choice })
     }
 
     /// The cheapest of one worker's victims that free enough there: a single one, or a set where that costs less.
@@ -61,6 +89,10 @@
             return None;
         }
         let need = matcher.demand.need;
+        let most_freed = victims.iter().fold(Resources::ZERO, |sum, victim| sum.plus(victim.need));
+        if !frees_enough(slot, need, most_freed) {
+            return None;
+        }
         let single = victims.iter().filter(|victim| frees_enough(slot, need, victim.need));
         let single = single.reduce(|a, b| if b.cost.total_cmp(&a.cost).is_lt() { b } else { a });
         let single = single.map(|victim| choice_of(slot.key, vec![*victim]));
@@ -72,6 +104,13 @@
     }
 }
 
+/// The position of the first host whose choice is the cheapest.
+fn cheapest_host(hosts: &[Host]) -> Option<usize> {
+    let positions = 0..hosts.len();
+    positions
+        .reduce(|best, other| if cheaper(&hosts[other].choice, &hosts[best].choice) { other } else { best })
+}
+
 /// Takes victims by rising cost until enough is free, then spares those that aren't needed, the most expensive first.
 fn cheapest_set<'a>(slot: &Slot, need: Resources, victims: &[&'a Victim]) -> Option<Choice<'a>> {
     let mut by_cost = victims.to_vec();
--- a/crates/scheduler/src/placement/shortfall.rs
+++ b/crates/scheduler/src/placement/shortfall.rs
@@ -9,7 +9,8 @@
     pub fn closest_to_fitting(&self, demand: &Demand) -> Option<WorkerKey> {
         let matcher = Matcher::new(self, demand)?;
         let shortfall = |slot: &Slot| (shortfall(demand.need, slot.free()), slot.key);
-        let candidates = self.examine(|block| matcher.may_suit_in(block)).filter(|slot| matcher.may_suit(slot));
+        let candidates =
+            self.examine(|block| matcher.may_suit_in(block)).filter(|slot| matcher.may_suit(slot));
         let shortfalls = candidates.map(shortfall);
         shortfalls.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, key)| key)
     }
