Judge workers' silence only by what the leader's process was able to read

Cause: time-outs of calls, suspicion and unreachability ran on the steady clock, also while the process stood still or had not read what had arrived; and timers ran with the first event of a turn, before the answers behind it.

Change: sessions judge missing answers by a ResponseClock: up to the moment before which all that arrived was handed in (Input::ReadUntil), and without the time in which the process was absent (Leader::was_absent). Leases, clock bounds and backoffs keep the steady clock. A leader that is always late is credited half its absence, so that silent workers are still found out. A driver that hands in neither is taken to be in time: nothing changes for it.

--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -17,6 +17,7 @@
 use super::interface::{Input, Output};
 use super::mechanisms::Mechanism;
 use super::outlier_detector::PeerAverages;
+use super::own_lateness::OwnLateness;
 use super::pending_requests::{PendingClients, PendingConfigurations};
 use super::schedule::Schedule;
 use super::service::Service;
@@ -64,6 +65,7 @@
     pub(super) next_worker: WorkerKey,
     /// Workers whose session is to be polled at the end of this event.
     pub(super) workers_to_poll: Vec<WorkerKey>,
+    pub(super) lateness: OwnLateness,
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
     pub(super) attempts: Attempts,
@@ -116,6 +118,7 @@
             worker_keys: HashMap::new(),
             next_worker: 0,
             workers_to_poll: Vec::new(),
+            lateness: OwnLateness::new(now),
             workers_with_ends: Vec::new(),
             attempts: Attempts::default(),
             history: AttemptHistory::default(),
@@ -176,6 +179,7 @@
             Input::CallFinished { call, outcome } => self.call_finished(call, outcome),
             Input::BatchApplied { changes, .. } => self.changes_committed(state, &changes, out),
             Input::ProposalDropped => {}
+            Input::ReadUntil { at } => self.read_until(at),
             Input::Tick { time_of_day_ms } => self.tick(time_of_day_ms),
         }
         self.run_timers(state, out);
--- a/crates/scheduler/src/leader/interface.rs
+++ b/crates/scheduler/src/leader/interface.rs
@@ -69,6 +69,12 @@
     },
     /// A batch was not taken into the log: this process has stepped down.
     ProposalDropped,
+    /// Everything that arrived at this machine before `at` was handed in. From the first of them on, time limits for
+    /// answers are judged up to the newest `at` only; a driver that never hands it in hands in everything in time.
+    ReadUntil {
+        /// Nanoseconds of the steady clock.
+        at: u64,
+    },
     /// Time has passed; given at the latest when `Output::WakeAt` says so.
     Tick {
         /// Milliseconds since 1970.
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -27,6 +27,7 @@
 mod mechanisms;
 mod occupancy;
 mod outlier_detector;
+mod own_lateness;
 mod pending_requests;
 mod placement_choice;
 mod preemption;
--- /dev/null
+++ b/crates/scheduler/src/leader/own_lateness.rs
@@ -0,0 +1,84 @@
+//! The leader's own lateness: time in which its process could not send or read is not a worker's silence.
+//!
+//! A driver that may be late hands in `Input::ReadUntil` and calls `Leader::was_absent`; time limits for answers of
+//! workers are then judged by what it says. Leases and everything else keep the steady clock.
+
+use std::collections::BTreeSet;
+
+use crate::placement::WorkerKey;
+use crate::time::NANOS_PER_S;
+use crate::worker::ResponseClock;
+
+use super::event_loop::Leader;
+
+/// The longest absence that is credited in full, in nanoseconds.
+const MAX_ABSENCE_CREDIT: u64 = NANOS_PER_S;
+/// Over longer times, this share of the time may be credited as absence, in percent: a leader that is always late
+/// still finds out which workers are silent, half as fast.
+const ABSENCE_CREDIT_PERCENT: u64 = 50;
+
+/// How much absence may still be credited.
+#[derive(Debug)]
+struct AbsenceCredit {
+    left: u64,
+    refilled_at: u64,
+}
+
+impl AbsenceCredit {
+    /// Takes as much of `span` as may be credited at `now`.
+    fn take(&mut self, now: u64, span: u64) -> u64 {
+        let refill = now.saturating_sub(self.refilled_at) / 100 * ABSENCE_CREDIT_PERCENT;
+        self.refilled_at = now;
+        self.left = self.left.saturating_add(refill).min(MAX_ABSENCE_CREDIT);
+        let taken = span.min(self.left);
+        self.left -= taken;
+        taken
+    }
+}
+
+/// What a leader knows of its own lateness.
+#[derive(Debug)]
+pub(super) struct OwnLateness {
+    pub(super) response_clock: ResponseClock,
+    credit: AbsenceCredit,
+    /// Workers whose sessions wait until more input is read.
+    awaiting_input: BTreeSet<WorkerKey>,
+}
+
+impl OwnLateness {
+    pub(super) fn new(now: u64) -> Self {
+        OwnLateness {
+            response_clock: ResponseClock::default(),
+            credit: AbsenceCredit { left: MAX_ABSENCE_CREDIT, refilled_at: now },
+            awaiting_input: BTreeSet::new(),
+        }
+    }
+
+    /// The session of this worker has to be polled once more input is read.
+    pub(super) fn await_input(&mut self, worker: WorkerKey) {
+        self.awaiting_input.insert(worker);
+    }
+}
+
+impl Leader {
+    /// The driver's process was absent for `span` nanoseconds up to `now`: it neither sent nor read anything. To be
+    /// called before what arrived meanwhile is handed in.
+    pub fn was_absent(&mut self, now: u64, span: u64) {
+        let credited = self.lateness.credit.take(now, span);
+        self.lateness.response_clock.add_absence(credited);
+    }
+
+    /// Whether a time limit for an answer has passed that is not judged before `Input::ReadUntil` names a moment from
+    /// now on.
+    pub fn awaits_input(&self) -> bool {
+        !self.lateness.awaiting_input.is_empty()
+    }
+
+    /// Everything that arrived before `at` was handed in.
+    pub(super) fn read_until(&mut self, at: u64) {
+        self.lateness.response_clock.set_read_until(at);
+        for worker in std::mem::take(&mut self.lateness.awaiting_input) {
+            self.schedule_poll(worker);
+        }
+    }
+}
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -69,6 +69,7 @@
         let now = self.now;
         let Some(entry) = self.workers.get_mut(&call.worker) else { return };
         let had_met = entry.session.has_been_answered();
+        entry.session.set_response_clock(self.lateness.response_clock);
         entry.session.complete_call(now, call.call, outcome);
         let met = !had_met && entry.session.has_been_answered();
         self.schedule_poll(call.worker);
@@ -116,7 +117,11 @@
             ));
             entry.session.set_worker_lease(worker_lease_ms);
             entry.session.set_leader_lease(self.lease_until);
+            entry.session.set_response_clock(self.lateness.response_clock);
             entry.session.poll(self.now, &mut outputs);
+            if entry.session.awaits_input() {
+                self.lateness.await_input(key);
+            }
             match entry.session.next_timer() {
                 u64::MAX => self.timers.cancel(Timer::Session(key)),
                 at => self.timers.set(at.max(self.now + 1), Timer::Session(key)),
--- a/crates/scheduler/src/worker/call_outcomes.rs
+++ b/crates/scheduler/src/worker/call_outcomes.rs
@@ -34,10 +34,10 @@
             CallOutcome::NotSent => return self.reachability.not_sent(call),
         };
         if let Some(clock_ms) = clock_ms {
-            self.clock.observe(call.sent, now, clock_ms);
+            self.clock.observe(call.sent.steady, now, clock_ms);
         }
         if call.wait == 0 {
-            self.round_trip.observe(now.saturating_sub(call.sent));
+            self.round_trip.observe(self.response_clock.at(now).since(call.sent.response));
         }
         if self.reachability.answered(now) {
             self.outputs.push(SessionOutput::ReachabilityChanged { reachable: true });
@@ -61,7 +61,8 @@
 
     /// Gives up calls that have timed out.
     pub(super) fn expire_calls(&mut self, now: u64) {
-        while let Some(call) = self.calls.take_expired(now) {
+        let judged_until = self.response_clock.judged_until(now);
+        while let Some(call) = self.calls.take_expired(judged_until) {
             self.outputs.push(SessionOutput::CancelCall { call: call.id });
             self.reachability.unanswered(&call);
             self.take_outcome(call, CallOutcome::NoResponse, now);
--- a/crates/scheduler/src/worker/calls.rs
+++ b/crates/scheduler/src/worker/calls.rs
@@ -2,6 +2,8 @@
 
 use crate::ids::AttemptKey;
 
+use super::response_clock::ResponseTime;
+
 /// What a call is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallKind {
@@ -10,16 +12,25 @@
     RenewLease { last_seen: u64 },
 }
 
-/// A call that was sent and has no outcome yet. Times are nanoseconds of the steady clock.
+/// When a call was sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendTime {
+    /// By the steady clock, in nanoseconds.
+    pub(super) steady: u64,
+    /// By the clock that judges missing answers.
+    pub(super) response: ResponseTime,
+}
+
+/// A call that was sent and has no outcome yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct InFlightCall {
     pub(super) id: u64,
     pub(super) kind: CallKind,
-    pub(super) sent: u64,
-    /// How long the worker was asked to wait.
+    pub(super) sent: SendTime,
+    /// How long the worker was asked to wait, in nanoseconds.
     pub(super) wait: u64,
     /// From then on the call counts as unanswered.
-    pub(super) expires: u64,
+    pub(super) expires: ResponseTime,
 }
 
 impl InFlightCall {
@@ -28,8 +39,8 @@
     }
 
     /// When an answer should have come if it takes `grace` on the way.
-    pub(super) fn expected_by(&self, grace: u64) -> u64 {
-        self.sent.saturating_add(self.wait).saturating_add(grace)
+    pub(super) fn expected_by(&self, grace: u64) -> ResponseTime {
+        self.sent.response.after(self.wait).after(grace)
     }
 }
 
@@ -51,10 +62,10 @@
     }
 
     /// Records a call as sent and gives its number.
-    pub(super) fn open(&mut self, kind: CallKind, sent: u64, wait: u64, timeout: u64) -> u64 {
+    pub(super) fn open(&mut self, kind: CallKind, sent: SendTime, wait: u64, timeout: u64) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
-        let expires = sent.saturating_add(wait).saturating_add(timeout);
+        let expires = sent.response.after(wait).after(timeout);
         self.calls.push(InFlightCall { id, kind, sent, wait, expires });
         id
     }
@@ -65,9 +76,9 @@
         Some(self.calls.remove(position))
     }
 
-    /// Takes out one call that has timed out.
-    pub(super) fn take_expired(&mut self, now: u64) -> Option<InFlightCall> {
-        let position = self.calls.iter().position(|call| call.expires <= now)?;
+    /// Takes out one call that has timed out by `judged_until`.
+    pub(super) fn take_expired(&mut self, judged_until: ResponseTime) -> Option<InFlightCall> {
+        let position = self.calls.iter().position(|call| call.expires <= judged_until)?;
         Some(self.calls.remove(position))
     }
 
--- a/crates/scheduler/src/worker/health.rs
+++ b/crates/scheduler/src/worker/health.rs
@@ -3,19 +3,22 @@
 use messages::job::Resolution;
 
 use super::attempts::Attempt;
+use super::response_clock::ResponseTime;
 use super::session::WorkerSession;
 use super::types::SessionOutput;
 
 impl WorkerSession {
     /// Reports what has changed since the last poll, and gives up queued starts if the worker is out of reach.
     pub(super) fn check_health(&mut self, now: u64) {
+        let judged_until = self.response_clock.judged_until(now);
         if self.reachability.becomes_healthy(now) {
             self.outputs.push(SessionOutput::HealthChanged { unhealthy: false });
         }
-        if self.reachability.becomes_unreachable(&self.calls, now) {
+        if self.reachability.becomes_unreachable(&self.calls, judged_until) {
             self.outputs.push(SessionOutput::ReachabilityChanged { reachable: false });
         }
-        let missing = self.reachability.is_suspected(&self.calls, self.start_answer_timeout(), now);
+        let answer_timeout = self.start_answer_timeout();
+        let missing = self.reachability.is_suspected(&self.calls, answer_timeout, judged_until);
         let suspected = self.options.suspicion && missing;
         if suspected != self.suspected {
             self.suspected = suspected;
@@ -27,7 +30,7 @@
     }
 
     /// When the worker becomes suspected, unless it is already.
-    pub(super) fn suspicion_due(&self) -> Option<u64> {
+    pub(super) fn suspicion_due(&self) -> Option<ResponseTime> {
         let due = self.reachability.suspected_at(&self.calls, self.start_answer_timeout());
         due.filter(|_| self.options.suspicion && !self.suspected)
     }
--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -9,10 +9,11 @@
 
 use super::attempts::Attempt;
 use super::calls::{CallKind, InFlightCall};
+use super::response_clock::ResponseTime;
 use super::session::WorkerSession;
 use super::types::{SessionOutput, WorkerRequest};
 
-/// Least time between two status queries while an attempt is uncertain.
+/// Least time between two status queries while an attempt is uncertain, in nanoseconds.
 const STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
 /// Most lease renewals in flight.
 const MAX_IN_FLIGHT: usize = 3;
@@ -51,7 +52,8 @@
         };
         let last_seen = self.ends.acknowledged();
         let wait = wait_ms.saturating_mul(NANOS_PER_MS);
-        let call = self.calls.open(CallKind::RenewLease { last_seen }, now, wait, self.call_timeout());
+        let (sent, timeout) = (self.send_time(now), self.call_timeout());
+        let call = self.calls.open(CallKind::RenewLease { last_seen }, sent, wait, timeout);
         self.lease_renewals.sent(now, deadline_ms.is_some());
         let request = WorkerRequest::RenewLease {
             fencing_token: self.options.fencing_token,
@@ -106,17 +108,24 @@
         {
             return None;
         }
-        let overdue = newest.expected_by(self.answer_timeout()).max(self.lease_renewals.paced());
+        let overdue = self.missing_at(newest.expected_by(self.answer_timeout()), now);
+        let spaced = self.lease_renewals.spaced(STATUS_QUERY_SPACING);
+        let overdue = overdue.max(self.lease_renewals.paced()).max(spaced);
         let earliest = match self.status_query_needed() {
             _ if self.lacks_deadline(now) => 0,
-            Some(conclusive_from) if newest.id < conclusive_from => {
-                self.lease_renewals.spaced(STATUS_QUERY_SPACING).min(overdue)
-            }
+            Some(conclusive_from) if newest.id < conclusive_from => spaced.min(overdue),
             _ => overdue,
         };
         Some(earliest.max(self.lease_renewals.not_before()))
     }
 
+    /// When the newest lease renewal in flight is overdue, if another one may be sent beside it.
+    pub(super) fn lease_renewal_overdue(&self) -> Option<ResponseTime> {
+        let may_hedge = self.options.hedged_lease_renewals && !self.is_idle();
+        let newest = self.calls.lease_renewals().next_back().filter(|_| may_hedge)?;
+        Some(newest.expected_by(self.answer_timeout()))
+    }
+
     /// How long the worker may wait for an end: not at all if the answer itself is wanted.
     fn lease_renewal_wait_ms(&self, now: u64) -> u64 {
         let in_flight = self.calls.lease_renewals().next().is_some();
--- a/crates/scheduler/src/worker/mod.rs
+++ b/crates/scheduler/src/worker/mod.rs
@@ -22,10 +22,12 @@
 mod orders;
 mod reachability;
 mod resolution;
+mod response_clock;
 mod round_trip;
 mod session;
 mod types;
 
+pub use response_clock::ResponseClock;
 pub use session::WorkerSession;
 pub use types::{
     CallOutcome, Refusal, RunningEntry, SessionOptions, SessionOutput, StartOrder, WorkerRequest,
--- a/crates/scheduler/src/worker/orders.rs
+++ b/crates/scheduler/src/worker/orders.rs
@@ -25,7 +25,7 @@
             let Some((&key, _)) = due else {
                 return;
             };
-            let call = self.calls.open(CallKind::Stop(key), now, 0, self.answer_timeout());
+            let call = self.calls.open(CallKind::Stop(key), self.send_time(now), 0, self.answer_timeout());
             if let Some(attempt) = self.attempts.get_mut(&key) {
                 attempt.stop = StopProgress::InFlight { call };
             }
@@ -70,7 +70,7 @@
 
     fn send_start(&mut self, key: AttemptKey, now: u64) {
         // Orders are answered at once, and what is uncertain is settled by status queries.
-        let timeout = self.start_answer_timeout();
+        let (sent, timeout) = (self.send_time(now), self.start_answer_timeout());
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
@@ -82,7 +82,7 @@
             return;
         };
         let (order, failed_sends) = (order.clone(), *failed_sends);
-        let call = self.calls.open(CallKind::Start(key), now, 0, timeout);
+        let call = self.calls.open(CallKind::Start(key), sent, 0, timeout);
         let request = WorkerRequest::Start {
             key,
             spec: order.spec.clone(),
--- a/crates/scheduler/src/worker/reachability.rs
+++ b/crates/scheduler/src/worker/reachability.rs
@@ -3,6 +3,7 @@
 use crate::time::NANOS_PER_MS;
 
 use super::calls::{InFlightCall, InFlightCalls};
+use super::response_clock::ResponseTime;
 
 /// A worker is unreachable after this many calls without an answer in between.
 const UNANSWERED_CALLS_LIMIT: u32 = 2;
@@ -11,7 +12,7 @@
 /// How long a worker counts as unhealthy after it refused a start as such.
 const UNHEALTHY_FOR: u64 = 2_000 * NANOS_PER_MS;
 
-/// What is known of the way to a worker. Times are nanoseconds of the steady clock.
+/// What is known of the way to a worker. Times without a type of their own are nanoseconds of the steady clock.
 #[derive(Debug)]
 pub(super) struct Reachability {
     reachable: bool,
@@ -20,7 +21,7 @@
     lacks_answer: bool,
     last_answer: Option<u64>,
     /// When the first of the unanswered calls should have been answered at the latest.
-    unanswered_since: Option<u64>,
+    unanswered_since: Option<ResponseTime>,
     unhealthy_until: Option<u64>,
 }
 
@@ -60,7 +61,7 @@
     /// Records that a call could not be sent. It says nothing if the worker answered since, or just when it was to
     /// leave: the connection of that answer may have been closed.
     pub(super) fn not_sent(&mut self, call: &InFlightCall) {
-        if self.last_answer.is_none_or(|at| at < call.sent) {
+        if self.last_answer.is_none_or(|at| at < call.sent.steady) {
             self.count_unanswered(call);
         }
     }
@@ -72,22 +73,27 @@
     }
 
     /// Whether an answer is missing: the worker may be partitioned, though it is too early to take that for certain.
-    pub(super) fn is_suspected(&self, calls: &InFlightCalls, answer_timeout: u64, now: u64) -> bool {
-        self.lacks_answer || self.suspected_at(calls, answer_timeout).is_some_and(|at| at <= now)
+    pub(super) fn is_suspected(
+        &self,
+        calls: &InFlightCalls,
+        answer_timeout: u64,
+        judged_until: ResponseTime,
+    ) -> bool {
+        self.lacks_answer || self.suspected_at(calls, answer_timeout).is_some_and(|at| at <= judged_until)
     }
 
     /// When the worker becomes suspected if nothing is answered.
-    pub(super) fn suspected_at(&self, calls: &InFlightCalls, answer_timeout: u64) -> Option<u64> {
+    pub(super) fn suspected_at(&self, calls: &InFlightCalls, answer_timeout: u64) -> Option<ResponseTime> {
         let unanswered = calls.iter().filter(|call| !self.answered_since(call));
         unanswered.map(|call| call.expected_by(answer_timeout)).min()
     }
 
     /// Whether the worker has just become unreachable.
-    pub(super) fn becomes_unreachable(&mut self, calls: &InFlightCalls, now: u64) -> bool {
+    pub(super) fn becomes_unreachable(&mut self, calls: &InFlightCalls, judged_until: ResponseTime) -> bool {
         if !self.reachable {
             return false;
         }
-        let overdue = self.overdue_at(calls).is_some_and(|at| at <= now);
+        let overdue = self.overdue_at(calls).is_some_and(|at| at <= judged_until);
         if overdue || self.unanswered_calls >= UNANSWERED_CALLS_LIMIT {
             self.reachable = false;
         }
@@ -95,14 +101,14 @@
     }
 
     /// When the worker becomes unreachable if nothing is answered.
-    pub(super) fn overdue_at(&self, calls: &InFlightCalls) -> Option<u64> {
+    pub(super) fn overdue_at(&self, calls: &InFlightCalls) -> Option<ResponseTime> {
         if !self.reachable {
             return None;
         }
         let unanswered = calls.iter().filter(|call| !self.answered_since(call));
         let expected = unanswered.map(|call| call.expected_by(0)).min();
         let first = [expected, self.unanswered_since].into_iter().flatten().min();
-        first.map(|at| at.saturating_add(OVERDUE_AFTER))
+        first.map(|at| at.after(OVERDUE_AFTER))
     }
 
     /// Records that a start was refused as unhealthy; true if the worker was healthy before.
@@ -128,6 +134,6 @@
 
     /// Whether the worker answered after the call was sent. Calls that an answer causes leave in the same instant.
     fn answered_since(&self, call: &InFlightCall) -> bool {
-        self.last_answer.is_some_and(|at| at > call.sent)
+        self.last_answer.is_some_and(|at| at > call.sent.steady)
     }
 }
--- a/crates/scheduler/src/worker/session.rs
+++ b/crates/scheduler/src/worker/session.rs
@@ -9,12 +9,13 @@
 use crate::time::NANOS_PER_MS;
 
 use super::attempts::Attempt;
-use super::calls::InFlightCalls;
+use super::calls::{InFlightCalls, SendTime};
 use super::clock::ClockEstimate;
 use super::end_watermarks::EndWatermarks;
 use super::lease_expiry::WorkerLeaseBound;
 use super::lease_schedule::LeaseRenewalSchedule;
 use super::reachability::Reachability;
+use super::response_clock::{ResponseClock, ResponseTime};
 use super::round_trip::RoundTripEstimate;
 use super::types::{SessionOptions, SessionOutput, StartOrder};
 
@@ -33,6 +34,8 @@
     pub(super) options: SessionOptions,
     pub(super) standing: Standing,
     pub(super) clock: ClockEstimate,
+    /// How far missing answers may be judged.
+    pub(super) response_clock: ResponseClock,
     pub(super) worker_lease: WorkerLeaseBound,
     pub(super) reachability: Reachability,
     /// Whether it was reported that an answer is missing.
@@ -53,6 +56,8 @@
     pub(super) outputs: Vec<SessionOutput>,
     /// When the session wants to be polled next, in nanoseconds of the steady clock.
     pub(super) wake_at: u64,
+    /// Whether a time limit for an answer has passed that is not judged before more input is read.
+    awaits_input: bool,
 }
 
 impl WorkerSession {
@@ -67,6 +72,7 @@
             incarnation,
             standing: Standing::Active,
             clock: ClockEstimate::default(),
+            response_clock: ResponseClock::default(),
             worker_lease: WorkerLeaseBound::new(&options),
             reachability: Reachability::new(),
             suspected: false,
@@ -81,6 +87,7 @@
             worker_lease_ms: options.worker_lease_ms,
             outputs: Vec::new(),
             wake_at: now,
+            awaits_input: false,
             options,
         }
     }
@@ -155,6 +162,12 @@
         }
     }
 
+    /// How far missing answers may be judged from the next poll on. Without it, `poll` is taken to be called in time
+    /// and after all that has arrived was handed in.
+    pub fn set_response_clock(&mut self, clock: ResponseClock) {
+        self.response_clock = clock;
+    }
+
     /// The incarnation has certainly ended.
     pub fn incarnation_ended(&mut self, _now: u64) {
         if self.standing == Standing::IncarnationEnded {
@@ -184,6 +197,9 @@
         }
         out.append(&mut self.outputs);
         self.wake_at = self.next_due(now);
+        let limits = [self.response_due(), self.lease_renewal_overdue()];
+        self.awaits_input =
+            limits.into_iter().flatten().any(|limit| self.response_clock.awaits_input(limit, now));
     }
 
     /// When `poll` has something to do, unless something else happens before; `u64::MAX`: never.
@@ -191,6 +207,12 @@
         self.wake_at
     }
 
+    /// Whether the session has to be polled once more input is read: a time limit for an answer has passed, but the
+    /// answer may have arrived.
+    pub fn awaits_input(&self) -> bool {
+        self.awaits_input
+    }
+
     /// When the newest lists came, in nanoseconds of the steady clock; 0: none came.
     pub fn last_lists_at(&self) -> u64 {
         self.lease_renewals.last_lists_at()
@@ -222,15 +244,39 @@
         self.round_trip.start_answer_timeout(self.call_timeout())
     }
 
-    fn next_due(&self, now: u64) -> u64 {
+    /// The moment of a call that leaves at `now`.
+    pub(super) fn send_time(&self, now: u64) -> SendTime {
+        SendTime { steady: now, response: self.response_clock.at(now) }
+    }
+
+    /// From when on, by the steady clock, an answer that is due at `due` is missing; `u64::MAX`: not before more input
+    /// is read.
+    pub(super) fn missing_at(&self, due: ResponseTime, now: u64) -> u64 {
+        match self.response_clock.awaits_input(due, now) {
+            true => u64::MAX,
+            false => self.response_clock.steady(due),
+        }
+    }
+
+    /// The next time limit for an answer that changes what is known of the worker.
+    fn response_due(&self) -> Option<ResponseTime> {
         if self.standing != Standing::Active {
-            return u64::MAX;
+            return None;
         }
-        let expiry = self.calls.iter().map(|call| call.expires).min();
         let due = [
-            expiry,
+            self.calls.iter().map(|call| call.expires).min(),
             self.reachability.overdue_at(&self.calls),
             self.suspicion_due(),
+        ];
+        due.into_iter().flatten().min()
+    }
+
+    fn next_due(&self, now: u64) -> u64 {
+        if self.standing != Standing::Active {
+            return u64::MAX;
+        }
+        let due = [
+            self.response_due().map(|due| self.missing_at(due, now)),
             self.reachability.healthy_at(),
             self.lease_expiry_due(),
             self.stop_due(),
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod lateness;
 mod requests;
 mod rules;
 pub mod worker;
@@ -46,6 +47,7 @@
     Answer { term: u64, call: CallId, outcome: CallOutcome },
     RunOver { instance: String, key: AttemptKey },
     Alone { instance: String, key: AttemptKey },
+    ReadUntil { term: u64, at: u64 },
 }
 
 /// An end `done` as the worker saw it.
@@ -216,9 +218,13 @@
             leader.set_lease(self.now, self.now + LEASE);
         }
         leader.flush(self.now, &mut out);
+        let awaits_input = leader.awaits_input();
         for output in out {
             self.output(output);
         }
+        if awaits_input {
+            self.at(self.now, Event::ReadUntil { term: self.term, at: self.now });
+        }
     }
 
     fn output(&mut self, output: Output) {
@@ -318,9 +324,14 @@
             Event::Answer { term, call, outcome } if term == self.term => {
                 self.handle(Input::CallFinished { call, outcome });
             }
+            Event::ReadUntil { term, at } if term == self.term => self.handle(Input::ReadUntil { at }),
             Event::RunOver { instance, key } => self.run_over(&instance, key),
             Event::Alone { instance, key } => self.alone(&instance, key),
-            Event::Heartbeat { .. } | Event::Commit { .. } | Event::List { .. } | Event::Answer { .. } => {}
+            Event::Heartbeat { .. }
+            | Event::Commit { .. }
+            | Event::List { .. }
+            | Event::Answer { .. }
+            | Event::ReadUntil { .. } => {}
         }
     }
 
--- /dev/null
+++ b/crates/scheduler/tests/worker_lateness.rs
@@ -0,0 +1,112 @@
+//! A session judges missing answers by what its caller was able to read, and leases by the steady clock.
+
+mod support;
+
+use messages::job::Resolution;
+use scheduler::worker::{ResponseClock, SessionOutput};
+
+use support::driver::{lease_renewals, resolutions, starts, Driver};
+use support::{key, order, MS};
+
+/// How long a session waits for the answer to a start at most, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 2_000;
+
+/// A driver whose session has one start in flight, and the start's call. All that arrived up to now was read.
+fn with_start_in_flight() -> (Driver, u64) {
+    let mut driver = Driver::new();
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    (driver, starts(&out)[0])
+}
+
+fn read_until(at: u64) -> ResponseClock {
+    let mut clock = ResponseClock::default();
+    clock.set_read_until(at);
+    clock
+}
+
+/// Whether an output says that an answer of the worker is missing.
+fn misses_an_answer(out: &[SessionOutput]) -> bool {
+    out.iter().any(|output| {
+        matches!(
+            output,
+            SessionOutput::SuspicionChanged { suspected: true }
+                | SessionOutput::ReachabilityChanged { reachable: false }
+                | SessionOutput::CancelCall { .. }
+        )
+    })
+}
+
+#[test]
+fn an_answer_that_may_have_arrived_unread_is_not_missing() {
+    let (mut driver, start) = with_start_in_flight();
+    driver.session.set_response_clock(read_until(driver.now));
+    let out = driver.poll_for_ms(LONGEST_WAIT_MS);
+    assert!(!misses_an_answer(&out), "{out:?}");
+    assert!(driver.session.awaits_input());
+    let out = driver.ok(start);
+    assert!(out.contains(&SessionOutput::Started { key: key(0, 1) }), "{out:?}");
+    assert!(resolutions(&out).is_empty());
+}
+
+#[test]
+fn an_answer_is_missing_as_soon_as_all_that_arrived_in_time_was_read() {
+    let (mut driver, _) = with_start_in_flight();
+    driver.session.set_response_clock(read_until(driver.now));
+    driver.poll_for_ms(LONGEST_WAIT_MS);
+    driver.session.set_response_clock(read_until(driver.now));
+    let out = driver.poll();
+    assert!(misses_an_answer(&out), "{out:?}");
+    assert!(!driver.session.awaits_input());
+}
+
+#[test]
+fn a_session_that_awaits_input_sets_no_timer_for_what_it_cannot_judge() {
+    let (mut driver, _) = with_start_in_flight();
+    driver.session.set_response_clock(read_until(driver.now));
+    driver.poll_for_ms(LONGEST_WAIT_MS);
+    assert!(driver.session.next_timer() > driver.now, "it would be polled again and again");
+}
+
+#[test]
+fn no_second_lease_renewal_is_sent_for_one_whose_answer_may_have_arrived() {
+    let (mut driver, start) = with_start_in_flight();
+    driver.ok(start);
+    driver.session.set_response_clock(read_until(driver.now));
+    let out = driver.poll_for_ms(LONGEST_WAIT_MS);
+    assert!(lease_renewals(&out).is_empty(), "{out:?}");
+}
+
+#[test]
+fn time_in_which_the_process_was_absent_does_not_count_for_calls_in_flight() {
+    let (mut driver, _) = with_start_in_flight();
+    let mut expected = Driver::new();
+    expected.session.start(order(key(0, 1), "text"));
+    expected.meet(&[], &[]);
+    let suspected_after_ms = ms_until_suspected(&mut expected);
+    let mut clock = ResponseClock::default();
+    clock.add_absence(700 * MS);
+    driver.pass_ms(700);
+    driver.session.set_response_clock(clock);
+    assert_eq!(ms_until_suspected(&mut driver), suspected_after_ms);
+}
+
+fn ms_until_suspected(driver: &mut Driver) -> u64 {
+    let began = driver.now;
+    while !driver.poll().contains(&SessionOutput::SuspicionChanged { suspected: true }) {
+        assert!(driver.now < began + LONGEST_WAIT_MS * MS, "no answer is ever missing");
+        driver.pass_ms(1);
+    }
+    (driver.now - began) / MS
+}
+
+#[test]
+fn the_expiry_of_the_worker_lease_waits_for_no_input() {
+    let (mut driver, _) = with_start_in_flight();
+    let mut clock = read_until(driver.now);
+    clock.add_absence(60_000 * MS);
+    driver.session.set_response_clock(clock);
+    driver.session.set_leader_lease(driver.now);
+    let out = driver.poll_for_ms(10_000);
+    assert_eq!(resolutions(&out), [(key(0, 1), Resolution::LEASE_EXPIRED)]);
+}
