Give status queries a budget over all workers

Need: with thousands of uncertain attempts each worker was asked up to every 50 ms, so that an overloaded leader made itself more calls than its share of the processor bears.

The same spacing holds for second lease renewals beside an overdue one. A renewal that the worker's lease lacks is not held back.

Result: worker_pace.rs, status_queries_follow_each_other_as_slowly_as_the_leader_can_bear.

--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -22,6 +22,7 @@
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
+use super::status_queries::StatusQueryBudget;
 use super::timers::{Timer, Timers};
 use super::work::LeaderWork;
 use super::worker_entry::WorkerEntry;
@@ -66,6 +67,7 @@
     /// Workers whose session is to be polled at the end of this event.
     pub(super) workers_to_poll: Vec<WorkerKey>,
     pub(super) lateness: OwnLateness,
+    pub(super) status_queries: StatusQueryBudget,
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
     pub(super) attempts: Attempts,
@@ -119,6 +121,7 @@
             next_worker: 0,
             workers_to_poll: Vec::new(),
             lateness: OwnLateness::new(now),
+            status_queries: StatusQueryBudget::default(),
             workers_with_ends: Vec::new(),
             attempts: Attempts::default(),
             history: AttemptHistory::default(),
--- a/crates/scheduler/src/leader/instances.rs
+++ b/crates/scheduler/src/leader/instances.rs
@@ -135,6 +135,7 @@
     fn forget_worker(&mut self, key: WorkerKey) {
         let Some(entry) = self.workers.remove(&key) else { return };
         self.timers.cancel(Timer::Session(key));
+        self.status_queries.set_needed(key, false);
         self.timers.cancel(Timer::Worker(key));
         self.worker_keys.remove(&entry.instance);
         self.services[entry.service].fleet.remove(key);
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -38,6 +38,7 @@
 mod schedule;
 mod service;
 mod settings;
+mod status_queries;
 mod timers;
 mod work;
 mod worker_availability;
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -118,7 +118,9 @@
             entry.session.set_worker_lease(worker_lease_ms);
             entry.session.set_leader_lease(self.lease_until);
             entry.session.set_response_clock(self.lateness.response_clock);
+            entry.session.set_status_query_spacing(self.status_queries.spacing());
             entry.session.poll(self.now, &mut outputs);
+            self.status_queries.set_needed(key, entry.session.needs_status_queries());
             if entry.session.awaits_input() {
                 self.lateness.await_input(key);
             }
--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -10,11 +10,11 @@
 use super::attempts::Attempt;
 use super::calls::{CallKind, InFlightCall};
 use super::response_clock::ResponseTime;
-use super::session::WorkerSession;
+use super::session::{Standing, WorkerSession};
 use super::types::{SessionOutput, WorkerRequest};
 
 /// Least time between two status queries while an attempt is uncertain, in nanoseconds.
-const STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
+pub(super) const MIN_STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
 /// Most lease renewals in flight.
 const MAX_IN_FLIGHT: usize = 3;
 /// Time between two lease renewals to a worker that runs nothing of ours but doesn't answer.
@@ -76,7 +76,7 @@
         let earliest = if self.lacks_deadline(now) {
             0
         } else if self.status_query_needed().is_some() {
-            self.lease_renewals.spaced(STATUS_QUERY_SPACING)
+            self.lease_renewals.spaced(self.status_query_spacing)
         } else if self.ends.has_unacknowledged() {
             self.lease_renewals.paced_by_acknowledgements()
         } else {
@@ -109,7 +109,7 @@
             return None;
         }
         let overdue = self.missing_at(newest.expected_by(self.answer_timeout()), now);
-        let spaced = self.lease_renewals.spaced(STATUS_QUERY_SPACING);
+        let spaced = self.lease_renewals.spaced(self.status_query_spacing);
         let overdue = overdue.max(self.lease_renewals.paced()).max(spaced);
         let earliest = match self.status_query_needed() {
             _ if self.lacks_deadline(now) => 0,
@@ -126,6 +126,13 @@
         Some(newest.expected_by(self.answer_timeout()))
     }
 
+    /// Whether the session asks the worker beyond the ordinary pace: an attempt there is uncertain, or an answer of it
+    /// is missing.
+    pub fn needs_status_queries(&self) -> bool {
+        self.standing == Standing::Active
+            && (self.status_query_needed().is_some() || (self.suspected && !self.is_idle()))
+    }
+
     /// How long the worker may wait for an end: not at all if the answer itself is wanted.
     fn lease_renewal_wait_ms(&self, now: u64) -> u64 {
         let in_flight = self.calls.lease_renewals().next().is_some();
--- a/crates/scheduler/src/worker/session.rs
+++ b/crates/scheduler/src/worker/session.rs
@@ -13,6 +13,7 @@
 use super::clock::ClockEstimate;
 use super::end_watermarks::EndWatermarks;
 use super::lease_expiry::WorkerLeaseBound;
+use super::lease_renewals::MIN_STATUS_QUERY_SPACING;
 use super::lease_schedule::LeaseRenewalSchedule;
 use super::reachability::Reachability;
 use super::response_clock::{ResponseClock, ResponseTime};
@@ -53,6 +54,8 @@
     pub(super) leader_lease_until: u64,
     /// How far ahead the worker's lease is set, in milliseconds of the worker's clock.
     pub(super) worker_lease_ms: u64,
+    /// Least time between two status queries, in nanoseconds.
+    pub(super) status_query_spacing: u64,
     pub(super) outputs: Vec<SessionOutput>,
     /// When the session wants to be polled next, in nanoseconds of the steady clock.
     pub(super) wake_at: u64,
@@ -85,6 +88,7 @@
             newest_lists: 0,
             leader_lease_until: 0,
             worker_lease_ms: options.worker_lease_ms,
+            status_query_spacing: MIN_STATUS_QUERY_SPACING,
             outputs: Vec::new(),
             wake_at: now,
             awaits_input: false,
@@ -153,6 +157,12 @@
         self.worker_lease_ms = worker_lease_ms.min(self.options.worker_lease_ms);
     }
 
+    /// Least time between two status queries from the next poll on, in nanoseconds; never below
+    /// `MIN_STATUS_QUERY_SPACING`. Lease renewals that the worker's lease rests on are not affected.
+    pub fn set_status_query_spacing(&mut self, spacing: u64) {
+        self.status_query_spacing = spacing.max(MIN_STATUS_QUERY_SPACING);
+    }
+
     /// The leader's lease lasts until then, in nanoseconds of the steady clock: so long, calls that start attempts or
     /// extend the worker's lease may leave.
     pub fn set_leader_lease(&mut self, until: u64) {
--- a/crates/scheduler/tests/worker_pace.rs
+++ b/crates/scheduler/tests/worker_pace.rs
@@ -4,8 +4,8 @@
 
 use scheduler::worker::{CallOutcome, RunningEntry, SessionOutput};
 
-use support::driver::{has_started, lease_renewals, only_lease_renewal, Driver};
-use support::{key, MS};
+use support::driver::{has_started, lease_renewals, only_lease_renewal, starts, stops, Driver};
+use support::{key, order, MS};
 
 /// Lease renewals of half a second at the ordinary pace: one every 100 ms, and two ahead of it.
 const ORDINARY_PACE: usize = 8;
@@ -68,3 +68,31 @@
     let sent = lease_renewals_within_ms(&mut driver, 500, beside, &lists);
     assert!(sent <= ORDINARY_PACE, "{sent} lease renewals in half a second");
 }
+
+/// Milliseconds from a stop's answer to the status query that settles the attempt, with the given spacing.
+fn status_query_after_ms(spacing_ms: u64) -> u64 {
+    let mut driver = Driver::new();
+    driver.session.set_status_query_spacing(spacing_ms * MS);
+    driver.session.start(order(key(0, 1), "text"));
+    let out = driver.meet(&[], &[]);
+    let ordinary = only_lease_renewal(&out);
+    driver.answer(starts(&out)[0], CallOutcome::NoResponse);
+    let mut out = driver.lists(ordinary, &[], &[]);
+    while stops(&out).is_empty() {
+        let lists = *lease_renewals(&out).first().unwrap_or(&0);
+        out = if lists > 0 { driver.lists(lists, &[], &[]) } else { driver.poll_for_ms(1) };
+    }
+    let began = driver.now;
+    let mut out = driver.ok(stops(&out)[0].0);
+    while lease_renewals(&out).is_empty() {
+        out = driver.poll_for_ms(1);
+    }
+    (driver.now - began) / MS
+}
+
+#[test]
+fn status_queries_follow_each_other_as_slowly_as_the_leader_can_bear() {
+    let (ordinary, slow) = (status_query_after_ms(0), status_query_after_ms(1_500));
+    assert!(ordinary <= 50, "{ordinary} ms");
+    assert!(slow >= 1_400, "{slow} ms");
+}
