Tell the leader how late its process is, by a marker that goes the way of answers

Need: the driver may handle a timer before answers that had arrived, since an answer passes through the task of its connection, the task of its call and the queue of events.

Change: when a time limit has passed that may be due to unread answers, the driver sends an InputMarker through the same tasks and queue; what arrived before it set out is handled once it is.

The limit for connecting (700 ms) is left as it is: the runtime learns what the sockets report before its timers fire, and the connection is looked at before the limit.

--- a/crates/control/src/driver/event_handlers.rs
+++ b/crates/control/src/driver/event_handlers.rs
@@ -24,6 +24,7 @@
                     self.notify_leader(now, Input::CallFinished { call, outcome });
                 }
             }
+            DriverEvent::InputMarker { at } => self.handle_input_marker(now, at),
             DriverEvent::Instances(Ok(instances)) => {
                 let listed: HashSet<&str> = instances.iter().map(|listed| listed.address.as_str()).collect();
                 self.workers.retain(|address| listed.contains(address));
--- /dev/null
+++ b/crates/control/src/driver/lateness.rs
@@ -0,0 +1,53 @@
+//! Tells the leader how late this process is, and up to when it has read what arrived.
+
+use super::Driver;
+use crate::events::DriverEvent;
+use crate::input_marker::mark_input;
+use scheduler::leader::{Input, Leader};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// Sends a marker behind the input that has arrived, at most one at a time, when the leader waits for one.
+pub(super) struct InputMarkers {
+    events: mpsc::Sender<DriverEvent>,
+    is_on_its_way: bool,
+}
+
+impl InputMarkers {
+    pub(super) fn new(events: mpsc::Sender<DriverEvent>) -> Self {
+        InputMarkers { events, is_on_its_way: false }
+    }
+
+    fn send(&mut self, now: u64) {
+        if !self.is_on_its_way {
+            self.is_on_its_way = true;
+            spawn_local(mark_input(now, self.events.clone()));
+        }
+    }
+}
+
+impl Driver {
+    /// Tells the leader how long this process was absent before the turn that begins now.
+    pub(super) fn note_absence(&mut self, now: u64, next_timer: u64) {
+        let absence = self.absence.turn_began(now, next_timer);
+        if absence == 0 {
+            return;
+        }
+        if let Some(leader) = self.leader.as_mut() {
+            leader.was_absent(now, absence);
+        }
+    }
+
+    /// Sends a marker if the leader may judge the silence of workers only after what has arrived is read.
+    pub(super) fn send_marker_if_awaited(&mut self) {
+        if self.leader.as_ref().is_some_and(Leader::awaits_input) {
+            self.input_markers.send(self.clock.now());
+        }
+    }
+
+    /// Everything that arrived before `at` was handled.
+    pub(super) fn handle_input_marker(&mut self, now: u64, at: u64) {
+        self.input_markers.is_on_its_way = false;
+        self.notify_leader(now, Input::ReadUntil { at });
+    }
+}
--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -21,6 +21,7 @@
         self.announced_lease = 0;
         self.metrics.leadership_changed(Leadership::Gained);
         self.announce_leader();
+        self.notify_leader(now, Input::ReadUntil { at: now });
         self.tick_leader(now);
     }
 
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -3,10 +3,12 @@
 mod event_handlers;
 mod event_log;
 mod founding;
+mod lateness;
 mod leadership;
 mod load_log;
 mod shutdown;
 
+use crate::absence::AbsenceMeter;
 use crate::clients::Clients;
 use crate::clock::{Clock, MILLISECOND};
 use crate::connection_budget::max_worker_connections;
@@ -25,6 +27,7 @@
 use crate::{replica, settings_file, wire};
 use configuration::{OrderDelivery, ProcessSettings};
 use consensus::{Event, Founding, LeadershipObstacle, Membership, NodeId};
+use lateness::InputMarkers;
 use scheduler::leader::{Input, Leader, Mechanisms, Output};
 use std::collections::VecDeque;
 use std::path::PathBuf;
@@ -101,6 +104,8 @@
     leaderless_since: Option<u64>,
     /// The reason for that, as it was logged last, and when.
     logged_obstacle: Option<(LeadershipObstacle, u64)>,
+    absence: AbsenceMeter,
+    input_markers: InputMarkers,
     /// When the load of this leader was last recorded, in nanoseconds of `clock`.
     load_recorded_at: u64,
     /// When a leader reads the seeds in the settings file next, in nanoseconds of `clock`.
@@ -167,6 +172,8 @@
             founding_id,
             leaderless_since: None,
             logged_obstacle: None,
+            absence: AbsenceMeter::default(),
+            input_markers: InputMarkers::new(events.clone()),
             load_recorded_at: now,
             next_seed_check: 0,
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
@@ -197,7 +204,8 @@
         let timer = sleep_until(Instant::now());
         tokio::pin!(timer);
         loop {
-            timer.as_mut().reset(self.clock.instant(self.next_timer()).into());
+            let next_timer = self.next_timer();
+            timer.as_mut().reset(self.clock.instant(next_timer).into());
             if !self.effects.is_empty() {
                 // The timer is due at once: without this, the tasks of connections would not run.
                 yield_now().await;
@@ -209,7 +217,9 @@
                 () = &mut timer => {}
             }
             let now = self.clock.now();
+            self.note_absence(now, next_timer);
             self.take_turn(now, &mut received);
+            self.absence.turn_ended(self.clock.now());
             if let Some(exit) = self.take_exit(now) {
                 return exit;
             }
@@ -228,6 +238,7 @@
         at = self.part_ended(TurnPart::Timers, 1, at);
         self.process_outputs(now);
         at = self.part_ended(TurnPart::Outputs, 1, at);
+        self.send_marker_if_awaited();
         self.replica.take_snapshot_if_due();
         self.metrics.turns.ended(at.saturating_sub(now));
         self.record_load(at);
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -51,6 +51,11 @@
         /// How it ended.
         outcome: CallOutcome,
     },
+    /// Everything that arrived before this marker set out has been handed to the driver.
+    InputMarker {
+        /// When it set out, in nanoseconds of the process's clock.
+        at: u64,
+    },
     /// The platform's list was read, or could not be read.
     Instances(Result<Vec<Instance>, PlatformError>),
     /// The platform's list was read, and is the same as the last one sent in this leadership.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+pub mod absence;
 mod admin;
 mod clients;
 mod clock;
@@ -18,12 +19,14 @@
 pub mod http;
 mod http_api;
 mod identity;
+pub mod input_marker;
 pub mod metrics;
 mod operator_api;
 mod operator_calls;
 mod peer_connections;
 pub mod platform;
 mod process;
+pub mod punctual_timeout;
 pub mod replica;
 mod settings_file;
 mod signals;
--- a/crates/control/src/worker_lane.rs
+++ b/crates/control/src/worker_lane.rs
@@ -6,6 +6,7 @@
 
 use crate::connection_budget::{ConnectionBudget, IdleTicket};
 use crate::http::{Answer, CallError, HttpConnection};
+use crate::punctual_timeout::punctual_timeout;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -14,9 +15,9 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
-/// How long a call waits for a busy connection before it opens another.
+/// How long a call waits for a busy connection before it opens another. While this process is late, a connection may
+/// only look busy: its answer has not been read.
 const BUSY_WAIT_LIMIT: Duration = Duration::from_millis(30);
 
 /// The budget that all lanes share.
@@ -130,7 +131,7 @@
             if open == 0 || (open < self.limit && has_waited) {
                 return self.reserve();
             }
-            if timeout(BUSY_WAIT_LIMIT, self.released.notified()).await.is_err() {
+            if punctual_timeout(BUSY_WAIT_LIMIT, self.released.notified()).await.is_err() {
                 has_waited = true;
             }
         }
--- /dev/null
+++ b/crates/control/tests/own_lateness.rs
@@ -0,0 +1,153 @@
+//! A process that is late: what it has not read yet is not missing.
+
+use control::absence::AbsenceMeter;
+use control::events::DriverEvent;
+use control::input_marker::mark_input;
+use control::punctual_timeout::punctual_timeout;
+use control::worker_calls::WorkerCall;
+use control::worker_client::WorkerClient;
+use scheduler::leader::CallId;
+use scheduler::worker::{CallOutcome, WorkerRequest};
+use std::future::{pending, poll_fn, Future};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
+use std::sync::mpsc as blocking;
+use std::task::Poll;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{advance, pause, timeout};
+
+const MS: u64 = 1_000_000;
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_millis(30);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 45\r\nContent-Type: application/json\r\n\r\n\
+                        {\"NowMs\":7,\"Running\":[],\"Finished\":[]}       ";
+
+fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Workers on a thread of their own that answer all at once, when they are told to.
+struct SlowWorkers {
+    addresses: Vec<SocketAddr>,
+    answer: blocking::Sender<()>,
+    answered: blocking::Receiver<()>,
+}
+
+impl SlowWorkers {
+    fn start(count: usize) -> SlowWorkers {
+        let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+        let address = |listener: &TcpListener| listener.local_addr().expect("an address");
+        let addresses = listeners.iter().map(address).collect();
+        let (answer, told) = blocking::channel();
+        let (done, answered) = blocking::channel();
+        thread::spawn(move || {
+            let accept = |listener: &TcpListener| listener.accept().expect("a connection").0;
+            let mut streams: Vec<_> = listeners.iter().map(accept).collect();
+            for stream in &mut streams {
+                let read = stream.read(&mut [0; 4_096]).expect("a call");
+                assert!(read > 0, "a call has come");
+            }
+            done.send(()).expect("the test goes on");
+            told.recv().expect("the test tells when to answer");
+            for stream in &mut streams {
+                stream.write_all(ANSWER).expect("an answer leaves");
+            }
+            done.send(()).expect("the test goes on");
+            // The connections stay open until the test ends.
+            let _ = told.recv();
+        });
+        SlowWorkers { addresses, answer, answered }
+    }
+}
+
+fn call(number: u64, address: SocketAddr) -> WorkerCall {
+    let request = WorkerRequest::RenewLease { fencing_token: 7, last_seen: 0, deadline_ms: None, wait_ms: 0 };
+    let call = CallId { worker: number, call: 1 };
+    WorkerCall { call, address: address.to_string(), instance: "i-1".to_owned(), request }
+}
+
+#[test]
+fn a_marker_arrives_after_all_answers_that_arrived_before_it_set_out() {
+    const WORKERS: usize = 300;
+    let played = async {
+        let workers = SlowWorkers::start(WORKERS);
+        // As few as the driver's queue holds under load: answers wait for room.
+        let (sender, mut events) = mpsc::channel(16);
+        let mut client = WorkerClient::new(sender.clone());
+        for (number, address) in workers.addresses.iter().enumerate() {
+            client.start(call(number as u64, *address));
+        }
+        while workers.answered.try_recv().is_err() {
+            tokio::task::yield_now().await;
+        }
+        workers.answer.send(()).expect("the workers wait");
+        // This process stands still while the answers arrive.
+        workers.answered.recv().expect("the workers have answered");
+        spawn_local(mark_input(5, sender));
+        let mut answers = 0;
+        loop {
+            match events.recv().await {
+                Some(DriverEvent::CallFinished { outcome: CallOutcome::Lists { .. }, .. }) => answers += 1,
+                Some(DriverEvent::InputMarker { at: 5 }) => break,
+                _ => panic!("an answer or the marker"),
+            }
+        }
+        assert_eq!(answers, WORKERS, "answers before the marker");
+    };
+    on_one_thread(async { timeout(TEST_TIMEOUT, played).await.expect("an end in time") });
+}
+
+#[test]
+fn a_limit_that_passes_while_the_process_is_late_begins_anew() {
+    on_one_thread(async {
+        pause();
+        let mut waiting = pin!(punctual_timeout(LIMIT, pending::<()>()));
+        let mut is_over =
+            async || poll_fn(|context| Poll::Ready(waiting.as_mut().poll(context).is_ready())).await;
+        assert!(!is_over().await);
+        advance(LIMIT * 4).await;
+        assert!(!is_over().await, "the process was late");
+        advance(LIMIT + Duration::from_millis(2)).await;
+        assert!(is_over().await, "the process was in time");
+    });
+}
+
+#[test]
+fn a_process_that_is_always_late_still_reaches_its_limits() {
+    on_one_thread(async {
+        pause();
+        let mut waiting = pin!(punctual_timeout(LIMIT, pending::<()>()));
+        let mut is_over =
+            async || poll_fn(|context| Poll::Ready(waiting.as_mut().poll(context).is_ready())).await;
+        let mut rounds = 0;
+        while !is_over().await {
+            rounds += 1;
+            assert!(rounds < 20, "it never ends");
+            advance(LIMIT * 4).await;
+        }
+    });
+}
+
+#[test]
+fn long_turns_and_late_timers_are_absence_and_idle_time_is_not() {
+    let mut meter = AbsenceMeter::default();
+    assert_eq!(meter.turn_began(1_000 * MS, 1_000 * MS), 0);
+    meter.turn_ended(1_002 * MS);
+    assert_eq!(meter.turn_began(1_500 * MS, 1_500 * MS), 0, "nothing was due before");
+    meter.turn_ended(1_580 * MS);
+    assert_eq!(meter.turn_began(1_581 * MS, 1_600 * MS), 80 * MS, "a long turn");
+    meter.turn_ended(1_582 * MS);
+    assert_eq!(
+        meter.turn_began(1_700 * MS, 1_590 * MS),
+        111 * MS,
+        "a timer was due, and the turn before took 1 ms"
+    );
+    meter.turn_ended(1_701 * MS);
+    assert_eq!(meter.turn_began(1_705 * MS, 1_690 * MS), 0, "ordinary turns");
+}
