--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -109,11 +109,12 @@
             return None;
         }
         let overdue = self.missing_at(newest.expected_by(self.answer_timeout()), now);
-        let spaced = self.lease_renewals.spaced(self.status_query_spacing);
-        let overdue = overdue.max(self.lease_renewals.paced()).max(spaced);
+        let overdue = overdue.max(self.lease_renewals.paced());
         let earliest = match self.status_query_needed() {
             _ if self.lacks_deadline(now) => 0,
-            Some(conclusive_from) if newest.id < conclusive_from => spaced.min(overdue),
+            Some(conclusive_from) if newest.id < conclusive_from => {
+                self.lease_renewals.spaced(self.status_query_spacing).min(overdue)
+            }
             _ => overdue,
         };
         Some(earliest.max(self.lease_renewals.not_before()))
@@ -126,11 +127,9 @@
         Some(newest.expected_by(self.answer_timeout()))
     }
 
-    /// Whether the session asks the worker beyond the ordinary pace: an attempt there is uncertain, or an answer of it
-    /// is missing.
+    /// Whether the session asks the worker beyond the ordinary pace, since an attempt there is uncertain.
     pub fn needs_status_queries(&self) -> bool {
-        self.standing == Standing::Active
-            && (self.status_query_needed().is_some() || (self.suspected && !self.is_idle()))
+        self.standing == Standing::Active && self.status_query_needed().is_some()
     }
 
     /// How long the worker may wait for an end: not at all if the answer itself is wanted.
