--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -17,10 +17,12 @@
 use super::interface::{Input, Output};
 use super::mechanisms::Mechanism;
 use super::outlier_detector::PeerAverages;
+use super::own_lateness::OwnLateness;
 use super::pending_requests::{PendingClients, PendingConfigurations};
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
+use super::status_queries::StatusQueryBudget;
 use super::timers::{Timer, Timers};
 use super::work::LeaderWork;
 use super::worker_entry::WorkerEntry;
@@ -66,6 +68,8 @@
     pub(super) next_worker: WorkerKey,
     /// Workers whose session is to be polled at the end of this turn.
     pub(super) workers_to_poll: Vec<WorkerKey>,
+    pub(super) lateness: OwnLateness,
+    pub(super) status_queries: StatusQueryBudget,
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
     pub(super) attempts: Attempts,
@@ -119,6 +123,8 @@
             worker_keys: HashMap::new(),
             next_worker: 0,
             workers_to_poll: Vec::new(),
+            lateness: OwnLateness::new(now),
+            status_queries: StatusQueryBudget::default(),
             workers_with_ends: Vec::new(),
             attempts: Attempts::default(),
             history: AttemptHistory::default(),
@@ -177,6 +183,7 @@
             Input::CallFinished { call, outcome } => self.call_finished(call, outcome),
             Input::BatchApplied { changes, .. } => self.changes_committed(state, &changes, out),
             Input::ProposalDropped => {}
+            Input::ReadUntil { at } => self.read_until(at),
             Input::Tick { time_of_day_ms } => self.tick(time_of_day_ms),
         }
         self.run_timers(state, out);
--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -9,11 +9,12 @@
 
 use super::attempts::Attempt;
 use super::calls::{CallKind, InFlightCall};
-use super::session::WorkerSession;
+use super::response_clock::ResponseTime;
+use super::session::{Standing, WorkerSession};
 use super::types::{SessionOutput, WorkerRequest};
 
-/// Least time between two status queries while an attempt is uncertain.
-const STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
+/// Least time between two status queries while an attempt is uncertain, in nanoseconds.
+pub(super) const MIN_STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
 /// Most lease renewals in flight.
 const MAX_IN_FLIGHT: usize = 3;
 /// Time between two lease renewals to a worker that runs nothing of ours but doesn't answer.
@@ -51,7 +52,8 @@
         };
         let last_seen = self.ends.acknowledged();
         let wait = wait_ms.saturating_mul(NANOS_PER_MS);
-        let call = self.calls.open(CallKind::RenewLease { last_seen }, now, wait, self.call_timeout());
+        let (sent, timeout) = (self.send_time(now), self.call_timeout());
+        let call = self.calls.open(CallKind::RenewLease { last_seen }, sent, wait, timeout);
         self.lease_renewals.sent(now, deadline_ms.is_some());
         let request = WorkerRequest::RenewLease {
             fencing_token: self.options.fencing_token,
@@ -74,7 +76,7 @@
         let earliest = if self.lacks_deadline(now) {
             0
         } else if self.status_query_needed().is_some() {
-            self.lease_renewals.spaced(STATUS_QUERY_SPACING)
+            self.lease_renewals.spaced(self.status_query_spacing)
         } else if self.ends.has_unacknowledged() {
             self.lease_renewals.paced_by_acknowledgements()
         } else {
@@ -106,17 +108,30 @@
         {
             return None;
         }
-        let overdue = newest.expected_by(self.answer_timeout()).max(self.lease_renewals.paced());
+        let overdue = self.missing_at(newest.expected_by(self.answer_timeout()), now);
+        let overdue = overdue.max(self.lease_renewals.paced());
         let earliest = match self.status_query_needed() {
             _ if self.lacks_deadline(now) => 0,
             Some(conclusive_from) if newest.id < conclusive_from => {
-                self.lease_renewals.spaced(STATUS_QUERY_SPACING).min(overdue)
+                self.lease_renewals.spaced(self.status_query_spacing).min(overdue)
             }
             _ => overdue,
         };
         Some(earliest.max(self.lease_renewals.not_before()))
     }
 
+    /// When the newest lease renewal in flight is overdue, if another one may be sent beside it.
+    pub(super) fn lease_renewal_overdue(&self) -> Option<ResponseTime> {
+        let may_hedge = self.options.hedged_lease_renewals && !self.is_idle();
+        let newest = self.calls.lease_renewals().next_back().filter(|_| may_hedge)?;
+        Some(newest.expected_by(self.answer_timeout()))
+    }
+
+    /// Whether the session asks the worker beyond the ordinary pace, since an attempt there is uncertain.
+    pub fn needs_status_queries(&self) -> bool {
+        self.standing == Standing::Active && self.status_query_needed().is_some()
+    }
+
     /// How long the worker may wait for an end: not at all if the answer itself is wanted.
     fn lease_renewal_wait_ms(&self, now: u64) -> u64 {
         let in_flight = self.calls.lease_renewals().next().is_some();
