Log what a leader knows of a gang of which a member waited in vain

A broken GANG rule left no line in the log: an end 'alone' shows at the leader as any other that is retried. It is logged at level warn now, with how long ago the gang was placed and how many of its members are known to have started or were asked to stop. No decision changes.

--- a/crates/control/src/driver/event_log.rs
+++ b/crates/control/src/driver/event_log.rs
@@ -6,6 +6,7 @@
 use crate::clock::MILLISECOND;
 use log::Level;
 use messages::job::JobPhase;
+use scheduler::ids::AttemptKey;
 use scheduler::leader::WorkerEvent;
 use scheduler::state::{State, StateChange};
 
@@ -129,6 +130,14 @@
         WorkerEvent::Lost { instance, attempts } => {
             log::info!("worker lost instance={instance} attempts={attempts}");
         }
+        WorkerEvent::WaitedInVain { instance, key, gang } => {
+            let AttemptKey { task, attempt } = key;
+            log::warn!(
+                "a gang's member waited in vain instance={instance} job={:016x} time={} step={} index={} attempt={attempt} \
+                 placed_ms={} members={} started={} stopping={}",
+                task.job, task.time, task.step, task.index, gang.placed_ms, gang.members, gang.started, gang.stopping
+            );
+        }
         WorkerEvent::Fenced { instance } => {
             log::warn!("a worker has seen a newer leader, this one gives no more orders instance={instance}");
         }
--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -148,6 +148,11 @@
         self.by_key.range(first..=last)
     }
 
+    /// The attempts of one run of a gang: those of its step with the same number.
+    pub(super) fn of_run(&self, key: AttemptKey) -> impl Iterator<Item = (&AttemptKey, &Attempt)> {
+        self.of_step(key.task.step_key()).filter(move |(member, _)| member.attempt == key.attempt)
+    }
+
     /// Restarts the detection of stalls for a worker's attempts.
     pub(super) fn renew_progress(&mut self, worker: WorkerKey, now: u64) {
         for attempt in self.by_key.values_mut() {
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -1,9 +1,11 @@
 //! Consequences of committed commands: replies, waiting tasks, orders to workers.
 
+use messages::job::EndKind;
 use messages::peer::{ClientReply, Outcome};
 
 use crate::ids::{AttemptKey, TaskKey};
 use crate::state::{AttemptOutcome, State, StateChange};
+use crate::time::NANOS_PER_MS;
 use crate::worker::StartOrder;
 
 use super::client_requests::reply;
@@ -12,6 +14,7 @@
 use super::interface::{ConfigurationReply, Output};
 use super::pending_requests::JobName;
 use super::service::QueueEnd;
+use super::worker_events::{GangProgress, WorkerEvent};
 
 impl Leader {
     /// Acts on the changes of one committed batch, in order.
@@ -161,9 +164,26 @@
 
     fn attempt_finished(&mut self, key: &AttemptKey, outcome: AttemptOutcome) {
         self.record_finished(*key, outcome);
+        if outcome == AttemptOutcome::Ended(EndKind::ALONE) {
+            self.record_waited_in_vain(*key);
+        }
         self.release(key);
     }
 
+    /// Reports a gang's member that ended since the others did not start in time.
+    fn record_waited_in_vain(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let Some(entry) = self.workers.get(&attempt.worker) else { return };
+        let placed_ms = self.now.saturating_sub(attempt.placed_at) / NANOS_PER_MS;
+        let mut gang = GangProgress { placed_ms, members: 0, started: 0, stopping: 0 };
+        for (_, member) in self.attempts.of_run(key) {
+            gang.members += 1;
+            gang.started += u32::from(member.started_at.is_some());
+            gang.stopping += u32::from(member.stopping);
+        }
+        self.events.push(WorkerEvent::WaitedInVain { instance: entry.instance.clone(), key, gang });
+    }
+
     /// Keeps an attempt for the reports of jobs. To be called before its capacity is released.
     fn record_finished(&mut self, key: AttemptKey, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(&key) else { return };
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -52,4 +52,4 @@
 pub use reports::LeaderLoad;
 pub use settings::LeaderSettings;
 pub use work::LeaderWork;
-pub use worker_events::WorkerEvent;
+pub use worker_events::{GangProgress, WorkerEvent};
--- a/crates/scheduler/src/leader/worker_events.rs
+++ b/crates/scheduler/src/leader/worker_events.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::ids::AttemptKey;
+
 /// Events that wait for the driver at most; further ones are dropped.
 const MAX_EVENTS: usize = 256;
 
@@ -39,6 +41,15 @@
         /// Attempts that were running there.
         attempts: u32,
     },
+    /// A member of a gang ended there since the others had not all started in time.
+    WaitedInVain {
+        /// The worker's incarnation.
+        instance: Arc<str>,
+        /// Which attempt.
+        key: AttemptKey,
+        /// What this leader knows of the gang.
+        gang: GangProgress,
+    },
     /// It has seen a newer leader: this one orders nothing more.
     Fenced {
         /// The worker's incarnation.
@@ -46,6 +57,19 @@
     },
 }
 
+/// What a leader knows of a gang of which a member waited in vain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GangProgress {
+    /// Time since this leader chose its workers, or took it over, in milliseconds.
+    pub placed_ms: u64,
+    /// Attempts that have not finished.
+    pub members: u32,
+    /// How many of them are known to have started.
+    pub started: u32,
+    /// How many of them were asked to stop.
+    pub stopping: u32,
+}
+
 /// Events that the driver has not taken yet, the oldest first.
 #[derive(Debug, Default)]
 pub(super) struct WorkerEvents {
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -89,6 +89,8 @@
     pub has_lease: bool,
     /// Runs of gangs that ended since not all members started.
     pub alone: u32,
+    /// Whether all answers of workers are lost on their way.
+    pub loses_answers: bool,
     random: fastrand::Rng,
     jobs: BTreeMap<u64, JobSpec>,
     done_ends: Vec<DoneEnd>,
@@ -162,6 +164,7 @@
             loss_percent: 0,
             has_lease: true,
             alone: 0,
+            loses_answers: false,
             random: fastrand::Rng::with_seed(7),
             jobs: BTreeMap::new(),
             done_ends: Vec::new(),
@@ -361,7 +364,7 @@
 
     /// An answer comes back, or is lost.
     fn answer(&mut self, term: u64, call: CallId, outcome: CallOutcome) {
-        if self.random.u8(..100) >= self.loss_percent / 2 {
+        if self.random.u8(..100) >= self.loss_percent / 2 && !self.loses_answers {
             self.at(self.now + LATENCY, Event::Answer { term, call, outcome });
         }
     }
@@ -446,7 +449,7 @@
         for (instance, member) in members {
             let of_member = if member == key || kind == EndKind::DONE { kind } else { EndKind::BROKEN };
             if let Some(worker) = self.workers.get_mut(&instance) {
-                worker.end(member, of_member);
+                worker.end(now, member, of_member);
             }
             if kind == EndKind::DONE {
                 self.done.insert(member.task);
@@ -464,9 +467,10 @@
 
     /// A gang's member that still waits for the others ends.
     fn alone(&mut self, instance: &str, key: AttemptKey) {
+        let now = self.now;
         let Some(worker) = self.workers.get_mut(instance).filter(|worker| worker.up) else { return };
         if worker.running.get(&key).is_some_and(|run| run.ends_at.is_none() && !run.stalled) {
-            worker.end(key, EndKind::ALONE);
+            worker.end(now, key, EndKind::ALONE);
             self.alone += 1;
             self.wake_lease_renewals(instance);
         }
@@ -483,6 +487,7 @@
 
     /// A gang's run that has begun ends once a member is gone.
     fn break_gangs(&mut self) {
+        let now = self.now;
         loop {
             let begun = |worker: &ModelWorker| {
                 let runs = worker.running.iter().filter(|(_, run)| run.begun);
@@ -501,7 +506,7 @@
             }
             for (instance, key) in broken {
                 if let Some(worker) = self.workers.get_mut(&instance) {
-                    worker.end(key, EndKind::BROKEN);
+                    worker.end(now, key, EndKind::BROKEN);
                 }
                 self.wake_lease_renewals(&instance);
             }
--- a/crates/scheduler/tests/cluster/worker.rs
+++ b/crates/scheduler/tests/cluster/worker.rs
@@ -22,13 +22,26 @@
     pub stalled: bool,
     /// Whether it works: of a gang once all members are there.
     pub begun: bool,
+    /// Whether it saves its progress when it ends.
+    pub saves: bool,
 }
 
 impl Run {
+    /// The share of its work that is done, what it resumes from included, as workers count it.
     fn percent(&self, now: u64) -> u32 {
-        let Some(ends_at) = self.ends_at.filter(|_| !self.stalled) else { return 0 };
+        let resumed = self.checkpoint.parse().unwrap_or(0);
+        let Some(ends_at) = self.ends_at.filter(|_| !self.stalled) else { return resumed };
         let total = ends_at.saturating_sub(self.started_at).max(1);
-        (now.saturating_sub(self.started_at) * 100 / total).min(99) as u32
+        let share = (now.saturating_sub(self.started_at) * 100 / total).min(99) as u32;
+        (resumed + share).min(99)
+    }
+
+    /// The checkpoint with which it ends: the percentage as a text.
+    fn last_checkpoint(&self, now: u64) -> String {
+        match self.percent(now) {
+            percent if self.saves && percent > 0 => percent.to_string(),
+            _ => self.checkpoint.clone(),
+        }
     }
 }
 
@@ -45,6 +58,8 @@
     /// Calls are lost on their way.
     pub mute: bool,
     pub fails_all: bool,
+    /// Whether its runs save their progress when they end.
+    pub saves: bool,
     /// Sequence of each end.
     pub ended: BTreeMap<AttemptKey, u64>,
     /// When the lease last expired.
@@ -78,6 +93,7 @@
             stalls: false,
             mute: false,
             fails_all: false,
+            saves: false,
             ended: BTreeMap::new(),
             lapsed_at: None,
             highest: BTreeMap::new(),
@@ -99,11 +115,11 @@
         }
         let keys: Vec<AttemptKey> = self.running.keys().copied().collect();
         for key in keys {
-            self.end(key, EndKind::LAPSED);
+            self.end(now, key, EndKind::LAPSED);
         }
     }
 
-    pub fn end(&mut self, key: AttemptKey, kind: EndKind) {
+    pub fn end(&mut self, now: u64, key: AttemptKey, kind: EndKind) {
         let Some(run) = self.running.remove(&key) else { return };
         self.sequence += 1;
         self.ended.insert(key, self.sequence);
@@ -112,7 +128,7 @@
             task: Some(key.task.into()),
             attempt: key.attempt,
             kind,
-            checkpoint: run.checkpoint,
+            checkpoint: run.last_checkpoint(now),
             counted: false,
         });
     }
@@ -172,6 +188,7 @@
                     kind: EndKind::DONE,
                     stalled: self.stalls,
                     begun: false,
+                    saves: self.saves,
                 };
                 self.running.insert(*key, run);
                 (answer, Some(*key))
@@ -179,7 +196,7 @@
             WorkerRequest::Stop { key, .. } => {
                 let highest = self.highest.entry(key.task).or_default();
                 *highest = (*highest).max(key.attempt);
-                self.end(*key, EndKind::STOPPED);
+                self.end(now, *key, EndKind::STOPPED);
                 (answer, None)
             }
             WorkerRequest::RenewLease { last_seen, deadline_ms, .. } => {
