Let a gang's orders leave together, and stop an incomplete gang in time

Cause, each shown by a test that failed before (members ended alone, or ran by themselves): - members resumed from a checkpoint list the saved share of their work, which counted as progress, so that a gang that was not complete was never stopped; - the wait was counted from when an answer showed a member to run: answers that came late, or only to a later leader, put off the stop beyond gang_ms; - members started though the order of another could not leave (its worker's slots taken, its answer missing). Only progress beyond the first listed share shows that a resumed gang is complete.

--- a/crates/scheduler/src/leader/attempt_examination.rs
+++ b/crates/scheduler/src/leader/attempt_examination.rs
@@ -19,8 +19,6 @@
 const PREDICTION_SLACK: f64 = 1.25;
 /// Time that a stop and its end take beside `stop_ms`, in milliseconds.
 const EVACUATION_MS: u64 = 300;
-/// How long before a gang's member would time out it is stopped, in milliseconds.
-const GANG_MARGIN_MS: u64 = 1_200;
 /// Least time without progress after which an attempt is stalled, in milliseconds.
 const STALL_MS: u64 = 3_000;
 /// The same as a share of the client's estimate.
@@ -40,7 +38,7 @@
 enum Remedy {
     /// Its worker ends before it would.
     Evacuate,
-    /// Not all members of its gang have started, and it would soon time out for that.
+    /// Not all members of its gang have started in time.
     RestartGang,
     /// It is stalled.
     Move,
@@ -99,10 +97,10 @@
         if may_copy && !self.workers.get(&attempt.worker).is_some_and(answers) {
             return Some(Remedy::Copy);
         }
-        let started_at = attempt.started_at?;
-        if self.gang_wait_timed_out(key, attempt, started_at) {
+        if self.is_gang_overdue(key, attempt) {
             return Some(Remedy::RestartGang);
         }
+        let started_at = attempt.started_at?;
         if attempt.long_running {
             return None;
         }
@@ -118,16 +116,6 @@
         (late && still_useful).then_some(Remedy::Copy)
     }
 
-    /// Whether a gang's member has waited so long for others that the gang is better started again.
-    fn gang_wait_timed_out(&self, key: AttemptKey, attempt: &Attempt, started_at: u64) -> bool {
-        let longest_wait = self.settings.gang_ms.saturating_sub(GANG_MARGIN_MS) * NANOS_PER_MS;
-        if !attempt.gang || attempt.percent > 0 || self.now.saturating_sub(started_at) < longest_wait {
-            return false;
-        }
-        let mut members = self.attempts.of_step(key.task.step_key());
-        members.any(|(member, other)| member.attempt == key.attempt && other.started_at.is_none())
-    }
-
     /// Whether the attempt would not end before its draining worker does.
     fn outlives_worker(&self, attempt: &Attempt) -> bool {
         let Some(entry) = self.workers.get(&attempt.worker) else { return false };
--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -20,6 +20,11 @@
     /// The client's estimate of its run, in milliseconds.
     pub(super) estimate_ms: u64,
     pub(super) gang: bool,
+    /// Of a gang's member: when its gang is given up unless all members are known to have started by then. Unset
+    /// until the orders leave.
+    pub(super) gang_deadline: Option<u64>,
+    /// Whether it goes on from a checkpoint, so that its progress does not start at zero.
+    pub(super) resumes: bool,
     pub(super) long_running: bool,
     pub(super) speculative: bool,
     pub(super) checkpoints: bool,
@@ -54,6 +59,15 @@
 }
 
 impl Attempt {
+    /// Whether it has got further since it started, which members of a gang do only together.
+    pub(super) fn has_progressed(&self) -> bool {
+        let initial_percent = match self.resumes {
+            true => self.baseline.map_or(u32::MAX, |first| first.percent),
+            false => 0,
+        };
+        self.percent > initial_percent
+    }
+
     /// Core-seconds that a stop now would lose: work since the last checkpoint, and the restart.
     pub(super) fn unsaved_core_s(&self, now: u64) -> f64 {
         let Some(started_at) = self.started_at else { return 0.0 };
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -147,7 +147,7 @@
         let Some(attempt) = self.attempts.get_mut(&key) else { return };
         attempt.committed = true;
         attempt.progress_at = now;
-        let (worker, stopping) = (attempt.worker, attempt.stopping);
+        let (worker, stopping, is_gang) = (attempt.worker, attempt.stopping, attempt.gang);
         let Some(work) = state.job(key.task.job).and_then(|job| job.work()) else { return };
         let order =
             StartOrder { key, spec: work.spec().clone(), checkpoint: work.checkpoint(key.task).to_owned() };
@@ -155,9 +155,14 @@
             attempt.fresh = order.checkpoint.is_empty();
         }
         let Some(entry) = self.workers.get_mut(&worker) else { return };
-        entry.session.start(order);
+        if is_gang {
+            entry.session.hold_start(order);
+            self.hold_gang_member(key);
+        } else {
+            entry.session.start(order);
+        }
         if stopping {
-            entry.session.stop(key);
+            self.stop_attempt(key);
         }
         self.schedule_poll(worker);
     }
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -13,6 +13,7 @@
 use super::attempts::{Attempts, FailedOn};
 use super::batch::Batch;
 use super::clock::DayClock;
+use super::gang_starts::HeldGangs;
 use super::history::AttemptHistory;
 use super::interface::{Input, Output};
 use super::mechanisms::Mechanism;
@@ -67,6 +68,7 @@
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
     pub(super) attempts: Attempts,
+    pub(super) held_gangs: HeldGangs,
     pub(super) history: AttemptHistory,
     pub(super) events: WorkerEvents,
     pub(super) failed_on: FailedOn,
@@ -118,6 +120,7 @@
             workers_to_poll: Vec::new(),
             workers_with_ends: Vec::new(),
             attempts: Attempts::default(),
+            held_gangs: HeldGangs::default(),
             history: AttemptHistory::default(),
             events: WorkerEvents::default(),
             failed_on: BTreeMap::new(),
@@ -238,6 +241,7 @@
                 Timer::ReadInstances => self.request_instances(out),
                 Timer::ExamineAttempts => self.examine_attempts(state),
                 Timer::Schedule => self.start_due_times(state),
+                Timer::ReleaseGangs => self.release_gangs(),
                 Timer::Admit => self.services.iter_mut().for_each(|service| service.due = true),
             }
         }
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod due_times;
 mod event_loop;
 mod gang_pause;
+mod gang_starts;
 mod history;
 mod instances;
 mod interface;
--- a/crates/scheduler/src/leader/occupancy.rs
+++ b/crates/scheduler/src/leader/occupancy.rs
@@ -37,6 +37,8 @@
             plan: plan_of(work.submit().priority),
             estimate_ms: stage.est_runtime_ms,
             gang: stage.gang,
+            gang_deadline: None,
+            resumes: !work.checkpoint(key.task).is_empty(),
             long_running: stage.long_running,
             speculative: stage.speculative,
             checkpoints: stage.checkpoints,
--- a/crates/scheduler/src/leader/recovery.rs
+++ b/crates/scheduler/src/leader/recovery.rs
@@ -32,6 +32,7 @@
             let worker = self.worker_key(&worker.incarnation, worker.acknowledged);
             let key = AttemptKey { task, attempt: active.attempt };
             self.occupy(work, stage, key, worker, true);
+            self.limit_adopted_gang(key);
             if let Some(entry) = self.workers.get_mut(&worker) {
                 entry.session.adopt(key);
             }
--- a/crates/scheduler/src/leader/timers.rs
+++ b/crates/scheduler/src/leader/timers.rs
@@ -18,6 +18,8 @@
     Schedule,
     /// Continue admission.
     Admit,
+    /// Release the starts of gangs whose members can all start.
+    ReleaseGangs,
 }
 
 /// At most one time for each timer.
--- a/crates/scheduler/src/worker/health.rs
+++ b/crates/scheduler/src/worker/health.rs
@@ -34,7 +34,9 @@
 
     /// Gives up starts that have not left, so that they can be placed elsewhere.
     fn reject_queued(&mut self) {
-        for key in std::mem::take(&mut self.start_queue) {
+        let queued = std::mem::take(&mut self.start_queue);
+        let held = std::mem::take(&mut self.held_starts);
+        for key in queued.into_iter().chain(held) {
             if self.attempts.get(&key).is_some_and(Attempt::is_queued) {
                 self.resolve(key, Resolution::REJECTED);
             }
--- a/crates/scheduler/src/worker/orders.rs
+++ b/crates/scheduler/src/worker/orders.rs
@@ -8,7 +8,7 @@
 use super::attempts::{Attempt, Phase, StopProgress};
 use super::backoff::{exponential_backoff, RETRY_DELAY};
 use super::calls::CallKind;
-use super::session::WorkerSession;
+use super::session::{Standing, WorkerSession};
 use super::types::{CallOutcome, Refusal, SessionOutput, StartOrder, WorkerRequest};
 
 /// A start that could not leave this many times is given up.
@@ -55,7 +55,7 @@
     /// When the next start is due; `None`: not before something else happens.
     pub(super) fn start_due(&self, now: u64) -> Option<u64> {
         if self.suspected
-            || !self.has_order_slot()
+            || !self.has_start_slot()
             || !self.has_leader_lease(now)
             || !self.clock_is_fresh(now)
         {
@@ -94,10 +94,24 @@
         self.outputs.push(SessionOutput::Call { call, request });
     }
 
+    /// Whether so many starts could leave at once, if the leader's lease permits calls.
+    pub fn can_send_starts(&self, starts: usize, now: u64) -> bool {
+        let in_flight = self.calls.orders();
+        // More starts than slots leave one after another: the first of them need all slots.
+        let has_slots = in_flight == 0 || in_flight + starts <= self.options.max_order_calls;
+        let is_reachable = self.standing == Standing::Active && self.reachability.is_reachable();
+        is_reachable && !self.suspected && has_slots && self.clock_is_fresh(now)
+    }
+
     fn has_order_slot(&self) -> bool {
         self.calls.orders() < self.options.max_order_calls
     }
 
+    /// Whether a slot is left for a start beside those that are kept for held orders.
+    fn has_start_slot(&self) -> bool {
+        self.calls.orders() + self.held_starts.len() < self.options.max_order_calls
+    }
+
     /// Takes the outcome of a start.
     pub(super) fn start_finished(&mut self, key: AttemptKey, call: u64, outcome: &CallOutcome, now: u64) {
         let conclusive_from = self.calls.next_id();
--- a/crates/scheduler/src/worker/resolution.rs
+++ b/crates/scheduler/src/worker/resolution.rs
@@ -24,6 +24,7 @@
         let Some(attempt) = self.attempts.remove(&key) else {
             return;
         };
+        self.held_starts.remove(&key);
         if !attempt.orphan {
             self.report_resolved(key, resolution, attempt.checkpoint);
         }
--- a/crates/scheduler/src/worker/session.rs
+++ b/crates/scheduler/src/worker/session.rs
@@ -1,6 +1,6 @@
 //! The state of a session and what its caller asks of it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use messages::job;
 use messages::job::Resolution;
@@ -43,6 +43,8 @@
     pub(super) attempts: BTreeMap<AttemptKey, Attempt>,
     /// Attempts whose start has not left, in the order in which they were asked for.
     pub(super) start_queue: VecDeque<AttemptKey>,
+    /// Attempts whose start waits until the leader releases it.
+    pub(super) held_starts: BTreeSet<AttemptKey>,
     pub(super) ends: EndWatermarks,
     /// The highest number of a call whose lists were taken.
     pub(super) newest_lists: u64,
@@ -75,6 +77,7 @@
             lease_renewals: LeaseRenewalSchedule::new(options.lease_renewal_bursts),
             attempts: BTreeMap::new(),
             start_queue: VecDeque::new(),
+            held_starts: BTreeSet::new(),
             ends: EndWatermarks::new(acknowledged),
             newest_lists: 0,
             leader_lease_until: 0,
@@ -92,17 +95,46 @@
 
     /// Starts an attempt whose intent is committed in this leader's term.
     pub fn start(&mut self, order: StartOrder) {
+        let key = order.key;
+        if self.enqueue_order(order) {
+            self.start_queue.push_back(key);
+        }
+    }
+
+    /// As `start`, but the order leaves only after `release_start`; until then the session gets ready for it.
+    pub fn hold_start(&mut self, order: StartOrder) {
+        let key = order.key;
+        if self.enqueue_order(order) {
+            self.held_starts.insert(key);
+        }
+    }
+
+    /// Whether the attempt's order is held.
+    pub fn holds_start(&self, key: AttemptKey) -> bool {
+        self.held_starts.contains(&key) && self.attempts.contains_key(&key)
+    }
+
+    /// Lets an order leave that was held, ahead of all others.
+    pub fn release_start(&mut self, key: AttemptKey) {
+        if self.held_starts.remove(&key) && self.attempts.contains_key(&key) {
+            self.wake_at = 0;
+            self.start_queue.push_front(key);
+        }
+    }
+
+    /// Takes an order; false if it is not to be sent.
+    fn enqueue_order(&mut self, order: StartOrder) -> bool {
         let key = order.key;
         self.wake_at = 0;
         if self.standing == Standing::IncarnationEnded {
             self.report_resolved(key, Resolution::INCARNATION_ENDED, String::new());
-            return;
+            return false;
         }
         if self.attempts.contains_key(&key) {
-            return;
+            return false;
         }
         self.attempts.insert(key, Attempt::queued(order));
-        self.start_queue.push_back(key);
+        true
     }
 
     /// Finds out about an attempt whose intent an earlier leader committed: it may run, have ended or never arrive.
@@ -164,6 +196,7 @@
         self.wake_at = 0;
         self.cancel_calls();
         self.start_queue.clear();
+        self.held_starts.clear();
         for (key, attempt) in std::mem::take(&mut self.attempts) {
             if !attempt.orphan {
                 self.report_resolved(key, Resolution::INCARNATION_ENDED, attempt.checkpoint);
--- /dev/null
+++ b/crates/scheduler/tests/leader_gangs.rs
@@ -0,0 +1,152 @@
+//! Gangs whose members cannot all start at once: none of them may wait for the others until it ends alone.
+
+mod cluster;
+
+use cluster::{Cluster, MS};
+use messages::job::{JobSpec, Stage};
+use messages::peer::Outcome;
+
+const JOB: u64 = 0x2b91_6fd0_83ac_57e4;
+/// Members of the gangs: they fill three workers and half of a fourth.
+const MEMBERS: usize = 7;
+
+fn stage(count: u32, cpu: u64, est_runtime_ms: u64) -> Stage {
+    Stage { count, cpu, mem_mb: 256, est_runtime_ms, ..Stage::default() }
+}
+
+fn gang(est_runtime_ms: u64) -> Stage {
+    Stage { gang: true, ..stage(MEMBERS as u32, 2_000, est_runtime_ms) }
+}
+
+fn job(stages: Vec<Stage>) -> JobSpec {
+    JobSpec { spec: "text".to_owned(), stages, ..JobSpec::default() }
+}
+
+/// Four workers that have all just answered, so that orders leave at once.
+fn cluster_at_work() -> Cluster {
+    let mut cluster = Cluster::new(4);
+    cluster.submit("/a/", JOB + 1, job(vec![stage(8, 2_000, 100)]));
+    assert!(cluster.reaches(JOB + 1, "completed", 3_000));
+    cluster
+}
+
+fn mute(cluster: &mut Cluster, instance: &str, is_mute: bool) {
+    cluster.workers.get_mut(instance).unwrap().mute = is_mute;
+}
+
+/// Starts a gang of which the members on `i-0` never arrive, and waits until the others are there.
+fn gang_with_missing_members(cluster: &mut Cluster) {
+    mute(cluster, "i-0", true);
+    cluster.submit("/a/", JOB, job(vec![gang(800)]));
+    assert!(cluster.run_until(500, |cluster| cluster.running() >= 5), "{} run", cluster.running());
+}
+
+fn finishes_without_a_member_alone(cluster: &mut Cluster) {
+    mute(cluster, "i-0", false);
+    assert!(cluster.reaches(JOB, "completed", 15_000), "{}", cluster.state_of(JOB));
+    assert_eq!(cluster.alone, 0);
+    cluster.check();
+}
+
+#[test]
+fn a_new_leader_stops_members_that_have_waited_under_the_former_one() {
+    let mut cluster = cluster_at_work();
+    gang_with_missing_members(&mut cluster);
+    cluster.run(1_300);
+    cluster.elect();
+    cluster.run(4_000);
+    finishes_without_a_member_alone(&mut cluster);
+}
+
+#[test]
+fn members_that_resume_from_a_checkpoint_are_stopped_before_they_end_alone() {
+    let mut cluster = cluster_at_work();
+    cluster.add_worker("i-4", 4, 4_000);
+    cluster.run(1_500);
+    for worker in cluster.workers.values_mut() {
+        worker.saves = true;
+    }
+    cluster.submit("/a/", JOB, job(vec![Stage { checkpoints: true, ..gang(6_000) }]));
+    assert!(cluster.run_until(1_000, |cluster| cluster.running() == MEMBERS));
+    cluster.run(1_000);
+    let idle = cluster.workers.values().find(|worker| worker.running.is_empty());
+    let idle = idle.unwrap().instance.id.clone();
+    // The gang leaves a worker that is about to end, with its work saved.
+    let hosts = cluster.workers.values().rev().filter(|worker| !worker.running.is_empty());
+    let host = hosts.map(|worker| worker.instance.id.clone()).next().unwrap();
+    let draining = &mut cluster.workers.get_mut(&host).unwrap().instance;
+    (draining.draining, draining.remaining_ms) = (true, Some(2_000));
+    assert!(cluster.run_until(1_500, |cluster| cluster.running() == 0));
+    mute(&mut cluster, &idle, true);
+    assert!(cluster.run_until(500, |cluster| cluster.running() >= 5), "{} run", cluster.running());
+    let resumes =
+        |worker: &cluster::ModelWorker| worker.running.values().all(|run| !run.checkpoint.is_empty());
+    assert!(cluster.workers.values().all(resumes));
+    cluster.run(6_000);
+    mute(&mut cluster, &idle, false);
+    finishes_without_a_member_alone(&mut cluster);
+}
+
+#[test]
+fn members_of_which_no_answer_arrives_are_stopped_before_they_end_alone() {
+    let mut cluster = cluster_at_work();
+    mute(&mut cluster, "i-0", true);
+    cluster.send_job("/a/", JOB, job(vec![gang(800)]));
+    cluster.loses_answers = true;
+    assert!(cluster.run_until(500, |cluster| cluster.running() >= 5), "{} run", cluster.running());
+    cluster.run(1_450);
+    cluster.loses_answers = false;
+    cluster.run(4_000);
+    finishes_without_a_member_alone(&mut cluster);
+}
+
+#[test]
+fn no_member_starts_while_the_order_of_another_cannot_leave() {
+    let mut cluster = cluster_at_work();
+    mute(&mut cluster, "i-0", true);
+    // Their starts get no answer and take all places for orders to that worker.
+    let labelled = Stage { constraint: "r1-0".to_owned(), ..stage(4, 100, 100) };
+    cluster.send_job("/a/", JOB + 2, job(vec![labelled]));
+    cluster.run(30);
+    cluster.send_job("/a/", JOB, job(vec![gang(800)]));
+    cluster.run(250);
+    let members = cluster.runs.keys().filter(|task| task.job == JOB).count();
+    assert_eq!(members, 0, "members that run by themselves");
+    finishes_without_a_member_alone(&mut cluster);
+    assert!(cluster.reaches(JOB + 2, "completed", 15_000));
+}
+
+#[test]
+fn a_job_cancelled_while_its_gang_waits_for_its_orders_to_leave_never_runs() {
+    let mut cluster = cluster_at_work();
+    cluster.run(1_000);
+    cluster.has_lease = false;
+    cluster.run(1_000);
+    cluster.send_job("/a/", JOB, job(vec![gang(800)]));
+    cluster.run(100);
+    assert_eq!(cluster.cancel("/a/", JOB).unwrap().outcome, Outcome::CANCEL_DONE);
+    cluster.has_lease = true;
+    cluster.run(3_000);
+    assert_eq!(cluster.runs.keys().filter(|task| task.job == JOB).count(), 0);
+    assert_eq!(cluster.state_of(JOB), "cancelled");
+    // Its capacity is free for others.
+    cluster.submit("/a/", JOB + 3, job(vec![stage(8, 2_000, 100)]));
+    assert!(cluster.reaches(JOB + 3, "completed", 1_000));
+    cluster.check();
+}
+
+#[test]
+fn a_gang_starts_once_the_lease_returns() {
+    let mut cluster = cluster_at_work();
+    cluster.run(1_000);
+    cluster.has_lease = false;
+    cluster.run(1_000);
+    cluster.send_job("/a/", JOB, job(vec![gang(800)]));
+    cluster.run(2_000);
+    assert_eq!(cluster.running(), 0);
+    let sent = cluster.now;
+    cluster.has_lease = true;
+    assert!(cluster.reaches(JOB, "completed", 3_000), "{}", cluster.state_of(JOB));
+    assert!(cluster.now - sent < 1_500 * MS, "{} ms", (cluster.now - sent) / MS);
+    cluster.check();
+}
--- a/crates/scheduler/tests/worker_orders.rs
+++ b/crates/scheduler/tests/worker_orders.rs
@@ -303,3 +303,58 @@
     };
     assert_eq!(deadline_ms, BEGIN_MS + 20_000 * 98 / 100 + 5_000);
 }
+
+#[test]
+fn a_held_start_leaves_only_once_it_is_released_and_then_ahead_of_others() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    driver.session.hold_start(order(key(0, 1), "held"));
+    assert!(driver.session.holds_start(key(0, 1)));
+    assert!(starts(&driver.poll()).is_empty());
+    driver.session.start(order(key(1, 1), "text"));
+    driver.session.release_start(key(0, 1));
+    let requests = calls(&driver.poll()).into_iter().filter_map(|(_, request)| match request {
+        WorkerRequest::Start { key, .. } => Some(key),
+        _ => None,
+    });
+    assert_eq!(requests.collect::<Vec<_>>(), [key(0, 1), key(1, 1)]);
+}
+
+#[test]
+fn other_starts_leave_slots_for_held_ones() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    assert!(driver.session.can_send_starts(20, driver.now), "no order is in flight");
+    driver.session.hold_start(order(key(0, 1), "held"));
+    for index in 1..20 {
+        driver.session.start(order(key(index, 1), "text"));
+    }
+    let sent = starts(&driver.poll()).len();
+    assert!(sent > 0 && driver.session.can_send_starts(1, driver.now));
+    assert!(!driver.session.can_send_starts(2, driver.now));
+    driver.session.release_start(key(0, 1));
+    assert_eq!(starts(&driver.poll()).len(), 1);
+}
+
+#[test]
+fn a_held_start_that_is_stopped_never_leaves() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    driver.session.hold_start(order(key(0, 1), "held"));
+    driver.session.stop(key(0, 1));
+    assert_eq!(resolutions(&driver.poll()), [(key(0, 1), Resolution::NEVER_RAN)]);
+    driver.session.release_start(key(0, 1));
+    assert!(starts(&driver.poll()).is_empty());
+}
+
+#[test]
+fn a_held_start_is_given_up_once_its_worker_is_unreachable() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    driver.session.start(order(key(1, 1), "text"));
+    driver.poll();
+    driver.session.hold_start(order(key(0, 1), "held"));
+    let out = driver.poll_for_ms(3_000);
+    assert!(resolutions(&out).contains(&(key(0, 1), Resolution::REJECTED)));
+    assert!(!driver.session.holds_start(key(0, 1)));
+}
