--- a/crates/scheduler/src/leader/gang_starts.rs
+++ b/crates/scheduler/src/leader/gang_starts.rs
@@ -110,7 +110,8 @@
 
     fn release_gang(&mut self, gang: &HeldGang) {
         let deadline = self.now + self.settings.gang_ms * NANOS_PER_MS / GIVE_UP_DIVISOR;
-        for key in &gang.members {
+        // Each one goes to the front of its worker's queue: the first member last.
+        for key in gang.members.iter().rev() {
             let Some(attempt) = self.attempts.get_mut(key) else { continue };
             attempt.gang_deadline = Some(deadline);
             let worker = attempt.worker;
