--- a/crates/scheduler/tests/leader_gangs.rs
+++ b/crates/scheduler/tests/leader_gangs.rs
@@ -150,3 +150,52 @@
     assert!(cluster.now - sent < 1_500 * MS, "{} ms", (cluster.now - sent) / MS);
     cluster.check();
 }
+
+#[test]
+fn a_gang_of_whole_gpu_workers_moves_together_when_a_rack_leaves() {
+    let mut cluster = Cluster::new(6);
+    for worker in cluster.workers.values_mut() {
+        worker.instance.available.gpu = 8;
+        worker.saves = true;
+    }
+    cluster.run(1_500);
+    let member = Stage { gpu: 8, gang: true, checkpoints: true, ..stage(4, 2_000, 6_000) };
+    cluster.submit("/a/", JOB, job(vec![member]));
+    assert!(cluster.run_until(1_000, |cluster| cluster.running() == 4), "{} run", cluster.running());
+    cluster.run(1_000);
+    let host = cluster.workers.values().find(|worker| !worker.running.is_empty()).unwrap();
+    let rack = host.instance.labels[1].clone();
+    let leaving: Vec<String> = cluster
+        .workers
+        .values()
+        .filter(|worker| worker.instance.labels[1] == rack)
+        .map(|worker| worker.instance.id.clone())
+        .collect();
+    for instance in &leaving {
+        let instance = &mut cluster.workers.get_mut(instance).unwrap().instance;
+        (instance.draining, instance.remaining_ms) = (true, Some(3_000));
+    }
+    let is_elsewhere = |cluster: &Cluster| {
+        cluster.running() == 4 && leaving.iter().all(|instance| cluster.workers[instance].running.is_empty())
+    };
+    assert!(cluster.run_until(3_000, is_elsewhere), "{} run", cluster.running());
+    for instance in &leaving {
+        cluster.crash(instance);
+    }
+    assert!(cluster.reaches(JOB, "completed", 8_000), "{}", cluster.state_of(JOB));
+    assert_eq!(cluster.alone, 0);
+    cluster.check();
+}
+
+#[test]
+fn a_job_cancelled_while_members_wait_for_others_is_stopped() {
+    let mut cluster = cluster_at_work();
+    gang_with_missing_members(&mut cluster);
+    assert_eq!(cluster.cancel("/a/", JOB).unwrap().outcome, Outcome::CANCEL_DONE);
+    assert!(cluster.run_until(500, |cluster| cluster.running() == 0), "{} run", cluster.running());
+    mute(&mut cluster, "i-0", false);
+    cluster.run(5_000);
+    assert_eq!((cluster.running(), cluster.alone), (0, 0));
+    assert_eq!(cluster.state_of(JOB), "cancelled");
+    cluster.check();
+}
