Leave a running gang alone under a new leader that hears of it late

A gang of an earlier leader was given up a fifth of gang_ms after the takeover unless known complete, also if no worker had been heard yet. Now a member has to be listed without progress for 500 ms. Without the condition a_complete_gang_runs_on_under_a_new_leader_that_hears_of_it_late fails (its members run twice).

--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -28,6 +28,8 @@
     pub(super) long_running: bool,
     pub(super) speculative: bool,
     pub(super) checkpoints: bool,
+    /// Whether an earlier leader proposed it.
+    pub(super) adopted: bool,
     /// Whether the intent is durable.
     pub(super) committed: bool,
     /// When its worker was chosen, or this leader first knew of it.
--- a/crates/scheduler/src/leader/gang_starts.rs
+++ b/crates/scheduler/src/leader/gang_starts.rs
@@ -24,6 +24,8 @@
 /// The same for a gang of an earlier leader, since the takeover: its members may have waited as long as that leader
 /// permitted, and through the election.
 const ADOPTED_GIVE_UP_DIVISOR: u64 = 5;
+/// After this time the lists of a worker show the progress of a member that is at work, in nanoseconds.
+const PROGRESS_DELAY: u64 = 500 * NANOS_PER_MS;
 
 /// One run of a gang: all members carry the same attempt number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,13 +144,21 @@
         if attempt.gang_deadline.is_none_or(|deadline| self.now < deadline) || attempt.has_progressed() {
             return false;
         }
-        let mut lacks_members = false;
+        let (mut lacks_members, mut may_wait) = (false, false);
         for (_, member) in self.attempts.of_run(key) {
             if member.has_progressed() {
                 return false;
             }
             lacks_members |= member.started_at.is_none();
+            may_wait |= self.may_wait_for_others(member);
         }
-        lacks_members
+        lacks_members && may_wait
+    }
+
+    /// Whether a member without progress may be waiting for others. One of an earlier leader may be at work though
+    /// nothing was heard of it yet: it has to be listed for a while without progress.
+    fn may_wait_for_others(&self, member: &Attempt) -> bool {
+        let shows_no_progress = |since: u64| self.now >= since + PROGRESS_DELAY;
+        !member.adopted || member.started_at.is_some_and(shows_no_progress)
     }
 }
--- a/crates/scheduler/src/leader/occupancy.rs
+++ b/crates/scheduler/src/leader/occupancy.rs
@@ -16,7 +16,7 @@
 const MAX_AVOIDED_WORKERS: usize = 8;
 
 impl Leader {
-    /// Reserves capacity for an attempt.
+    /// Reserves capacity for an attempt: one that an earlier leader committed, or a new one.
     pub(super) fn occupy(
         &mut self,
         work: &Work,
@@ -42,6 +42,7 @@
             long_running: stage.long_running,
             speculative: stage.speculative,
             checkpoints: stage.checkpoints,
+            adopted: committed,
             committed,
             placed_at: self.now,
             started_at: None,
--- a/crates/scheduler/tests/leader_gangs.rs
+++ b/crates/scheduler/tests/leader_gangs.rs
@@ -199,3 +199,19 @@
     assert_eq!(cluster.state_of(JOB), "cancelled");
     cluster.check();
 }
+
+#[test]
+fn a_complete_gang_runs_on_under_a_new_leader_that_hears_of_it_late() {
+    let mut cluster = cluster_at_work();
+    cluster.submit("/a/", JOB, job(vec![gang(5_000)]));
+    assert!(cluster.run_until(500, |cluster| cluster.running() == MEMBERS));
+    cluster.run(300);
+    cluster.loses_answers = true;
+    cluster.elect();
+    cluster.run(2_000);
+    cluster.loses_answers = false;
+    assert!(cluster.reaches(JOB, "completed", 6_000), "{}", cluster.state_of(JOB));
+    let runs = cluster.runs.iter().filter(|(task, _)| task.job == JOB);
+    assert!(runs.clone().all(|(_, runs)| *runs == 1), "{:?}", runs.collect::<Vec<_>>());
+    cluster.check();
+}
