--- a/crates/control/src/driver/event_log.rs
+++ b/crates/control/src/driver/event_log.rs
@@ -134,8 +134,8 @@
             let AttemptKey { task, attempt } = key;
             log::warn!(
                 "a gang's member waited in vain instance={instance} job={:016x} time={} step={} index={} attempt={attempt} \
-                 placed_ms={} members={} started={} stopping={}",
-                task.job, task.time, task.step, task.index, gang.placed_ms, gang.members, gang.started, gang.stopping
+                 placed_ms={} percent={} members={} started={} stopping={}",
+                task.job, task.time, task.step, task.index, gang.placed_ms, gang.percent, gang.members, gang.started, gang.stopping
             );
         }
         WorkerEvent::Fenced { instance } => {
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -180,7 +180,8 @@
         let Some(attempt) = self.attempts.get(&key) else { return };
         let Some(entry) = self.workers.get(&attempt.worker) else { return };
         let placed_ms = self.now.saturating_sub(attempt.placed_at) / NANOS_PER_MS;
-        let mut gang = GangProgress { placed_ms, members: 0, started: 0, stopping: 0 };
+        let percent = attempt.percent;
+        let mut gang = GangProgress { placed_ms, percent, members: 0, started: 0, stopping: 0 };
         for (_, member) in self.attempts.of_run(key) {
             gang.members += 1;
             gang.started += u32::from(member.started_at.is_some());
--- a/crates/scheduler/src/leader/worker_events.rs
+++ b/crates/scheduler/src/leader/worker_events.rs
@@ -62,6 +62,8 @@
 pub struct GangProgress {
     /// Time since this leader chose its workers, or took it over, in milliseconds.
     pub placed_ms: u64,
+    /// Share of the member's work that was listed last, in percent: what it resumed from, as long as it waits.
+    pub percent: u32,
     /// Attempts that have not finished.
     pub members: u32,
     /// How many of them are known to have started.
