--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -20,9 +20,16 @@
     /// The client's estimate of its run, in milliseconds.
     pub(super) estimate_ms: u64,
     pub(super) gang: bool,
+    /// Of a gang's member: when its gang is given up unless all members are known to have started by then. Unset
+    /// until the orders leave.
+    pub(super) gang_deadline: Option<u64>,
+    /// Whether it goes on from a checkpoint, so that its progress does not start at zero.
+    pub(super) resumes: bool,
     pub(super) long_running: bool,
     pub(super) speculative: bool,
     pub(super) checkpoints: bool,
+    /// Whether an earlier leader proposed it.
+    pub(super) adopted: bool,
     /// Whether the intent is durable.
     pub(super) committed: bool,
     /// When its worker was chosen, or this leader first knew of it.
@@ -54,6 +61,15 @@
 }
 
 impl Attempt {
+    /// Whether it has got further since it started, which members of a gang do only together.
+    pub(super) fn has_progressed(&self) -> bool {
+        let initial_percent = match self.resumes {
+            true => self.baseline.map_or(u32::MAX, |first| first.percent),
+            false => 0,
+        };
+        self.percent > initial_percent
+    }
+
     /// Core-seconds that a stop now would lose: work since the last checkpoint, and the restart.
     pub(super) fn unsaved_core_s(&self, now: u64) -> f64 {
         let Some(started_at) = self.started_at else { return 0.0 };
@@ -148,6 +164,11 @@
         self.by_key.range(first..=last)
     }
 
+    /// The attempts of one run of a gang: those of its step with the same number.
+    pub(super) fn of_run(&self, key: AttemptKey) -> impl Iterator<Item = (&AttemptKey, &Attempt)> {
+        self.of_step(key.task.step_key()).filter(move |(member, _)| member.attempt == key.attempt)
+    }
+
     /// Whether no attempt of the task occupies a worker.
     pub(super) fn is_idle(&self, task: TaskKey) -> bool {
         self.of_task(task).next().is_none()
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -1,9 +1,11 @@
 //! Consequences of committed commands: replies, waiting tasks, orders to workers.
 
+use messages::job::EndKind;
 use messages::peer::{ClientReply, Outcome};
 
 use crate::ids::{AttemptKey, TaskKey};
 use crate::state::{AttemptOutcome, State, StateChange};
+use crate::time::NANOS_PER_MS;
 use crate::worker::StartOrder;
 
 use super::client_requests::reply;
@@ -12,6 +14,7 @@
 use super::interface::{ConfigurationReply, Output};
 use super::pending_requests::JobName;
 use super::service::QueueEnd;
+use super::worker_events::{GangProgress, WorkerEvent};
 
 impl Leader {
     /// Acts on the changes of one committed batch, in order.
@@ -144,7 +147,7 @@
         let Some(attempt) = self.attempts.get_mut(&key) else { return };
         attempt.committed = true;
         attempt.progress_at = now;
-        let (worker, stopping) = (attempt.worker, attempt.stopping);
+        let (worker, stopping, is_gang) = (attempt.worker, attempt.stopping, attempt.gang);
         let Some(work) = state.job(key.task.job).and_then(|job| job.work()) else { return };
         let order =
             StartOrder { key, spec: work.spec().clone(), checkpoint: work.checkpoint(key.task).to_owned() };
@@ -152,18 +155,41 @@
             attempt.fresh = order.checkpoint.is_empty();
         }
         let Some(entry) = self.workers.get_mut(&worker) else { return };
-        entry.session.start(order);
+        if is_gang {
+            entry.session.hold_start(order);
+            self.hold_gang_member(key);
+        } else {
+            entry.session.start(order);
+        }
         if stopping {
-            entry.session.stop(key);
+            self.stop_attempt(key);
         }
         self.schedule_poll(worker);
     }
 
     fn attempt_finished(&mut self, key: &AttemptKey, outcome: AttemptOutcome) {
         self.record_finished(*key, outcome);
+        if outcome == AttemptOutcome::Ended(EndKind::ALONE) {
+            self.record_waited_in_vain(*key);
+        }
         self.release(key);
     }
 
+    /// Reports a gang's member that ended since the others did not start in time.
+    fn record_waited_in_vain(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let Some(entry) = self.workers.get(&attempt.worker) else { return };
+        let placed_ms = self.now.saturating_sub(attempt.placed_at) / NANOS_PER_MS;
+        let percent = attempt.percent;
+        let mut gang = GangProgress { placed_ms, percent, members: 0, started: 0, stopping: 0 };
+        for (_, member) in self.attempts.of_run(key) {
+            gang.members += 1;
+            gang.started += u32::from(member.started_at.is_some());
+            gang.stopping += u32::from(member.stopping);
+        }
+        self.events.push(WorkerEvent::WaitedInVain { instance: entry.instance.clone(), key, gang });
+    }
+
     /// Keeps an attempt for the reports of jobs. To be called before its capacity is released.
     fn record_finished(&mut self, key: AttemptKey, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(&key) else { return };
