--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -100,6 +100,7 @@
         let Some(work) = state.open_work(task.job) else { return };
         let Some(stage) = work.stage(task.step) else { return };
         let key = AttemptKey { task, attempt: work.last_attempt(task) + 1 };
+        self.record_start_delay(work, task.step_key());
         self.propose_start(work, stage, key, worker);
     }
 
@@ -108,12 +109,18 @@
         let Some(work) = state.open_work(step.job) else { return };
         let Some(stage) = work.stage(step.step) else { return };
         let attempt = work.last_attempt(step.task(0)) + 1;
+        self.record_start_delay(work, step);
         for (index, worker) in workers.iter().enumerate() {
             let key = AttemptKey { task: step.task(index as u32), attempt };
             self.propose_start(work, stage, key, *worker);
         }
     }
 
+    fn record_start_delay(&mut self, work: &Work, step: StepKey) {
+        let position = self.service_position(&work.submit().service);
+        self.services[position].record_start_delay(step, self.now);
+    }
+
     /// Reserves capacity and proposes the intent.
     fn propose_start(&mut self, work: &Work, stage: &Stage, key: AttemptKey, worker: WorkerKey) {
         let Some(entry) = self.workers.get_mut(&worker) else { return };
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -18,6 +18,7 @@
 
 use super::capacity_reservation::CapacityReservation;
 use super::mechanisms::{Mechanism, Mechanisms};
+use super::start_delay::StartDelay;
 
 pub(super) use steps::{plan_of, Candidate, Choice, QueueEnd, StepKind, WaitingStep};
 
@@ -37,6 +38,8 @@
     by_order: BTreeMap<(usize, i64), StepKey>,
     /// The first step of each plan.
     plan_heads: [Option<PlanHead>; WEIGHTS.len()],
+    /// How long steps of each plan have waited for their starts lately.
+    start_delays: [StartDelay; WEIGHTS.len()],
     /// Whether something changed that may let a step start.
     pub(super) due: bool,
     /// Whether any worker ever reported progress.
@@ -66,6 +69,7 @@
             blocked: BTreeMap::new(),
             by_order: BTreeMap::new(),
             plan_heads: [None; WEIGHTS.len()],
+            start_delays: [StartDelay::default(); WEIGHTS.len()],
             next_preemption: 0,
             reservation: None,
             gang_pause_began: 0,
@@ -163,6 +167,18 @@
         }
     }
 
+    /// A task of the step, or its gang, is being started.
+    pub(super) fn record_start_delay(&mut self, step: StepKey, now: u64) {
+        if let Some(ready) = self.ready.get(&step) {
+            self.start_delays[ready.plan].started(now, now.saturating_sub(ready.since));
+        }
+    }
+
+    /// The least time that steps of a plan have waited for their starts lately, in nanoseconds.
+    pub(super) fn start_delay(&mut self, plan: usize, now: u64) -> u64 {
+        self.start_delays[plan].least(now)
+    }
+
     /// A step that waits.
     pub(super) fn ready(&self, step: StepKey) -> Option<&ReadyStep> {
         self.ready.get(&step)
