Keep workers with a label in an order of their own, and search once where no rack is asked for

A task whose data lies in a rack that the service does not have no longer waits for it before an ejected worker is considered.

--- a/crates/scheduler/src/leader/placement_choice.rs
+++ b/crates/scheduler/src/leader/placement_choice.rs
@@ -35,12 +35,14 @@
     let avoid = failed_on.get(&task).map_or(&[][..], Vec::as_slice);
     let tasks_to_pack = if context.mechanisms.uses(Mechanism::Packing) { waiting } else { 0 };
     let demand = Demand { tasks_to_pack, ..demand_of(step, stage, avoid) };
-    if let Some(worker) = fleet.place_near(&demand) {
-        return Choice::Task(worker);
-    }
-    let until = since + context.data_wait(stage);
-    if context.now < until && fleet.may_fit_near(&demand) {
-        return Choice::Later(until);
+    if demand.affinity.is_some_and(|rack| fleet.knows_rack(rack)) {
+        if let Some(worker) = fleet.place_near(&demand) {
+            return Choice::Task(worker);
+        }
+        let until = since + context.data_wait(stage);
+        if context.now < until && fleet.may_fit_near(&demand) {
+            return Choice::Later(until);
+        }
     }
     if let Some(worker) = fleet.place(&demand) {
         return Choice::Task(worker);
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::{Fleet, Slot, WorkerKey};
 use super::matching::{Demand, Matcher, BEST_QUALITY, LIKE_QUALITY, OFF_RACK_FACTOR};
+use super::orders::FreeOrders;
 use super::resources::{Resources, RESOURCES};
 use std::cmp::Reverse;
 
@@ -56,6 +57,9 @@
 
     /// Whether an ejected worker may take the task, now or once it has the capacity.
     pub fn may_fit_ejected(&self, demand: &Demand) -> bool {
+        if !self.has_ejected() {
+            return false;
+        }
         let Some(matcher) = Matcher::new(self, demand).map(Matcher::including_ejected) else { return false };
         let mut candidates = self.examine(|block| demand.need.fits_in(block.ejected_capacity));
         candidates.any(|slot| slot.ejected && matcher.may_suit(slot))
@@ -69,7 +73,7 @@
                 .first_by_rank(matcher, self.rack_slots(matcher.affinity()).filter(|slot| suits(slot)));
         }
         if self.first_fit {
-            let candidates = self.orders.fewest_with(matcher.demand.need);
+            let candidates = self.orders_for(matcher)?.fewest_with(matcher.demand.need);
             let slots = candidates.iter().map(|(_, position)| self.examine_position(*position));
             return self.first_by_rank(matcher, slots.filter(|slot| suits(slot)));
         }
@@ -79,7 +83,9 @@
                 return Some(worker);
             }
         }
-        self.fullest(matcher, self.best_packing_rank(matcher, suits), suits)
+        let orders = self.orders_for(matcher)?;
+        let packing_rank = self.best_packing_rank(matcher, orders, suits);
+        self.fullest(matcher, orders, packing_rank, suits)
     }
 
     /// The first of these slots: most of the step's tasks fit there, then the least is wasted.
@@ -102,14 +108,14 @@
             return best;
         }
         let best_elsewhere = if matcher.affinity().is_some() { OFF_RACK_FACTOR } else { 1.0 } * BEST_QUALITY;
-        for (_, position) in self.orders.fewest_with(matcher.demand.need) {
+        for (_, position) in self.orders_for(matcher)?.fewest_with(matcher.demand.need) {
             if best.is_some_and(|best| best >= best_elsewhere) {
                 break;
             }
             let slot = self.examine_position(*position);
-            let quality = matcher.quality(slot);
-            if best.is_none_or(|best| quality > best) && matcher.suits(slot) {
-                best = Some(quality);
+            if matcher.suits(slot) {
+                let quality = matcher.quality(slot);
+                best = Some(best.map_or(quality, |best| best.max(quality)));
             }
         }
         best
@@ -117,7 +123,12 @@
 
     /// The highest packing rank among the workers that suit, none of which has a task of the step. The emptiest come
     /// first: once a worker of which one resource allows no higher rank is reached, no later one has a higher rank.
-    fn best_packing_rank(&self, matcher: &Matcher, suits: impl Fn(&Slot) -> bool) -> u64 {
+    fn best_packing_rank(
+        &self,
+        matcher: &Matcher,
+        orders: &FreeOrders,
+        suits: impl Fn(&Slot) -> bool,
+    ) -> u64 {
         let Demand { need, tasks_to_pack, .. } = *matcher.demand;
         if tasks_to_pack == 0 {
             return 0;
@@ -125,7 +136,7 @@
         let resource = self.dominant(need);
         let least = need.amounts()[resource];
         let mut best = 0;
-        for (free, position) in self.orders.with_at_least(resource, least).iter().rev() {
+        for (free, position) in orders.with_at_least(resource, least).iter().rev() {
             if free.checked_div(least).unwrap_or(u64::MAX).min(tasks_to_pack) <= best {
                 break;
             }
@@ -142,6 +153,7 @@
     fn fullest(
         &self,
         matcher: &Matcher,
+        orders: &FreeOrders,
         packing_rank: u64,
         suits: impl Fn(&Slot) -> bool,
     ) -> Option<WorkerKey> {
@@ -149,7 +161,7 @@
         let resource = self.dominant(need);
         let least = need.times(packing_rank.max(1)).amounts()[resource];
         let mut best: Option<(f64, WorkerKey)> = None;
-        for (_, position) in self.orders.with_at_least(resource, least) {
+        for (_, position) in orders.with_at_least(resource, least) {
             let slot = self.examine_position(*position);
             let least_waste = slot.free().minus(need).shares_of(self.largest)[resource];
             if best.is_some_and(|(waste, _)| least_waste > waste + WASTE_TOLERANCE) {
@@ -163,6 +175,11 @@
         best.map(|(_, key)| key)
     }
 
+    /// The workers with the label that is asked for, in order of what is free there; none if none may take starts.
+    fn orders_for(&self, matcher: &Matcher) -> Option<&FreeOrders> {
+        self.orders.with_label(matcher.constraint())
+    }
+
     /// The resource of which a need is the largest share of what the largest worker has.
     fn dominant(&self, need: Resources) -> usize {
         let needed = need.shares_of(self.largest);
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -1,7 +1,7 @@
 //! The workers of one service and what is reserved on them.
 
 use super::blocks::{first_of_block, position_range, Block, BLOCK_SIZE};
-use super::orders::FreeOrders;
+use super::orders::Orders;
 use super::resources::Resources;
 use crate::ids::StepKey;
 use std::cell::Cell;
@@ -115,7 +115,7 @@
     pub(super) first_fit: bool,
     /// What searches may find among each run of `BLOCK_SIZE` slots.
     blocks: Vec<Block>,
-    pub(super) orders: FreeOrders,
+    pub(super) orders: Orders,
     /// The workers of each rack.
     by_rack: BTreeMap<Symbol, Vec<WorkerKey>>,
     /// The workers on which tasks of a step have a reservation.
@@ -123,6 +123,8 @@
     index: BTreeMap<WorkerKey, usize>,
     total: Resources,
     free: Resources,
+    /// How many workers are ejected.
+    ejected: usize,
     /// How many slots searches have examined since the last call of `take_examined`.
     examined: Cell<u64>,
 }
@@ -297,6 +299,7 @@
         change(slot);
         self.orders.insert(position, slot);
         let after = sums(slot);
+        self.ejected = self.ejected + after.ejected - before.ejected;
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
@@ -305,6 +308,7 @@
 
     fn add_slot(&mut self, slot: Slot) {
         let sums = sums(&slot);
+        self.ejected += sums.ejected;
         self.total = self.total.plus(sums.total);
         self.free = self.free.plus(sums.free);
         let position = self.slots.len();
@@ -329,6 +333,7 @@
             remove_key(&mut self.by_step, count.step, slot.key);
         }
         let sums = sums(&slot);
+        self.ejected -= sums.ejected;
         self.total = self.total.minus(sums.total);
         self.free = self.free.minus(sums.free);
         if let Some(moved) = self.slots.get(position) {
@@ -338,6 +343,16 @@
         self.update_block(self.slots.len() / BLOCK_SIZE);
     }
 
+    /// Whether any worker is ejected.
+    pub(super) fn has_ejected(&self) -> bool {
+        self.ejected > 0
+    }
+
+    /// Whether any worker ever was in this rack.
+    pub fn knows_rack(&self, rack: &str) -> bool {
+        self.racks.find(rack).is_some()
+    }
+
     fn join_rack(&mut self, position: usize) {
         let slot = &self.slots[position];
         if let Some(rack) = slot.rack {
@@ -405,13 +420,15 @@
 struct Sums {
     total: Resources,
     free: Resources,
+    ejected: usize,
 }
 
 fn sums(slot: &Slot) -> Sums {
-    if slot.usable || slot.ejected {
-        Sums { total: slot.capacity, free: slot.free() }
+    let ejected = usize::from(slot.ejected);
+    if slot.may_take_starts() {
+        Sums { total: slot.capacity, free: slot.free(), ejected }
     } else {
-        Sums { total: Resources::ZERO, free: Resources::ZERO }
+        Sums { total: Resources::ZERO, free: Resources::ZERO, ejected }
     }
 }
 
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -68,6 +68,11 @@
         self.affinity
     }
 
+    /// The label that is asked for.
+    pub(super) fn constraint(&self) -> Option<Symbol> {
+        self.constraint
+    }
+
     /// Whether only workers of the data's rack are allowed.
     pub(super) fn is_bound_to_rack(&self) -> bool {
         self.near_only && self.affinity.is_some()
--- a/crates/scheduler/src/placement/orders.rs
+++ b/crates/scheduler/src/placement/orders.rs
@@ -1,26 +1,29 @@
 //! The workers that may take starts by what is free there, so that a search begins with those that have enough.
 
-use super::fleet::Slot;
+use std::collections::BTreeMap;
+
+use super::fleet::{Slot, Symbol};
 use super::resources::{Resources, RESOURCES};
 
 /// What is free on a worker of one resource, and the position of its slot.
 type Entry = (u64, usize);
 
-/// For each resource, the slots that may take starts, if only as the last resort, by what is free of it.
+/// The slots that may take starts, if only as the last resort: all of them, and those with each label.
 #[derive(Clone, Debug, Default)]
-pub(super) struct FreeOrders {
-    by_resource: [Vec<Entry>; RESOURCES],
+pub(super) struct Orders {
+    all: FreeOrders,
+    by_label: BTreeMap<Symbol, FreeOrders>,
 }
 
-impl FreeOrders {
+impl Orders {
     /// A slot is at this position now.
     pub(super) fn insert(&mut self, position: usize, slot: &Slot) {
         if !slot.may_take_starts() {
             return;
         }
-        for (entries, free) in self.by_resource.iter_mut().zip(slot.free().amounts()) {
-            let at = entries.partition_point(|entry| *entry < (free, position));
-            entries.insert(at, (free, position));
+        self.all.insert(position, slot);
+        for label in &slot.labels {
+            self.by_label.entry(*label).or_default().insert(position, slot);
         }
     }
 
@@ -29,6 +32,35 @@
         if !slot.may_take_starts() {
             return;
         }
+        self.all.remove(position, slot);
+        for label in &slot.labels {
+            if let Some(orders) = self.by_label.get_mut(label) {
+                orders.remove(position, slot);
+            }
+        }
+    }
+
+    /// The slots with a label; without one, all. None if no slot has the label.
+    pub(super) fn with_label(&self, label: Option<Symbol>) -> Option<&FreeOrders> {
+        label.map_or(Some(&self.all), |label| self.by_label.get(&label))
+    }
+}
+
+/// For each resource, slots by what is free of it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FreeOrders {
+    by_resource: [Vec<Entry>; RESOURCES],
+}
+
+impl FreeOrders {
+    fn insert(&mut self, position: usize, slot: &Slot) {
+        for (entries, free) in self.by_resource.iter_mut().zip(slot.free().amounts()) {
+            let at = entries.partition_point(|entry| *entry < (free, position));
+            entries.insert(at, (free, position));
+        }
+    }
+
+    fn remove(&mut self, position: usize, slot: &Slot) {
         for (entries, free) in self.by_resource.iter_mut().zip(slot.free().amounts()) {
             if let Ok(at) = entries.binary_search(&(free, position)) {
                 entries.remove(at);
