--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -19,7 +19,15 @@
     /// stay free for tasks that need them. Where tasks are to be packed, first a worker that has some of the step,
     /// then one with capacity for most of those that wait. None if no worker has the capacity.
     pub fn place(&self, demand: &Demand) -> Option<WorkerKey> {
-        self.place_by(&Matcher::new(self, demand)?)
+        let matcher = Matcher::new(self, demand)?;
+        if self.shortages.borrow().cover(demand.need, matcher.constraint()) {
+            return None;
+        }
+        let worker = self.place_by(&matcher);
+        if worker.is_none() && demand.anti_affinity.is_none() {
+            self.shortages.borrow_mut().add(demand.need, matcher.constraint());
+        }
+        worker
     }
 
     /// As [`Fleet::place`], but only in the rack of the task's data, if the fleet has such a rack.
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -3,8 +3,9 @@
 use super::blocks::{first_of_block, position_range, Block, BLOCK_SIZE};
 use super::orders::Orders;
 use super::resources::Resources;
+use super::shortages::Shortages;
 use crate::ids::StepKey;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 /// The most of a resource that a worker is taken to have: sums over a fleet stay exact.
@@ -125,6 +126,8 @@
     free: Resources,
     /// How many workers are ejected.
     ejected: usize,
+    /// Searches that found no worker since capacity was last freed.
+    pub(super) shortages: RefCell<Shortages>,
     /// How many slots searches have examined since the last call of `take_examined`.
     examined: Cell<u64>,
 }
@@ -142,6 +145,7 @@
 
     /// Adds a worker, or brings what is known of it up to date. Reservations stay.
     pub fn upsert(&mut self, key: WorkerKey, facts: WorkerFacts) {
+        self.shortages.get_mut().clear();
         let labels = facts.labels.iter().map(|label| self.labels.number(label)).collect();
         let rack = facts.rack.as_deref().map(|rack| self.racks.number(rack));
         let quality = clamped_factor(facts.pace) * clamped_factor(facts.trust);
@@ -216,6 +220,7 @@
         if !need.fits_in(slot.reserved) {
             return false;
         }
+        self.shortages.get_mut().clear();
         self.change(position, |slot| {
             slot.reserved = slot.reserved.minus(need);
             slot.steps[step_position].tasks -= 1;
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod preempt;
 mod resources;
+mod shortages;
 mod shortfall;
 
 pub use explain::PlacementObstacle;
