--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -1,9 +1,11 @@
 //! The workers of one service and what is reserved on them.
 
 use super::blocks::{first_of_block, position_range, Block, BLOCK_SIZE};
+use super::orders::Orders;
 use super::resources::Resources;
+use super::shortages::Shortages;
 use crate::ids::StepKey;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 /// The most of a resource that a worker is taken to have: sums over a fleet stay exact.
@@ -87,6 +89,11 @@
         self.capacity.minus(self.reserved)
     }
 
+    /// Whether it may take starts, if only as the last resort.
+    pub(super) fn may_take_starts(&self) -> bool {
+        self.usable || self.ejected
+    }
+
     /// How many tasks of a step have a reservation here.
     pub(super) fn tasks_of(&self, step: &StepKey) -> u32 {
         self.steps.iter().find(|count| count.step == *step).map_or(0, |count| count.tasks)
@@ -109,9 +116,18 @@
     pub(super) first_fit: bool,
     /// What searches may find among each run of `BLOCK_SIZE` slots.
     blocks: Vec<Block>,
+    pub(super) orders: Orders,
+    /// The workers of each rack.
+    by_rack: BTreeMap<Symbol, Vec<WorkerKey>>,
+    /// The workers on which tasks of a step have a reservation.
+    by_step: BTreeMap<StepKey, Vec<WorkerKey>>,
     index: BTreeMap<WorkerKey, usize>,
     total: Resources,
     free: Resources,
+    /// How many workers are ejected.
+    ejected: usize,
+    /// Searches that found no worker since capacity was last freed.
+    pub(super) shortages: RefCell<Shortages>,
     /// How many slots searches have examined since the last call of `take_examined`.
     examined: Cell<u64>,
 }
@@ -129,6 +145,7 @@
 
     /// Adds a worker, or brings what is known of it up to date. Reservations stay.
     pub fn upsert(&mut self, key: WorkerKey, facts: WorkerFacts) {
+        self.shortages.get_mut().clear();
         let labels = facts.labels.iter().map(|label| self.labels.number(label)).collect();
         let rack = facts.rack.as_deref().map(|rack| self.racks.number(rack));
         let quality = clamped_factor(facts.pace) * clamped_factor(facts.trust);
@@ -136,11 +153,13 @@
         match self.index.get(&key).copied() {
             Some(position) => {
                 let before = self.slots[position].capacity;
+                self.leave_rack(position);
                 self.change(position, |slot| {
                     (slot.capacity, slot.quality) = (capacity, quality);
                     (slot.usable, slot.ejected) = (usable, ejected);
                     (slot.rack, slot.labels) = (rack, labels);
                 });
+                self.join_rack(position);
                 self.largest = self.largest.max(capacity);
                 if is_largest_somewhere(before, self.largest) && !before.fits_in(capacity) {
                     self.recompute_largest();
@@ -177,6 +196,9 @@
     /// nothing, if the worker isn't known.
     pub fn reserve(&mut self, key: WorkerKey, step: StepKey, need: Resources) -> bool {
         let Some(position) = self.index.get(&key).copied() else { return false };
+        if self.slots[position].tasks_of(&step) == 0 {
+            self.by_step.entry(step).or_default().push(key);
+        }
         self.change(position, |slot| {
             slot.reserved = slot.reserved.plus(need);
             match slot.steps.iter_mut().find(|count| count.step == step) {
@@ -198,6 +220,7 @@
         if !need.fits_in(slot.reserved) {
             return false;
         }
+        self.shortages.get_mut().clear();
         self.change(position, |slot| {
             slot.reserved = slot.reserved.minus(need);
             slot.steps[step_position].tasks -= 1;
@@ -205,6 +228,9 @@
                 slot.steps.swap_remove(step_position);
             }
         });
+        if self.slots[position].tasks_of(&step) == 0 {
+            remove_key(&mut self.by_step, step, key);
+        }
         true
     }
 
@@ -274,8 +300,11 @@
     fn change(&mut self, position: usize, change: impl FnOnce(&mut Slot)) {
         let slot = &mut self.slots[position];
         let before = sums(slot);
+        self.orders.remove(position, slot);
         change(slot);
+        self.orders.insert(position, slot);
         let after = sums(slot);
+        self.ejected = self.ejected + after.ejected - before.ejected;
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
@@ -284,18 +313,32 @@
 
     fn add_slot(&mut self, slot: Slot) {
         let sums = sums(&slot);
+        self.ejected += sums.ejected;
         self.total = self.total.plus(sums.total);
         self.free = self.free.plus(sums.free);
         let position = self.slots.len();
         self.index.insert(slot.key, position);
+        self.orders.insert(position, &slot);
         self.slots.push(slot);
+        self.join_rack(position);
         self.update_block(position / BLOCK_SIZE);
     }
 
     /// Takes a slot out; the last one takes its position.
     fn remove_slot(&mut self, position: usize) {
+        self.leave_rack(position);
+        let last = self.slots.len() - 1;
+        self.orders.remove(last, &self.slots[last]);
+        if position < last {
+            self.orders.remove(position, &self.slots[position]);
+            self.orders.insert(position, &self.slots[last]);
+        }
         let slot = self.slots.swap_remove(position);
+        for count in &slot.steps {
+            remove_key(&mut self.by_step, count.step, slot.key);
+        }
         let sums = sums(&slot);
+        self.ejected -= sums.ejected;
         self.total = self.total.minus(sums.total);
         self.free = self.free.minus(sums.free);
         if let Some(moved) = self.slots.get(position) {
@@ -305,6 +348,51 @@
         self.update_block(self.slots.len() / BLOCK_SIZE);
     }
 
+    /// Whether any worker is ejected.
+    pub(super) fn has_ejected(&self) -> bool {
+        self.ejected > 0
+    }
+
+    /// Whether any worker ever was in this rack.
+    pub fn knows_rack(&self, rack: &str) -> bool {
+        self.racks.find(rack).is_some()
+    }
+
+    fn join_rack(&mut self, position: usize) {
+        let slot = &self.slots[position];
+        if let Some(rack) = slot.rack {
+            self.by_rack.entry(rack).or_default().push(slot.key);
+        }
+    }
+
+    fn leave_rack(&mut self, position: usize) {
+        let slot = &self.slots[position];
+        if let Some(rack) = slot.rack {
+            remove_key(&mut self.by_rack, rack, slot.key);
+        }
+    }
+
+    /// The workers of a rack, each counted as examined once it is reached.
+    pub(super) fn rack_slots(&self, rack: Option<Symbol>) -> impl Iterator<Item = &Slot> {
+        self.slots_of(rack.and_then(|rack| self.by_rack.get(&rack)))
+    }
+
+    /// The workers on which tasks of a step have a reservation, each counted as examined once it is reached.
+    pub(super) fn step_slots(&self, step: &StepKey) -> impl Iterator<Item = &Slot> {
+        self.slots_of(self.by_step.get(step))
+    }
+
+    fn slots_of<'a>(&'a self, keys: Option<&'a Vec<WorkerKey>>) -> impl Iterator<Item = &'a Slot> {
+        let slots = keys.into_iter().flatten().filter_map(|key| self.slot(*key));
+        slots.inspect(|_| self.count_examined())
+    }
+
+    /// The slot of an entry of the orders, counted as examined.
+    pub(super) fn examine_position(&self, position: usize) -> &Slot {
+        self.count_examined();
+        &self.slots[position]
+    }
+
     /// Computes a block from its slots; one without slots is dropped.
     fn update_block(&mut self, number: usize) {
         if first_of_block(number) >= self.slots.len() {
@@ -319,6 +407,15 @@
     }
 }
 
+/// Takes a worker out of a list of workers, and the list out once it is empty.
+fn remove_key<K: Ord>(lists: &mut BTreeMap<K, Vec<WorkerKey>>, of: K, key: WorkerKey) {
+    let Some(keys) = lists.get_mut(&of) else { return };
+    keys.retain(|other| *other != key);
+    if keys.is_empty() {
+        lists.remove(&of);
+    }
+}
+
 /// Whether a capacity is the largest in any resource: without it the largest may be less.
 fn is_largest_somewhere(capacity: Resources, largest: Resources) -> bool {
     capacity.cpu == largest.cpu || capacity.mem_mb == largest.mem_mb || capacity.gpu == largest.gpu
@@ -328,13 +425,15 @@
 struct Sums {
     total: Resources,
     free: Resources,
+    ejected: usize,
 }
 
 fn sums(slot: &Slot) -> Sums {
-    if slot.usable || slot.ejected {
-        Sums { total: slot.capacity, free: slot.free() }
+    let ejected = usize::from(slot.ejected);
+    if slot.may_take_starts() {
+        Sums { total: slot.capacity, free: slot.free(), ejected }
     } else {
-        Sums { total: Resources::ZERO, free: Resources::ZERO }
+        Sums { total: Resources::ZERO, free: Resources::ZERO, ejected }
     }
 }
 
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -9,8 +9,10 @@
 mod fleet;
 mod gang;
 mod matching;
+mod orders;
 mod preempt;
 mod resources;
+mod shortages;
 mod shortfall;
 
 pub use explain::PlacementObstacle;
