Tell calls that the leader withheld apart from calls that did not reach the worker

Cause: a leader whose lease has run out for a moment, after a long turn, withholds the calls of that turn and reports them as NotSent. Two of these in a row make a worker unreachable, three give up a start; the worker had no part in it.

Change: CallOutcome::Withheld. The busy record counts calls that were withheld and calls that were not sent. The simulation's core process does as the driver.

--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -97,11 +97,11 @@
         let call = worker_call.call;
         if let Err(error) = self.replica.state().check_call(&worker_call.instance, &worker_call.request) {
             log::error!("{error}");
-            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
+            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::Withheld });
         } else if self.replica.has_lease(self.clock.now()) {
             self.workers.start(worker_call);
         } else {
-            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
+            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::Withheld });
         }
     }
 }
--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -17,6 +17,10 @@
     pub sessions_polled: u64,
     /// Calls to workers that were given up.
     pub calls_cancelled: u64,
+    /// Calls to workers that were not reached.
+    pub calls_not_sent: u64,
+    /// Calls to workers that the driver withheld.
+    pub calls_withheld: u64,
 }
 
 impl Leader {
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -67,6 +67,11 @@
     /// A call to a worker has ended.
     pub(super) fn call_finished(&mut self, call: CallId, outcome: CallOutcome) {
         let now = self.now;
+        match outcome {
+            CallOutcome::NotSent => self.work.calls_not_sent += 1,
+            CallOutcome::Withheld => self.work.calls_withheld += 1,
+            _ => {}
+        }
         let Some(entry) = self.workers.get_mut(&call.worker) else { return };
         let had_met = entry.session.has_been_answered();
         entry.session.set_response_clock(self.lateness.response_clock);
--- a/crates/scheduler/src/worker/lease_schedule.rs
+++ b/crates/scheduler/src/worker/lease_schedule.rs
@@ -58,6 +58,11 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Records a lease renewal that this process withheld: it is repeated without regard to how often it was.
+    pub(super) fn withheld(&mut self, now: u64) {
+        self.not_before = now.saturating_add(RETRY_DELAY);
+    }
+
     /// Records a lease renewal that was sent.
     pub(super) fn sent(&mut self, now: u64, carries_deadline: bool) {
         self.last_sent = Some(now);
--- a/crates/scheduler/src/worker/orders.rs
+++ b/crates/scheduler/src/worker/orders.rs
@@ -130,6 +130,10 @@
                 let (order, failed_sends) = (order.clone(), *failed_sends);
                 self.start_not_sent(key, order, failed_sends, now);
             }
+            CallOutcome::Withheld => {
+                let (order, failed_sends) = (order.clone(), *failed_sends);
+                self.start_withheld(key, order, failed_sends, now);
+            }
             CallOutcome::Refused { .. } | CallOutcome::Lists { .. } | CallOutcome::NoResponse => {
                 attempt.phase = Phase::Uncertain { conclusive_from, absent: false };
             }
@@ -147,6 +151,21 @@
             self.resolve(key, Resolution::REJECTED);
         } else {
             let not_before = now.saturating_add(exponential_backoff(RETRY_DELAY, failed_sends - 1));
+            self.queue_again(key, order, failed_sends, not_before);
+        }
+    }
+
+    /// This process withheld a start: it is sent as soon as calls are sent again, unless it is no longer wanted.
+    fn start_withheld(&mut self, key: AttemptKey, order: StartOrder, failed_sends: u32, now: u64) {
+        if self.attempts.get(&key).is_some_and(|attempt| attempt.unwanted) {
+            self.resolve(key, Resolution::NEVER_RAN);
+        } else {
+            self.queue_again(key, order, failed_sends, now.saturating_add(RETRY_DELAY));
+        }
+    }
+
+    fn queue_again(&mut self, key: AttemptKey, order: StartOrder, failed_sends: u32, not_before: u64) {
+        if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.phase = Phase::Queued { order, failed_sends, not_before };
             self.start_queue.push_front(key);
         }
--- a/crates/scheduler/src/worker/types.rs
+++ b/crates/scheduler/src/worker/types.rs
@@ -138,8 +138,10 @@
     },
     /// No answer: the call may have been carried out, now or seconds later.
     NoResponse,
-    /// No byte of the call ever left.
+    /// No byte of the call ever left, since the worker was not reached.
     NotSent,
+    /// No byte of the call ever left, since this process withheld it: that says nothing of the worker.
+    Withheld,
 }
 
 /// A call that is due, or a fact that is certain.
--- a/crates/scheduler/tests/worker_lateness.rs
+++ b/crates/scheduler/tests/worker_lateness.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use messages::job::Resolution;
-use scheduler::worker::{ResponseClock, SessionOutput};
+use scheduler::worker::{CallOutcome, ResponseClock, SessionOutput};
 
-use support::driver::{lease_renewals, resolutions, starts, Driver};
+use support::driver::{calls, lease_renewals, resolutions, starts, Driver};
 use support::{key, order, MS};
 
 /// How long a session waits for the answer to a start at most, in milliseconds.
@@ -110,3 +110,34 @@
     let out = driver.poll_for_ms(10_000);
     assert_eq!(resolutions(&out), [(key(0, 1), Resolution::LEASE_EXPIRED)]);
 }
+
+#[test]
+fn calls_that_the_leader_withholds_without_its_lease_do_not_make_a_worker_unreachable() {
+    let (mut driver, start) = with_start_in_flight();
+    driver.pass_ms(5);
+    let mut out = driver.answer(start, CallOutcome::Withheld);
+    for _ in 0..20 {
+        out.extend(driver.poll_for_ms(50));
+        for (call, _) in calls(&out) {
+            out.extend(driver.answer(call, CallOutcome::Withheld));
+        }
+        assert!(!misses_an_answer(&out), "{out:?}");
+        assert_eq!(resolutions(&out), [], "a start that was withheld is not given up");
+    }
+}
+
+#[test]
+fn a_start_that_was_withheld_is_sent_again() {
+    let (mut driver, start) = with_start_in_flight();
+    driver.answer(start, CallOutcome::Withheld);
+    let out = driver.poll_for_ms(200);
+    assert_eq!(starts(&out).len(), 1, "{out:?}");
+}
+
+#[test]
+fn a_start_that_was_withheld_and_is_no_longer_wanted_never_ran() {
+    let (mut driver, start) = with_start_in_flight();
+    driver.session.stop(key(0, 1));
+    let out = driver.answer(start, CallOutcome::Withheld);
+    assert_eq!(resolutions(&out), [(key(0, 1), Resolution::NEVER_RAN)]);
+}
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -80,7 +80,7 @@
                     let term = self.leader_term;
                     self.out.push(CoreOutput::Call { term, call, address, instance, request });
                 } else {
-                    self.notify_leader(Input::CallFinished { call, outcome: CallOutcome::NotSent });
+                    self.notify_leader(Input::CallFinished { call, outcome: CallOutcome::Withheld });
                 }
             }
             Output::CancelCall { call } => {
