Bound the work of a new leader's events: polls, first calls, lists, recovery

Cause: one event did unbounded work. The first list of instances brought all workers into use one by one, and each tenth more of capacity computed the shares of all waiting steps anew: 145 to 746 ms in one turn with up to 9,309 waiting steps. The same event polled all sessions and called all workers; a lease that was back polled all of them too; the recovery from the state took 36 ms of processor time with 7,000 open jobs.

Change: an event polls 64 sessions at most, and the rest follow at once in further events. Workers that carry attempts come first; those that carry nothing and have not answered yet are contacted 64 at a time, paced by answers (an answer that is missing for 100 ms frees its place). Placement learns all facts of a list before services learn of workers that came into use. LeaderRecovery builds the leader in slices of 64 jobs. A lease that is back polls workers that carry something, and no longer causes an admission pass.

--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -18,6 +18,8 @@
 use super::mechanisms::Mechanism;
 use super::outlier_detector::PeerAverages;
 use super::pending_requests::{PendingClients, PendingConfigurations};
+use super::poll_queue::PollQueue;
+use super::recovery::LeaderRecovery;
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
@@ -62,8 +64,8 @@
     /// Keys of workers by the instance of their incarnation.
     pub(super) worker_keys: HashMap<Arc<str>, WorkerKey>,
     pub(super) next_worker: WorkerKey,
-    /// Workers whose session is to be polled at the end of this event.
-    pub(super) workers_to_poll: Vec<WorkerKey>,
+    /// Workers whose session is to be polled.
+    pub(super) poll_queue: PollQueue,
     /// Workers with ends that are not yet proposed.
     pub(super) workers_with_ends: Vec<WorkerKey>,
     pub(super) attempts: Attempts,
@@ -95,9 +97,14 @@
 
 impl Leader {
     /// The leader of `term`, with `state` as of the commit of the term's first entry. `now` is in nanoseconds of the
-    /// steady clock; `seed` determines the jitter of its timers.
+    /// steady clock; `seed` determines the jitter of its timers. `LeaderRecovery` does the same in slices.
     pub fn new(term: u64, settings: LeaderSettings, state: &State, now: u64, seed: u64) -> Self {
-        let mut leader = Self {
+        LeaderRecovery::new(term, settings, state, now, seed).complete(state)
+    }
+
+    /// A leader that knows nothing of the state yet.
+    pub(super) fn empty(term: u64, settings: LeaderSettings, now: u64, seed: u64) -> Self {
+        Self {
             term,
             settings,
             now,
@@ -115,7 +122,7 @@
             workers: BTreeMap::new(),
             worker_keys: HashMap::new(),
             next_worker: 0,
-            workers_to_poll: Vec::new(),
+            poll_queue: PollQueue::default(),
             workers_with_ends: Vec::new(),
             attempts: Attempts::default(),
             history: AttemptHistory::default(),
@@ -133,10 +140,7 @@
             session_outputs: Vec::new(),
             random: fastrand::Rng::with_seed(seed),
             work: LeaderWork::default(),
-        };
-        leader.recover(state);
-        leader.timers.set(now, Timer::ReadInstances);
-        leader
+        }
     }
 
     /// The term, which is the fencing token of all calls to workers.
@@ -150,12 +154,14 @@
         self.now = self.now.max(now);
         self.lease_until = until;
         if had_expired && until > now {
-            let keys: Vec<WorkerKey> = self.workers.keys().copied().collect();
+            // The others send nothing that needs the lease.
+            let busy = self.workers.iter().filter(|(_, entry)| !entry.session.is_idle());
+            let keys: Vec<WorkerKey> = busy.map(|(key, _)| *key).collect();
             for key in keys {
                 self.schedule_poll(key);
             }
             // Sessions are polled with the next event: the coming flush asks for one at once.
-            self.timers.set_no_later(self.now, Timer::Admit);
+            self.timers.set_no_later(self.now, Timer::PollWorkers);
         }
     }
 
@@ -238,6 +244,8 @@
                 Timer::ReadInstances => self.request_instances(out),
                 Timer::ExamineAttempts => self.examine_attempts(state),
                 Timer::Schedule => self.start_due_times(state),
+                // Sessions are polled at the end of every event.
+                Timer::PollWorkers => {}
                 Timer::Admit => self.services.iter_mut().for_each(|service| service.due = true),
             }
         }
--- a/crates/scheduler/src/leader/instances.rs
+++ b/crates/scheduler/src/leader/instances.rs
@@ -1,6 +1,6 @@
 //! The platform's list of instances: which workers there are, their capacity, which are draining.
 
-use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use configuration::Instance;
 use messages::job::WorkerIncarnation;
@@ -52,10 +52,10 @@
         self.instance_read_failures = 0;
         self.has_instances = true;
         self.schedule_instance_read();
-        let mut listed = BTreeSet::new();
-        for instance in instances {
-            listed.insert(self.instance_listed(instance));
-        }
+        let listed: Vec<WorkerKey> =
+            instances.into_iter().map(|instance| self.instance_listed(instance)).collect();
+        self.update_placement_of_all(&listed);
+        let listed: HashSet<WorkerKey> = listed.into_iter().collect();
         let keys: Vec<WorkerKey> = self.workers.keys().copied().collect();
         for key in keys {
             if !listed.contains(&key) {
@@ -74,17 +74,15 @@
         }
         self.instance_read_failures = 0;
         self.schedule_instance_read();
-        let keys: Vec<(WorkerKey, bool)> =
-            self.workers.iter().map(|(key, entry)| (*key, entry.listed)).collect();
-        for (key, listed) in keys {
-            if listed {
-                self.update_placement(key);
-            } else {
-                self.instance_not_listed(key);
-            }
+        let (listed, unlisted): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            self.workers.keys().partition(|key| self.workers[key].listed);
+        self.update_placement_of_all(&listed);
+        for key in unlisted {
+            self.instance_not_listed(key);
         }
     }
 
+    /// Takes what the list says of an instance; placement is still to be updated.
     fn instance_listed(&mut self, instance: Instance) -> WorkerKey {
         let incarnation =
             WorkerIncarnation { instance: instance.id, address: instance.address, service: instance.service };
@@ -114,7 +112,6 @@
         if instance.draining && !was_draining {
             self.timers.set_no_later(now, Timer::ExamineAttempts);
         }
-        self.update_placement(key);
         key
     }
 
--- a/crates/scheduler/src/leader/recovery.rs
+++ b/crates/scheduler/src/leader/recovery.rs
@@ -1,14 +1,82 @@
 //! Recovery at a leader's start: the state of every attempt that may be running is queried, every waiting task queued.
 
+use std::collections::VecDeque;
+
 use crate::ids::{AttemptKey, StepKey};
 use crate::state::{Job, State, Work};
 
 use super::event_loop::Leader;
 use super::service::QueueEnd;
+use super::settings::LeaderSettings;
+use super::timers::Timer;
+
+/// Jobs that one slice of a recovery goes through.
+const JOBS_PER_SLICE: usize = 64;
+
+/// A leader that is being built from the state, in slices: with thousands of open jobs it takes longer than a leader may
+/// go without heartbeats.
+///
+/// The state must stay the same from `new` to `finish`. It does, since only the leader of the term proposes commands.
+pub struct LeaderRecovery {
+    leader: Leader,
+    /// Jobs whose attempts are not adopted yet.
+    with_attempts: VecDeque<u64>,
+    /// Open jobs whose steps are not queued yet, those accepted first before the others.
+    open: VecDeque<u64>,
+}
+
+impl LeaderRecovery {
+    /// Begins with the configuration and the workers; the parameters are those of `Leader::new`.
+    pub fn new(term: u64, settings: LeaderSettings, state: &State, now: u64, seed: u64) -> Self {
+        let mut leader = Leader::empty(term, settings, now, seed);
+        leader.recover_workers(state);
+        leader.timers.set(now, Timer::ReadInstances);
+        let with_attempts = state.jobs().filter(|(_, job)| job.work().is_some()).map(|(id, _)| id).collect();
+        LeaderRecovery { leader, with_attempts, open: open_jobs(state) }
+    }
+
+    /// Does the next slice. Returns whether the recovery is complete.
+    pub fn advance(&mut self, state: &State) -> bool {
+        if !self.with_attempts.is_empty() {
+            for job in next_slice(&mut self.with_attempts) {
+                self.leader.recover_attempts(state, job);
+            }
+        } else {
+            for job in next_slice(&mut self.open) {
+                self.leader.recover_steps(state, job);
+            }
+        }
+        self.with_attempts.is_empty() && self.open.is_empty()
+    }
+
+    /// The leader, once `advance` has returned true.
+    pub fn finish(self) -> Leader {
+        debug_assert!(self.with_attempts.is_empty() && self.open.is_empty(), "the recovery is not complete");
+        self.leader
+    }
+
+    /// Does all slices that are left.
+    pub fn complete(mut self, state: &State) -> Leader {
+        while !self.advance(state) {}
+        self.finish()
+    }
+}
+
+fn next_slice(jobs: &mut VecDeque<u64>) -> impl Iterator<Item = u64> + '_ {
+    let slice = jobs.len().min(JOBS_PER_SLICE);
+    jobs.drain(..slice)
+}
+
+/// The open jobs, those accepted first before the others.
+fn open_jobs(state: &State) -> VecDeque<u64> {
+    let accepted = |(id, job): (u64, &Job)| job.open_work().map(|work| (work.submit().accepted_at_ms, id));
+    let mut open: Vec<(u64, u64)> = state.jobs().filter_map(accepted).collect();
+    open.sort_unstable();
+    open.into_iter().map(|(_, job)| job).collect()
+}
 
 impl Leader {
-    /// Rebuilds what the leader keeps beside the state.
-    pub(super) fn recover(&mut self, state: &State) {
+    fn recover_workers(&mut self, state: &State) {
         self.load_configuration(state);
         for worker in state.workers() {
             let key = self.worker_key(&worker.incarnation, worker.acknowledged);
@@ -16,12 +84,13 @@
                 entry.incarnation_logged = true;
             }
         }
-        for (_, job) in state.jobs() {
-            if let Some(work) = job.work() {
-                self.adopt_attempts(state, work, job.open_work().is_some());
-            }
+    }
+
+    fn recover_attempts(&mut self, state: &State, job: u64) {
+        let Some(job) = state.job(job) else { return };
+        if let Some(work) = job.work() {
+            self.adopt_attempts(state, work, job.open_work().is_some());
         }
-        self.queue_open_jobs(state);
     }
 
     /// Adopts the attempts of a job; those that are no longer wanted are stopped.
@@ -35,7 +104,7 @@
             if let Some(entry) = self.workers.get_mut(&worker) {
                 entry.session.adopt(key);
             }
-            self.schedule_poll(worker);
+            self.schedule_adopting_poll(worker);
             let is_broken_gang = stage.gang && work.active_in_step(task.step_key()) < stage.count as usize;
             if !is_open || work.is_task_done(task) || is_broken_gang {
                 self.stop_attempt(key);
@@ -43,21 +112,15 @@
         }
     }
 
-    /// Queues the waiting steps, those of jobs accepted first before the others.
-    fn queue_open_jobs(&mut self, state: &State) {
-        let accepted =
-            |(id, job): (u64, &Job)| job.open_work().map(|work| (work.submit().accepted_at_ms, id));
-        let mut open: Vec<(u64, u64)> = state.jobs().filter_map(accepted).collect();
-        open.sort_unstable();
-        for (_, job) in open {
-            self.job_opened(state, job);
-            let Some(work) = state.open_work(job) else { continue };
-            if work.is_scheduled() {
-                continue;
-            }
-            for step in 0..work.stages().len() as u32 {
-                self.enqueue_step(state, StepKey { job, time: 0, step }, QueueEnd::Back);
-            }
+    /// Queues the waiting steps of an open job.
+    fn recover_steps(&mut self, state: &State, job: u64) {
+        self.job_opened(state, job);
+        let Some(work) = state.open_work(job) else { return };
+        if work.is_scheduled() {
+            return;
+        }
+        for step in 0..work.stages().len() as u32 {
+            self.enqueue_step(state, StepKey { job, time: 0, step }, QueueEnd::Back);
         }
     }
 }
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -26,6 +26,11 @@
         self.blocked.values().filter_map(|blocked| blocked.retry_at).min()
     }
 
+    /// How often the shares of all waiting steps were computed since the last call.
+    pub(in crate::leader) fn take_share_updates(&mut self) -> u64 {
+        std::mem::take(&mut self.share_updates)
+    }
+
     /// A worker was added, or may take starts again.
     pub(in crate::leader) fn worker_usable(&mut self, worker: WorkerKey) {
         self.capacity_freed(worker);
@@ -35,6 +40,7 @@
         }
         self.blocked.clear();
         self.shares_total = total;
+        self.share_updates += 1;
         self.queues = Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight }));
         let mut steps: Vec<(i64, StepKey)> =
             self.ready.iter().map(|(step, ready)| (ready.order, *step)).collect();
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -49,6 +49,8 @@
     pub(super) gang_pause_began: u64,
     /// The total of which the queues' entries are shares.
     shares_total: Resources,
+    /// How often the shares of all waiting steps were computed since that was last taken.
+    share_updates: u64,
     /// Sort key last given to an entry at the front; decreases.
     first_order: i64,
     /// Sort key last given to an entry at the back; increases.
@@ -72,6 +74,7 @@
             due: false,
             saw_progress: false,
             shares_total: Resources::ZERO,
+            share_updates: 0,
             first_order: 0,
             last_order: 0,
         }
--- a/crates/scheduler/src/leader/timers.rs
+++ b/crates/scheduler/src/leader/timers.rs
@@ -10,6 +10,8 @@
     Session(u64),
     /// Reconsider whether this worker may take starts.
     Worker(u64),
+    /// Poll sessions that wait for it.
+    PollWorkers,
     /// Read the platform's list.
     ReadInstances,
     /// Examine running attempts.
--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -1,6 +1,7 @@
 //! How much work a leader has done, in units that do not depend on the machine: what its processor time goes to.
 
 use super::event_loop::Leader;
+use super::service::Service;
 
 /// Units of work since they were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     pub workers_examined: u64,
     /// Polls of workers' sessions.
     pub sessions_polled: u64,
+    /// How often the shares of all waiting steps of a service were computed.
+    pub share_updates: u64,
     /// Calls to workers that were given up.
     pub calls_cancelled: u64,
 }
@@ -23,6 +26,7 @@
     /// The work done since the last call.
     pub fn take_work(&mut self) -> LeaderWork {
         let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
-        LeaderWork { workers_examined, ..std::mem::take(&mut self.work) }
+        let share_updates = self.services.iter_mut().map(Service::take_share_updates).sum();
+        LeaderWork { workers_examined, share_updates, ..std::mem::take(&mut self.work) }
     }
 }
--- a/crates/scheduler/src/leader/worker_availability.rs
+++ b/crates/scheduler/src/leader/worker_availability.rs
@@ -28,20 +28,40 @@
 
     /// Updates the facts by which placement knows a worker, if they changed.
     pub(super) fn update_placement(&mut self, key: WorkerKey) {
-        let Some(entry) = self.workers.get_mut(&key) else { return };
+        if self.report_facts(key) {
+            self.notify_usable(key);
+        }
+    }
+
+    /// The same for many workers. Services learn of those that came into use after all facts are reported, so that the
+    /// shares of waiting steps are computed once.
+    pub(super) fn update_placement_of_all(&mut self, keys: &[WorkerKey]) {
+        let came_into_use: Vec<WorkerKey> =
+            keys.iter().copied().filter(|key| self.report_facts(*key)).collect();
+        for key in came_into_use {
+            self.notify_usable(key);
+        }
+    }
+
+    fn notify_usable(&mut self, key: WorkerKey) {
+        if let Some(position) = self.workers.get(&key).map(|entry| entry.service) {
+            self.services[position].worker_usable(key);
+        }
+    }
+
+    /// Reports the facts about a worker to placement, if they changed. Returns whether it came into use.
+    fn report_facts(&mut self, key: WorkerKey) -> bool {
+        let Some(entry) = self.workers.get_mut(&key) else { return false };
         let position = entry.service;
         let was_usable = entry.reported.is_some_and(|reported| reported.usable);
         let was_ejected = entry.reported.is_some_and(|reported| reported.ejected);
         let peers_pace = self.peers[position].pace.value();
-        let Some(mut facts) = entry.changed_facts(self.now, peers_pace) else { return };
+        let Some(mut facts) = entry.changed_facts(self.now, peers_pace) else { return false };
         if !self.settings.mechanisms.uses(Mechanism::WorkerQuality) {
             (facts.pace, facts.trust) = (1.0, 1.0);
         }
         let came_into_use = (facts.usable && !was_usable) || (facts.ejected && !was_usable && !was_ejected);
-        let service = &mut self.services[position];
-        service.fleet.upsert(key, facts);
-        if came_into_use {
-            service.worker_usable(key);
-        }
+        self.services[position].fleet.upsert(key, facts);
+        came_into_use
     }
 }
--- a/crates/scheduler/src/leader/worker_entry.rs
+++ b/crates/scheduler/src/leader/worker_entry.rs
@@ -99,6 +99,11 @@
         self.session.incarnation()
     }
 
+    /// Whether it carries nothing and has not answered yet.
+    pub(super) fn is_first_contact(&self) -> bool {
+        self.session.is_idle() && !self.session.has_been_answered()
+    }
+
     /// How many attempts occupy it.
     pub(super) fn assigned_count(&self) -> u32 {
         u32::try_from(self.assigned.len()).unwrap_or(u32::MAX)
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -12,6 +12,7 @@
 use super::event_loop::Leader;
 use super::interface::{CallId, Output};
 use super::mechanisms::Mechanism;
+use super::poll_queue::POLLS_PER_EVENT;
 use super::timers::Timer;
 use super::worker_entry::WorkerEntry;
 use super::worker_events::WorkerEvent;
@@ -55,18 +56,33 @@
         }
     }
 
-    /// The session is to be polled at the end of this event.
+    /// The session is to be polled, at the end of this event or of one that follows at once.
     pub(super) fn schedule_poll(&mut self, key: WorkerKey) {
         let Some(entry) = self.workers.get_mut(&key) else { return };
-        if !entry.poll_scheduled {
-            entry.poll_scheduled = true;
-            self.workers_to_poll.push(key);
+        if std::mem::replace(&mut entry.poll_scheduled, true) {
+            return;
+        }
+        if entry.is_first_contact() {
+            self.poll_queue.push_first_contact(key);
+        } else {
+            self.poll_queue.push(key);
+        }
+    }
+
+    /// The session has adopted an attempt: it is polled before those of workers that carry nothing, also if it waited
+    /// among them.
+    pub(super) fn schedule_adopting_poll(&mut self, key: WorkerKey) {
+        let Some(entry) = self.workers.get_mut(&key) else { return };
+        let is_first = entry.session.attempt_count() == 1;
+        if !std::mem::replace(&mut entry.poll_scheduled, true) || is_first {
+            self.poll_queue.push(key);
         }
     }
 
     /// A call to a worker has ended.
     pub(super) fn call_finished(&mut self, call: CallId, outcome: CallOutcome) {
         let now = self.now;
+        self.poll_queue.contact_ended(call.worker);
         let Some(entry) = self.workers.get_mut(&call.worker) else { return };
         let had_met = entry.session.has_been_answered();
         entry.session.complete_call(now, call.call, outcome);
@@ -92,19 +108,30 @@
         self.schedule_poll(worker);
     }
 
-    /// Polls all sessions for which something changed.
+    /// Polls sessions for which something changed, up to a bound. The rest follows at once in another event.
     pub(super) fn poll_workers(&mut self, out: &mut Vec<Output>) {
-        while let Some(key) = self.workers_to_poll.pop() {
+        for _ in 0..POLLS_PER_EVENT {
+            let Some(key) = self.poll_queue.pop(self.now) else { break };
+            let calls_before = out.len();
+            let is_first_contact = self.workers.get(&key).is_some_and(WorkerEntry::is_first_contact);
             self.poll_worker(key, out);
+            if is_first_contact && out.len() > calls_before {
+                self.poll_queue.contact_began(key, self.now);
+            }
+        }
+        if let Some(at) = self.poll_queue.next_due(self.now) {
+            self.timers.set_no_later(at.max(self.now + 1), Timer::PollWorkers);
         }
     }
 
     fn poll_worker(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
-        self.work.sessions_polled += 1;
-        let mut outputs = std::mem::take(&mut self.session_outputs);
         let wait_ms = self.settings.wait_ms_among(self.workers.len());
         let Some(entry) = self.workers.get_mut(&key) else { return };
-        entry.poll_scheduled = false;
+        if !std::mem::replace(&mut entry.poll_scheduled, false) {
+            return;
+        }
+        self.work.sessions_polled += 1;
+        let mut outputs = std::mem::take(&mut self.session_outputs);
         if !self.fenced {
             let worker_lease_ms =
                 needed_worker_lease_ms(&self.attempts, &entry.assigned, &self.settings, self.now);
--- a/crates/scheduler/src/worker/session.rs
+++ b/crates/scheduler/src/worker/session.rs
@@ -115,6 +115,11 @@
         self.attempts.entry(key).or_insert_with(Attempt::adopted);
     }
 
+    /// How many attempts the session knows of.
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
     /// Stops an attempt that is no longer wanted; it ends with `Ended` or `Resolved`.
     pub fn stop(&mut self, key: AttemptKey) {
         self.wake_at = 0;
