Tell why a leader stopped leading

Need: the log could not tell a lost majority from a higher term or a transfer, so the cause of changes of leaders had to be guessed from times.

Change: Node::last_step_down gives the term, the reason (quorum lost, higher term, transferred, transfer timed out), when a majority was last heard from and when the lease expires. Decisions are as before.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -16,6 +16,7 @@
 use crate::message::{Message, TimeoutNow, VoteReply, VoteRequest};
 use crate::node::Node;
 use crate::role::{ElectionRule, Role};
+use crate::step_down::{StepDown, StepDownReason};
 use crate::types::{HardState, NodeId, Term};
 
 /// Why a process campaigns.
@@ -263,7 +264,7 @@
             self.incoming = None;
         }
         if self.is_leader() {
-            self.step_down(out);
+            self.step_down(StepDownReason::HigherTerm { term }, out);
         } else {
             self.role = Role::Follower;
         }
@@ -271,7 +272,12 @@
     }
 
     /// Becomes a follower after it led. Its own lease has ended, so it may vote at once.
-    pub(crate) fn step_down(&mut self, out: &mut Vec<Output>) {
+    pub(crate) fn step_down(&mut self, reason: StepDownReason, out: &mut Vec<Output>) {
+        if let Role::Leader(leadership) = &self.role {
+            let quorum_contact_at =
+                leadership.quorum_contact_at(self.options.id, self.now, self.membership());
+            self.last_step_down = Some(StepDown::of(leadership, reason, quorum_contact_at));
+        }
         self.role = Role::Follower;
         self.votes_rejected_until = self.now;
         self.reset_election_timer();
--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -30,6 +30,11 @@
     pub fn ends_leadership(&self) -> bool {
         self.timeout_now_sent || self.dropped_proposals
     }
+
+    /// Whether the target was asked to campaign.
+    pub fn is_requested(&self) -> bool {
+        self.timeout_now_sent
+    }
 }
 
 /// A change of membership that is decided, and appended once those that it needs are known to respond still.
@@ -110,6 +115,11 @@
         }
     }
 
+    /// When the newest lease that was granted expires, whether or not it counts now; 0: none was granted.
+    pub fn granted_until(&self) -> u64 {
+        self.lease
+    }
+
     /// Extends the lease to what follows from the messages that a majority has acknowledged.
     pub fn renew_lease(&mut self, own: NodeId, now: u64, membership: &Membership, options: &Options) {
         let clocks = membership.voters().map(|voter| match self.progress.get(&voter) {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -39,6 +39,7 @@
 mod restore;
 mod role;
 mod snapshots;
+mod step_down;
 mod types;
 mod vote_tally;
 
@@ -52,6 +53,7 @@
 pub use node::Node;
 pub use options::Options;
 pub use restore::check_restored;
+pub use step_down::{StepDown, StepDownReason};
 pub use types::{
     Entry, HardState, Index, Member, Membership, NodeId, Payload, Restored, Snapshot, SnapshotMeta, Term,
     BOOTSTRAP_TERM,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -14,6 +14,7 @@
 use crate::options::Options;
 use crate::restore::load;
 use crate::role::Role;
+use crate::step_down::StepDown;
 use crate::types::{
     Entry, HardState, Index, Membership, NodeId, Payload, Restored, Snapshot, SnapshotMeta, Term,
     BOOTSTRAP_INDEX, BOOTSTRAP_TERM,
@@ -76,6 +77,8 @@
     pub(crate) votes: VoteTally,
     /// Replies of the one before.
     pub(crate) earlier_votes: VoteTally,
+    /// How this process last stopped leading.
+    pub(crate) last_step_down: Option<StepDown>,
     /// Whether a membership with this process was in force and its removal has not been reported yet.
     pub(crate) was_member: bool,
 }
@@ -108,6 +111,7 @@
             leader_down_until: 0,
             votes: VoteTally::default(),
             earlier_votes: VoteTally::default(),
+            last_step_down: None,
             was_member,
             options,
         };
@@ -191,6 +195,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// How this process last stopped leading; `None` if it never did since its start.
+    pub fn last_step_down(&self) -> Option<&StepDown> {
+        self.last_step_down.as_ref()
+    }
+
     /// The leader that this process follows, or itself.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::progress::{LeaderView, Progress, SendMode};
 use crate::role::Role;
+use crate::step_down::StepDownReason;
 use crate::types::{Entry, NodeId, Payload};
 
 impl Node {
@@ -111,7 +112,8 @@
         if now.saturating_sub(quorum_contact_at) > quorum_timeout || ends {
             // Once the target was asked to campaign, no lease can be held in this term any more. And a leader that goes on
             // after a proposal was dropped would act on what is in no log.
-            self.step_down(out);
+            let reason = if ends { StepDownReason::TransferTimedOut } else { StepDownReason::QuorumLost };
+            self.step_down(reason, out);
             return;
         }
         if timed_out {
