Keep connections to workers open across leaderships of one process

What callers saw: as many connections opened as workers at each change of leaders; a process that leads again within seconds opened 1,100 and more anew.

Cause: WorkerClient::clear closed all connections at each step-down. Connections of lease renewals were never closed for the budget, also when idle.

Change: abandon_calls cancels calls that have not left, and lets those that were sent keep their connections until the answer is read, for 2.5 s at most. Their outcomes are ignored, by the generation, and they are never sent again. Idle connections of both lanes count for the budget, the longest idle first.

Evidence: control/tests/worker_calls.rs. The test that held idle lease-renewal connections outside the budget is replaced by one that holds the order for connections of both kinds, and one for connections in use, which stay.

--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -24,7 +24,7 @@
         self.tick_leader(now);
     }
 
-    /// Stops the leader, if there is one: pending calls are answered, calls to workers are cancelled.
+    /// Stops the leader, if there is one: pending calls are answered, those to workers abandoned.
     pub(super) fn step_down(&mut self) {
         if self.leader.take().is_none() {
             return;
@@ -33,7 +33,7 @@
         self.metrics.leadership_changed(Leadership::Lost);
         self.leader_outputs.clear();
         self.wake_at = u64::MAX;
-        self.workers.clear();
+        self.workers.abandon_calls();
         self.platform.stop();
         self.clients.fail_pending();
         self.operator_calls.fail_pending();
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -80,15 +80,22 @@
         !self.sender.is_closed()
     }
 
+    /// Waits until a request may be sent.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` if the connection has ended.
+    pub async fn ready(&mut self) -> Result<(), CallError> {
+        self.sender.ready().await.map_err(|_| CallError::NotSent)
+    }
+
     /// Sends `request` and reads the complete answer.
     ///
     /// # Errors
     ///
     /// `NotSent` if no byte of the request was sent, `ConnectionLost` if it may have been executed.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
-        if self.sender.ready().await.is_err() {
-            return Err(CallError::NotSent);
-        }
+        self.ready().await?;
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
--- a/crates/control/src/worker_client.rs
+++ b/crates/control/src/worker_client.rs
@@ -7,15 +7,17 @@
 use crate::events::DriverEvent;
 use crate::http::{parse_address, CallError};
 use crate::worker_calls::{outcome_of, request_for, WorkerCall};
-use crate::worker_lane::{close_excess, Budget, IdlePolicy, Lane};
+use crate::worker_lane::{close_excess, Budget, Lane};
 use hyper::Request;
 use scheduler::leader::CallId;
 use scheduler::worker::{CallOutcome, WorkerRequest};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::sleep;
 
 /// Connections in a worker's lane of orders.
 const MAX_ORDER_CONNECTIONS: usize = 4;
@@ -23,14 +25,20 @@
 /// cancelled.
 const MAX_LEASE_RENEWAL_CONNECTIONS: usize = 2;
 
+/// How long a call that was sent may still take after the end of its leadership: the longest wait for ends, and some
+/// time for the answer. Beyond that its connection closes.
+const ABANDONED_CALL_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// All connections to workers, and the calls in flight.
 ///
-/// A call sends exactly one `CallFinished` event, unless it is cancelled first. `generation` keeps outcomes of an earlier
-/// leadership from being taken for outcomes of this one, whose calls have the same numbers.
+/// A call sends exactly one `CallFinished` event, unless it is cancelled or abandoned first. `generation` keeps outcomes of
+/// an earlier leadership from being taken for outcomes of this one, whose calls have the same numbers.
 pub struct WorkerClient {
     workers: HashMap<String, Worker>,
     budget: Budget,
-    calls: HashMap<CallId, AbortHandle>,
+    calls: HashMap<CallId, InFlightCall>,
+    /// Ends the calls of the last leadership that were sent and have no answer yet.
+    abandoned: Option<AbandonedCalls>,
     /// Incremented at the end of each leadership, since the numbers of calls start again with the next.
     generation: u64,
     events: mpsc::Sender<DriverEvent>,
@@ -40,7 +48,14 @@
     /// No connections and no calls; connections are not limited until `set_max_connections`.
     pub fn new(events: mpsc::Sender<DriverEvent>) -> Self {
         let budget = Rc::new(RefCell::new(ConnectionBudget::new(usize::MAX)));
-        WorkerClient { workers: HashMap::new(), budget, calls: HashMap::new(), generation: 0, events }
+        WorkerClient {
+            workers: HashMap::new(),
+            budget,
+            calls: HashMap::new(),
+            abandoned: None,
+            generation: 0,
+            events,
+        }
     }
 
     /// Open connections to workers.
@@ -48,7 +63,7 @@
         self.budget.borrow().open()
     }
 
-    /// Sets the number of connections beyond which idle ones of orders are closed.
+    /// Sets the number of connections beyond which idle ones are closed.
     pub fn set_max_connections(&mut self, max_connections: usize) {
         self.budget.borrow_mut().set_limit(max_connections);
         close_excess(&self.budget);
@@ -61,17 +76,19 @@
         let lane = worker.lane_for(&call.request).clone();
         let id = call.call;
         let (events, generation) = (self.events.clone(), self.generation);
+        let phase = Rc::new(Cell::new(CallPhase::Waiting));
+        let phase_of_task = phase.clone();
         let task = spawn_local(async move {
-            let outcome = run_call(&lane, &call).await;
+            let outcome = run_call(&lane, &call, &phase_of_task).await;
             let _ = events.send(DriverEvent::CallFinished { generation, call: call.call, outcome }).await;
         });
-        self.calls.insert(id, task.abort_handle());
+        self.calls.insert(id, InFlightCall { task: task.abort_handle(), phase });
     }
 
     /// Cancels a call: its connection closes, and no outcome is sent.
     pub fn cancel(&mut self, call: CallId) {
-        if let Some(task) = self.calls.remove(&call) {
-            task.abort();
+        if let Some(call) = self.calls.remove(&call) {
+            call.task.abort();
         }
     }
 
@@ -80,12 +97,29 @@
         generation == self.generation && self.calls.remove(&call).is_some()
     }
 
+    /// Ends a leadership: calls that have not left are cancelled, and the answers to all others are ignored.
+    ///
+    /// Connections stay open for the next leadership of this process, which often follows within seconds. A call that was
+    /// sent keeps its connection until its answer is read, so that no later call gets that answer.
+    pub fn abandon_calls(&mut self) {
+        self.generation += 1;
+        let mut sent = Vec::new();
+        for (_, call) in self.calls.drain() {
+            match call.phase.replace(CallPhase::Abandoned) {
+                CallPhase::Sent => sent.push(call.task),
+                CallPhase::Waiting | CallPhase::Abandoned => call.task.abort(),
+            }
+        }
+        self.abandoned = Some(AbandonedCalls::limited(sent.into(), ABANDONED_CALL_LIMIT));
+    }
+
     /// Cancels all calls and closes all connections.
-    pub fn clear(&mut self) {
+    fn clear(&mut self) {
         self.generation += 1;
-        for (_, task) in self.calls.drain() {
-            task.abort();
+        for (_, call) in self.calls.drain() {
+            call.task.abort();
         }
+        self.abandoned = None;
         self.workers.clear();
     }
 
@@ -101,6 +135,47 @@
     }
 }
 
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallPhase {
+    /// It waits for a connection: no byte of it has left.
+    Waiting,
+    /// It was handed to an open connection.
+    Sent,
+    /// Its leadership has ended: it is not sent again.
+    Abandoned,
+}
+
+/// A call whose outcome is awaited.
+struct InFlightCall {
+    task: AbortHandle,
+    phase: Rc<Cell<CallPhase>>,
+}
+
+/// Calls of an earlier leadership that end by themselves, or at a time limit, or when this is dropped.
+struct AbandonedCalls {
+    calls: Rc<[AbortHandle]>,
+    limit: AbortHandle,
+}
+
+impl AbandonedCalls {
+    fn limited(calls: Rc<[AbortHandle]>, limit: Duration) -> Self {
+        let limited = calls.clone();
+        let limit = spawn_local(async move {
+            sleep(limit).await;
+            limited.iter().for_each(AbortHandle::abort);
+        });
+        AbandonedCalls { calls, limit: limit.abort_handle() }
+    }
+}
+
+impl Drop for AbandonedCalls {
+    fn drop(&mut self) {
+        self.limit.abort();
+        self.calls.iter().for_each(AbortHandle::abort);
+    }
+}
+
 /// The connections to one worker.
 struct Worker {
     lease_renewals: Rc<Lane>,
@@ -110,8 +185,8 @@
 impl Worker {
     fn new(budget: &Budget) -> Self {
         Worker {
-            lease_renewals: Rc::new(Lane::new(MAX_LEASE_RENEWAL_CONNECTIONS, IdlePolicy::Keep, budget)),
-            orders: Rc::new(Lane::new(MAX_ORDER_CONNECTIONS, IdlePolicy::CloseOverBudget, budget)),
+            lease_renewals: Rc::new(Lane::new(MAX_LEASE_RENEWAL_CONNECTIONS, budget)),
+            orders: Rc::new(Lane::new(MAX_ORDER_CONNECTIONS, budget)),
         }
     }
 
@@ -127,8 +202,8 @@
     }
 }
 
-async fn run_call(lane: &Rc<Lane>, call: &WorkerCall) -> CallOutcome {
-    match send_call(lane, call).await {
+async fn run_call(lane: &Rc<Lane>, call: &WorkerCall, phase: &Cell<CallPhase>) -> CallOutcome {
+    match send_call(lane, call, phase).await {
         Ok(outcome) => outcome,
         Err(CallError::ConnectionLost(reason)) => {
             log::debug!("call to {} at {}: {reason}", call.instance, call.address);
@@ -142,19 +217,32 @@
 }
 
 /// Sends the call, and retries it if an idle connection turns out to have been closed: then no byte of it has left.
-async fn send_call(lane: &Rc<Lane>, call: &WorkerCall) -> Result<CallOutcome, CallError> {
+async fn send_call(
+    lane: &Rc<Lane>,
+    call: &WorkerCall,
+    phase: &Cell<CallPhase>,
+) -> Result<CallOutcome, CallError> {
     let address = parse_address(&call.address)?;
     let (parts, body) = request_for(call)?.into_parts();
     loop {
         let mut connection = lane.acquire().await;
         let is_reused = connection.is_open();
         let request = Request::from_parts(parts.clone(), body.clone());
-        match connection.call(address, request).await {
+        let result = match connection.prepare(address).await {
+            Ok(()) => {
+                phase.set(CallPhase::Sent);
+                connection.call(request).await
+            }
+            Err(error) => Err(error),
+        };
+        match result {
             Ok(answer) => {
                 connection.release();
                 return Ok(outcome_of(&call.request, &answer));
             }
-            Err(CallError::NotSent) if is_reused => {}
+            Err(CallError::NotSent) if is_reused && phase.get() != CallPhase::Abandoned => {
+                phase.set(CallPhase::Waiting);
+            }
             Err(error) => return Err(error),
         }
     }
--- a/crates/control/src/worker_lane.rs
+++ b/crates/control/src/worker_lane.rs
@@ -35,19 +35,10 @@
     }
 }
 
-/// Whether idle connections of a lane may be closed to stay within the budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum IdlePolicy {
-    /// They stay open.
-    Keep,
-    /// They are closed while more connections are open than the budget allows.
-    CloseOverBudget,
-}
-
-/// An idle connection, with its ticket if it may be closed for the budget.
+/// An idle connection, which may be closed for the budget.
 struct IdleConnection {
     connection: HttpConnection,
-    ticket: Option<IdleTicket>,
+    ticket: IdleTicket,
 }
 
 /// Connections to one worker for one kind of call.
@@ -59,16 +50,15 @@
     /// Open connections, idle ones included.
     open: Cell<usize>,
     limit: usize,
-    idle_policy: IdlePolicy,
     budget: Budget,
     released: Notify,
 }
 
 impl Lane {
     /// No connections, of at most `limit`.
-    pub(crate) fn new(limit: usize, idle_policy: IdlePolicy, budget: &Budget) -> Self {
+    pub(crate) fn new(limit: usize, budget: &Budget) -> Self {
         let (idle, open, budget) = (RefCell::default(), Cell::new(0), budget.clone());
-        Lane { idle, open, limit, idle_policy, budget, released: Notify::new() }
+        Lane { idle, open, limit, budget, released: Notify::new() }
     }
 
     /// Counts a closed connection; its idle ticket must have been returned before.
@@ -80,7 +70,7 @@
     /// Closes the idle connection whose ticket the budget has taken back.
     fn close_idle(&self, ticket: IdleTicket) {
         let mut idle = self.idle.borrow_mut();
-        if let Some(index) = idle.iter().position(|idle| idle.ticket == Some(ticket)) {
+        if let Some(index) = idle.iter().position(|idle| idle.ticket == ticket) {
             idle.remove(index);
             self.count_closed();
         }
@@ -95,9 +85,7 @@
     fn take_idle(self: &Rc<Self>) -> Option<BorrowedConnection> {
         let mut idle = self.idle.borrow_mut();
         while let Some(IdleConnection { connection, ticket }) = idle.pop() {
-            if let Some(ticket) = ticket {
-                self.budget.borrow_mut().no_longer_idle(ticket);
-            }
+            self.budget.borrow_mut().no_longer_idle(ticket);
             if connection.is_usable() {
                 return Some(BorrowedConnection {
                     lane: self.clone(),
@@ -141,9 +129,7 @@
     fn drop(&mut self) {
         let mut budget = self.budget.borrow_mut();
         for idle in self.idle.get_mut().drain(..) {
-            if let Some(ticket) = idle.ticket {
-                budget.no_longer_idle(ticket);
-            }
+            budget.no_longer_idle(idle.ticket);
             budget.closed();
         }
     }
@@ -162,15 +148,17 @@
         self.connection.is_some()
     }
 
-    /// Makes a call, after opening the connection if it is not open yet.
-    pub(crate) async fn call(
-        &mut self,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, CallError> {
-        if self.connection.is_none() {
-            self.connection = Some(HttpConnection::open(address).await?);
-        }
+    /// Opens the connection if it is not open yet, and waits until it takes a request.
+    pub(crate) async fn prepare(&mut self, address: SocketAddr) -> Result<(), CallError> {
+        let connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => HttpConnection::open(address).await?,
+        };
+        self.connection.insert(connection).ready().await
+    }
+
+    /// Makes a call on the open connection.
+    pub(crate) async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
         match self.connection.as_mut() {
             Some(connection) => connection.call(request).await,
             None => Err(CallError::NotSent),
@@ -181,8 +169,7 @@
     pub(crate) fn release(mut self) {
         if let Some(connection) = self.connection.take() {
             let lane = &self.lane;
-            let owner = (lane.idle_policy == IdlePolicy::CloseOverBudget).then(|| Rc::downgrade(lane));
-            let ticket = owner.map(|owner| lane.budget.borrow_mut().became_idle(owner));
+            let ticket = lane.budget.borrow_mut().became_idle(Rc::downgrade(lane));
             lane.idle.borrow_mut().push(IdleConnection { connection, ticket });
             self.is_released = true;
             close_excess(&self.lane.budget);
--- a/crates/control/tests/worker_calls.rs
+++ b/crates/control/tests/worker_calls.rs
@@ -14,10 +14,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::LocalSet;
+use tokio::task::{yield_now, LocalSet};
 use tokio::time::timeout;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Turns of the runtime in which a call would have left.
+const TURNS: usize = 200;
 
 fn key() -> AttemptKey {
     AttemptKey { task: TaskKey { job: 0x5c0e_7a21_d94b_36f8, time: 0, step: 1, index: 17 }, attempt: 2 }
@@ -180,7 +182,7 @@
         let (mut client, _events, listener) = worker().await;
         let id = CallId { worker: 1, call: 1 };
         client.start(call(1, &listener, stop()));
-        client.clear();
+        client.abandon_calls();
         client.start(call(1, &listener, stop()));
         assert!(!client.finished(0, id));
         assert!(client.finished(1, id));
@@ -203,28 +205,115 @@
     stream
 }
 
+/// Carries one call to its end over a connection that is open already.
+async fn carry_again(
+    client: &mut WorkerClient,
+    events: &mut mpsc::Receiver<DriverEvent>,
+    call: WorkerCall,
+    stream: &mut TcpStream,
+) {
+    let number = call.call.call;
+    client.start(call);
+    read_request(stream).await;
+    reply(stream, r#"{"NowMs":2}"#).await;
+    assert_eq!(outcome(events).await.0, number);
+}
+
+/// Over the limit, the connection of this call, which has been idle for longest, closes, and the others carry on.
+async fn longest_idle_closes(oldest: WorkerRequest, newer: WorkerRequest) {
+    let (mut client, mut events, first) = worker().await;
+    let second = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    client.set_max_connections(3);
+    let mut oldest_stream = carry(&mut client, &mut events, call(1, &first, oldest.clone()), &first).await;
+    let mut newer_stream = carry(&mut client, &mut events, call(2, &first, newer.clone()), &first).await;
+    let mut newest = carry(&mut client, &mut events, call(3, &second, stop()), &second).await;
+    let mut last = carry(&mut client, &mut events, call(4, &second, lease_renewal()), &second).await;
+    assert_eq!(oldest_stream.read(&mut [0; 16]).await.expect("an orderly end"), 0);
+
+    carry_again(&mut client, &mut events, call(5, &second, lease_renewal()), &mut last).await;
+    carry_again(&mut client, &mut events, call(6, &second, stop()), &mut newest).await;
+    carry_again(&mut client, &mut events, call(7, &first, newer), &mut newer_stream).await;
+    carry(&mut client, &mut events, call(8, &first, oldest), &first).await;
+}
+
 #[test]
-fn over_the_limit_the_longest_idle_order_connection_closes_and_lease_renewals_stay() {
+fn over_the_limit_the_longest_idle_connection_closes_whatever_it_carries() {
+    on_one_thread(async {
+        longest_idle_closes(stop(), lease_renewal()).await;
+        longest_idle_closes(lease_renewal(), stop()).await;
+    });
+}
+
+#[test]
+fn over_the_limit_connections_in_use_stay_open() {
     on_one_thread(async {
         let (mut client, mut events, first) = worker().await;
-        let second = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        client.set_max_connections(3);
-        let mut renewal_stream =
-            carry(&mut client, &mut events, call(1, &first, lease_renewal()), &first).await;
-        let mut oldest = carry(&mut client, &mut events, call(2, &first, stop()), &first).await;
-        let mut newer = carry(&mut client, &mut events, call(3, &second, stop()), &second).await;
-        let _renewal_stream =
-            carry(&mut client, &mut events, call(4, &second, lease_renewal()), &second).await;
-        assert_eq!(oldest.read(&mut [0; 16]).await.expect("an orderly end"), 0);
-
-        client.start(call(5, &second, stop()));
-        read_request(&mut newer).await;
-        reply(&mut newer, r#"{"NowMs":2}"#).await;
-        assert_eq!(outcome(&mut events).await.0, 5);
-        client.start(call(6, &first, lease_renewal()));
-        read_request(&mut renewal_stream).await;
-        reply(&mut renewal_stream, r#"{"NowMs":3}"#).await;
-        assert_eq!(outcome(&mut events).await.0, 6);
-        carry(&mut client, &mut events, call(7, &first, stop()), &first).await;
+        client.set_max_connections(1);
+        client.start(call(1, &first, lease_renewal()));
+        let (mut waiting, _) = first.accept().await.expect("a connection");
+        read_request(&mut waiting).await;
+        let mut order = carry(&mut client, &mut events, call(2, &first, stop()), &first).await;
+        assert_eq!(order.read(&mut [0; 16]).await.expect("an orderly end"), 0);
+        reply(&mut waiting, r#"{"NowMs":1}"#).await;
+        assert_eq!(outcome(&mut events).await.0, 1);
+        carry_again(&mut client, &mut events, call(3, &first, lease_renewal()), &mut waiting).await;
+    });
+}
+
+#[test]
+fn connections_outlive_a_leadership_for_the_next_one_of_this_process() {
+    on_one_thread(async {
+        let (mut client, mut events, listener) = worker().await;
+        let mut idle = carry(&mut client, &mut events, call(1, &listener, stop()), &listener).await;
+        client.start(call(2, &listener, lease_renewal()));
+        let (mut waiting, _) = listener.accept().await.expect("a connection");
+        read_request(&mut waiting).await;
+        client.abandon_calls();
+        reply(&mut waiting, r#"{"NowMs":99}"#).await;
+        let late = events.recv().await;
+        assert!(
+            matches!(late, Some(DriverEvent::CallFinished { generation: 0, call, .. }) if !client.finished(0, call))
+        );
+
+        carry_again(&mut client, &mut events, call(1, &listener, stop()), &mut idle).await;
+        carry_again(&mut client, &mut events, call(2, &listener, lease_renewal()), &mut waiting).await;
+    });
+}
+
+#[test]
+fn the_answer_to_a_call_of_an_earlier_leadership_reaches_no_later_call() {
+    on_one_thread(async {
+        let (mut client, mut events, listener) = worker().await;
+        client.start(call(1, &listener, lease_renewal()));
+        let (mut earlier, _) = listener.accept().await.expect("a connection");
+        read_request(&mut earlier).await;
+        client.abandon_calls();
+        client.start(call(1, &listener, lease_renewal()));
+        let (mut later, _) = listener.accept().await.expect("a connection of its own");
+        read_request(&mut later).await;
+        reply(&mut earlier, r#"{"NowMs":99}"#).await;
+        reply(&mut later, r#"{"NowMs":2}"#).await;
+        let outcomes = [events.recv().await, events.recv().await];
+        let counted = outcomes.into_iter().flatten().filter_map(|event| match event {
+            DriverEvent::CallFinished { generation, call, outcome } if client.finished(generation, call) => {
+                Some(outcome)
+            }
+            _ => None,
+        });
+        let expected = CallOutcome::Lists { now_ms: 2, running: Vec::new(), finished: Vec::new() };
+        assert_eq!(counted.collect::<Vec<_>>(), [expected]);
+    });
+}
+
+#[test]
+fn a_call_that_waits_for_a_connection_is_not_sent_after_its_leadership() {
+    on_one_thread(async {
+        let (mut client, _events, listener) = worker().await;
+        client.start(call(1, &listener, lease_renewal()));
+        client.abandon_calls();
+        for _ in 0..TURNS {
+            yield_now().await;
+        }
+        assert!(timeout(Duration::ZERO, listener.accept()).await.is_err(), "no connection is opened for it");
     });
 }
