Let consensus come first in the driver: a lane of its own, and turns bounded by time

What callers saw: a leader under load lost its lease though its followers answered.

Cause: messages of consensus waited in one queue of 1,024 events behind answers of workers, their connections were read in turn with thousands of tasks of worker calls, and a turn handled up to 256 events, then up to 256 entries, whatever they cost.

Change: EventQueue has a lane for messages of consensus, which is emptied, and answered, before other events. No further event is handled and no further entry applied 4 ms into a turn. Tasks of connections between processes run on the runtime and not in the LocalSet of worker calls, so that each turn reads them. The leader is built in slices between turns. A leader that stops leading logs the reason at level warn.

--- a/crates/control/src/disk_opening.rs
+++ b/crates/control/src/disk_opening.rs
@@ -5,6 +5,7 @@
 
 use crate::clients::Clients;
 use crate::error::ControlError;
+use crate::event_queue::EventQueue;
 use crate::events::{ConnectionId, DriverEvent};
 use crate::identity::{self, OpenedDisk};
 use configuration::ProcessSettings;
@@ -12,7 +13,6 @@
 use messages::peer::{mod_PeerFrame::OneOfbody, LeaderNotice, Pong};
 use process_signals::Signal;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::{timeout_at, Instant};
 
 /// Time between two attempts.
@@ -44,7 +44,7 @@
     settings: &ProcessSettings,
     preparation: &DiskPreparation,
     clients: &mut Clients,
-    events: &mut mpsc::Receiver<DriverEvent>,
+    events: &mut EventQueue,
 ) -> Result<Option<OpenedDisk>, ControlError> {
     loop {
         match prepare_and_open(settings, preparation) {
@@ -53,7 +53,7 @@
             Err(error) => return Err(error),
         }
         let retry_at = Instant::now() + RETRY_INTERVAL;
-        while let Ok(event) = timeout_at(retry_at, events.recv()).await {
+        while let Ok(event) = timeout_at(retry_at, events.next()).await {
             match event {
                 Some(DriverEvent::Signal(Signal::Stop)) | None => return Ok(None),
                 Some(event) => handle_without_disk(clients, event),
--- a/crates/control/src/driver/event_log.rs
+++ b/crates/control/src/driver/event_log.rs
@@ -63,6 +63,18 @@
         self.logged_obstacle = Some((obstacle, now));
     }
 
+    /// Records why this process no longer leads.
+    pub(super) fn record_step_down(&self, now: u64) {
+        let Some(step_down) = self.replica.node().last_step_down() else { return };
+        log::warn!(
+            "no longer leads term={} {} majority_heard_ms_ago={} lease_ended_ms_ago={}",
+            step_down.term,
+            step_down.reason,
+            now.saturating_sub(step_down.quorum_contact_at) / MILLISECOND,
+            now.saturating_sub(step_down.lease_until) / MILLISECOND,
+        );
+    }
+
     /// Records that another leader is known, or none.
     pub(super) fn record_leader_change(&mut self) {
         self.metrics.leader_changed();
--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -5,11 +5,11 @@
 use crate::metrics::Leadership;
 use crate::operator_calls::reply_of;
 use crate::worker_calls::WorkerCall;
-use scheduler::leader::{client_reply_under_lease, Input, Leader, LeaderSettings, Output};
+use scheduler::leader::{client_reply_under_lease, Input, Leader, LeaderRecovery, LeaderSettings, Output};
 use scheduler::worker::CallOutcome;
 
 impl Driver {
-    /// Starts the leader: this process leads `term`, and its state is complete.
+    /// Begins to build the leader: this process leads `term`, and its state is complete.
     pub(super) fn become_leader(&mut self, now: u64, term: u64) {
         log::info!("leads term={term}");
         self.step_down();
@@ -17,7 +17,24 @@
             mechanisms: self.mechanisms.clone(),
             ..LeaderSettings::from_bounds(&self.settings.bounds)
         };
-        self.leader = Some(Leader::new(term, settings, self.replica.state(), now, fastrand::u64(..)));
+        let state = self.replica.state();
+        self.recovery = Some(LeaderRecovery::new(term, settings, state, now, fastrand::u64(..)));
+    }
+
+    /// Builds more of the leader that is being built, until the turn ends, and starts it once it is complete.
+    pub(super) fn advance_recovery(&mut self, now: u64, turn_ends: u64) {
+        let Some(mut recovery) = self.recovery.take() else { return };
+        while !recovery.advance(self.replica.state()) {
+            if self.clock.now() >= turn_ends {
+                self.recovery = Some(recovery);
+                return;
+            }
+        }
+        self.start_leader(now, recovery.finish());
+    }
+
+    fn start_leader(&mut self, now: u64, leader: Leader) {
+        self.leader = Some(leader);
         self.announced_lease = 0;
         self.metrics.leadership_changed(Leadership::Gained);
         self.announce_leader();
@@ -26,6 +43,7 @@
 
     /// Stops the leader, if there is one: pending calls are answered, those to workers abandoned.
     pub(super) fn step_down(&mut self) {
+        self.recovery = None;
         if self.leader.take().is_none() {
             return;
         }
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -11,6 +11,7 @@
 use crate::clock::{Clock, MILLISECOND};
 use crate::connection_budget::max_worker_connections;
 use crate::error::ControlError;
+use crate::event_queue::{EventQueue, EventSender};
 use crate::events::DriverEvent;
 use crate::group_join::{GroupJoin, JoinStep, MemberStatus};
 use crate::identity::{self, OpenedDisk};
@@ -25,18 +26,18 @@
 use crate::{replica, settings_file, wire};
 use configuration::{OrderDelivery, ProcessSettings};
 use consensus::{Event, Founding, LeadershipObstacle, Membership, NodeId};
-use scheduler::leader::{Input, Leader, Mechanisms, Output};
+use scheduler::leader::{Input, Leader, LeaderRecovery, Mechanisms, Output};
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use tokio::select;
-use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
-/// Events processed in one turn: bounds how late timers fire under load.
-const MAX_EVENTS_PER_TURN: usize = 256;
-/// Committed entries applied in one turn. After a restart thousands become committed at once: between turns, heartbeats
-/// are sent and the responses to them are read.
+/// After this time in a turn no further event is handled and no further entry applied, in nanoseconds: between turns,
+/// heartbeats are sent and the responses to them are read.
+const TURN_TIME: u64 = 4 * MILLISECOND;
+/// Committed entries applied in one turn. After a restart thousands become committed at once.
 const MAX_APPLIED_PER_TURN: usize = 256;
 
 /// How often a leader reads the seeds in the settings file: machines that start may know no member but through them.
@@ -72,7 +73,7 @@
 ///   newer than the inputs it has processed.
 /// - Messages of consensus are sent before committed entries are applied, so that heartbeats do not queue behind them.
 ///
-/// `leader` is present from the moment this process leads with a complete state until it steps down. Having a leader
+/// `leader` is present from the moment this process leads and has built it from the complete state, until it steps down. Having a leader
 /// is not enough to answer or to call workers: each such output checks the lease (`Replica::has_lease`) first.
 pub struct Driver {
     pub(crate) settings: ProcessSettings,
@@ -81,6 +82,8 @@
     pub(crate) clock: Clock,
     pub(crate) replica: Replica,
     pub(crate) leader: Option<Leader>,
+    /// The leader of this process while it is being built from the state. Meanwhile no entry is applied.
+    recovery: Option<LeaderRecovery>,
     pub(crate) leader_outputs: Vec<Output>,
     /// When the leader wants its next tick, in nanoseconds of `clock`.
     pub(crate) wake_at: u64,
@@ -111,6 +114,21 @@
     written: UnboundedReceiver<Written>,
 }
 
+/// What one turn may still apply.
+struct ApplyBudget {
+    /// Entries.
+    entries: usize,
+    /// Time, in nanoseconds of the driver's clock.
+    until: u64,
+}
+
+impl ApplyBudget {
+    /// Whether no further entry may be applied in this turn. The first one always may.
+    fn is_used_up(&self, now: u64) -> bool {
+        self.entries == 0 || (self.entries < MAX_APPLIED_PER_TURN && now >= self.until)
+    }
+}
+
 /// What outlives an identity.
 pub struct ProcessContext {
     /// The process's clock.
@@ -120,9 +138,9 @@
     /// Which mechanisms a leader uses.
     pub mechanisms: Mechanisms,
     /// Where tasks send their events.
-    pub sender: mpsc::Sender<DriverEvent>,
+    pub sender: EventSender,
     /// Where the driver receives them.
-    pub events: mpsc::Receiver<DriverEvent>,
+    pub events: EventQueue,
 }
 
 impl Driver {
@@ -143,7 +161,7 @@
         if settings.order_delivery == OrderDelivery::Heartbeats {
             log::error!("Commands is heartbeat, but orders are delivered by calls only: set it to rpc");
         }
-        let (sender, written) = mpsc::unbounded_channel();
+        let (sender, written) = unbounded_channel();
         let writer = Writer::start(store, sender)?;
         let (clock, events) = (context.clock, &context.sender);
         let now = clock.now();
@@ -158,6 +176,7 @@
             clock,
             replica,
             leader: None,
+            recovery: None,
             leader_outputs: Vec::new(),
             wake_at: u64::MAX,
             announced_lease: 0,
@@ -172,8 +191,8 @@
             peers: PeerConnections::new(&settings.node_id, own, events.clone()),
             clients,
             operator_calls: OperatorCalls::default(),
-            workers: WorkerClient::new(events.clone()),
-            platform: PlatformClient::new(&settings.discovery, platform_address, events.clone()),
+            workers: WorkerClient::new(events.ordinary().clone()),
+            platform: PlatformClient::new(&settings.discovery, platform_address, events.ordinary().clone()),
             metrics: Metrics::default(),
             stop_by: None,
             exit: None,
@@ -192,41 +211,52 @@
     }
 
     /// Runs until this identity ends.
-    pub async fn run(&mut self, events: &mut mpsc::Receiver<DriverEvent>) -> DriverExit {
-        let mut received = Vec::with_capacity(MAX_EVENTS_PER_TURN);
+    pub async fn run(&mut self, events: &mut EventQueue) -> DriverExit {
         let timer = sleep_until(Instant::now());
         tokio::pin!(timer);
         loop {
             timer.as_mut().reset(self.clock.instant(self.next_timer()).into());
-            if !self.effects.is_empty() {
-                // The timer is due at once: without this, the tasks of connections would not run.
+            if self.has_work() || events.has_ordinary() {
+                // The next turn is due at once: without this, the tasks of connections would not run.
                 yield_now().await;
             }
+            let mut first = None;
             select! {
                 biased;
                 Some(written) = self.written.recv() => self.handle_written(written),
-                _ = events.recv_many(&mut received, MAX_EVENTS_PER_TURN) => {}
+                event = events.wait() => first = event,
                 () = &mut timer => {}
             }
             let now = self.clock.now();
-            self.take_turn(now, &mut received);
+            self.take_turn(now, first, events);
             if let Some(exit) = self.take_exit(now) {
                 return exit;
             }
         }
     }
 
-    /// Handles the events that were received, then what is due, and carries out what follows from both.
-    fn take_turn(&mut self, now: u64, received: &mut Vec<DriverEvent>) {
+    /// Handles the messages of consensus and its timer, then other events as time permits, then what is due, and carries
+    /// out what follows from all of them.
+    fn take_turn(&mut self, now: u64, first: Option<DriverEvent>, events: &mut EventQueue) {
         let mut at = now;
-        for event in received.drain(..) {
+        let mut next = first;
+        while let Some(event) = next.take().or_else(|| events.next_consensus()) {
+            self.handle_event(now, event);
+            at = self.part_ended(TurnPart::OtherEvents, 1, at);
+        }
+        self.tick_consensus(now);
+        self.send_messages();
+        let turn_ends = now + TURN_TIME;
+        while at < turn_ends {
+            let Some(event) = events.next_ordinary() else { break };
             let part = load_log::part_of(&event);
             self.handle_event(now, event);
             at = self.part_ended(part, 1, at);
         }
         self.tick(now);
+        self.advance_recovery(now, turn_ends);
         at = self.part_ended(TurnPart::Timers, 1, at);
-        self.process_outputs(now);
+        self.process_outputs(now, turn_ends);
         at = self.part_ended(TurnPart::Outputs, 1, at);
         self.replica.take_snapshot_if_due();
         self.metrics.turns.ended(at.saturating_sub(now));
@@ -246,8 +276,13 @@
         (self.settings, self.clients)
     }
 
+    /// Whether the last turn has left something to do.
+    fn has_work(&self) -> bool {
+        !self.effects.is_empty() || self.recovery.is_some()
+    }
+
     fn next_timer(&self) -> u64 {
-        if !self.effects.is_empty() {
+        if self.has_work() {
             return self.clock.now();
         }
         let join_timer = self.group_join.next_timer(self.member_status());
@@ -264,10 +299,13 @@
         next
     }
 
-    fn tick(&mut self, now: u64) {
+    fn tick_consensus(&mut self, now: u64) {
         if self.replica.node().next_timer() <= now {
             self.step_consensus(now, Event::Tick);
         }
+    }
+
+    fn tick(&mut self, now: u64) {
         if self.wake_at <= now {
             self.tick_leader(now);
         }
@@ -311,11 +349,11 @@
 
     /// Processes effects and outputs of the leader until none are left, or until as many entries are applied as one
     /// turn may apply.
-    fn process_outputs(&mut self, now: u64) {
-        let mut apply_budget = MAX_APPLIED_PER_TURN;
+    fn process_outputs(&mut self, now: u64, turn_ends: u64) {
+        let mut budget = ApplyBudget { entries: MAX_APPLIED_PER_TURN, until: turn_ends };
         loop {
             self.send_messages();
-            let is_drained = self.process_effects(now, &mut apply_budget);
+            let is_drained = self.process_effects(now, &mut budget);
             self.flush_leader(now);
             self.record_worker_events();
             if self.leader_outputs.is_empty() && (self.effects.is_empty() || !is_drained) {
@@ -335,10 +373,11 @@
     }
 
     /// Processes effects in order; the leader sees each applied entry before the next one is applied. False if it
-    /// stopped at an entry because `apply_budget`, the number of entries that this turn may still apply, is used up.
-    fn process_effects(&mut self, now: u64, apply_budget: &mut usize) -> bool {
+    /// stopped at an entry because the budget of this turn is used up.
+    fn process_effects(&mut self, now: u64, budget: &mut ApplyBudget) -> bool {
         loop {
-            if *apply_budget == 0 && matches!(self.effects.front(), Some(Effect::Committed(_))) {
+            let is_entry = matches!(self.effects.front(), Some(Effect::Committed(_)));
+            if is_entry && (self.recovery.is_some() || budget.is_used_up(self.clock.now())) {
                 return false;
             }
             let Some(effect) = self.effects.pop_front() else {
@@ -346,7 +385,7 @@
             };
             match effect {
                 Effect::Committed(entry) => {
-                    *apply_budget -= 1;
+                    budget.entries -= 1;
                     if let Some((batch, changes)) = self.replica.apply(entry) {
                         self.record_applied(now, &changes);
                         self.notify_leader(now, Input::BatchApplied { changes, batch });
@@ -363,7 +402,10 @@
                     self.notify_leader(now, Input::ProposalDropped);
                 }
                 Effect::BecameLeader { term } => self.become_leader(now, term),
-                Effect::SteppedDown => self.step_down(),
+                Effect::SteppedDown => {
+                    self.record_step_down(now);
+                    self.step_down();
+                }
                 Effect::LeaderChanged => {
                     self.record_leader_change();
                     self.announce_leader();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod disk_opening;
 mod driver;
 mod error;
+pub mod event_queue;
 pub mod events;
 pub mod group_join;
 pub mod http;
--- a/crates/control/src/peer_connections.rs
+++ b/crates/control/src/peer_connections.rs
@@ -1,13 +1,13 @@
 //! Connections that this process keeps to the other core processes.
 
-use crate::events::{ConnectionId, DriverEvent};
+use crate::event_queue::EventSender;
+use crate::events::ConnectionId;
 use crate::transport::link::Link;
 use consensus::{Member, Membership, NodeId};
 use log_records::member_to_wire;
 use messages::peer::{mod_PeerFrame::OneOfbody, ConsensusMessage, Hello, Join};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
 
 struct PeerConnection {
     link: Link,
@@ -24,12 +24,12 @@
     connections: HashMap<SocketAddr, PeerConnection>,
     addresses: BTreeMap<NodeId, SocketAddr>,
     next_connection: ConnectionId,
-    events: mpsc::Sender<DriverEvent>,
+    events: EventSender,
 }
 
 impl PeerConnections {
     /// No connections yet.
-    pub fn new(node_name: &str, own: Member, events: mpsc::Sender<DriverEvent>) -> Self {
+    pub fn new(node_name: &str, own: Member, events: EventSender) -> Self {
         let hello = Hello {
             node_name: node_name.to_owned(),
             node_id: own.id,
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -5,6 +5,7 @@
 use crate::disk_opening::DiskPreparation;
 use crate::driver::{Driver, DriverExit, ProcessContext};
 use crate::error::ControlError;
+use crate::event_queue::event_queue;
 use crate::events::DriverEvent;
 use crate::signals::SignalSource;
 use crate::{disk_opening, identity, operator_api, transport};
@@ -18,8 +19,6 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::timeout;
 
-/// Events of tasks that may wait for the driver; beyond them the tasks wait, and with them their peers.
-const MAX_WAITING_EVENTS: usize = 1_024;
 /// How long callers of the operator's API may take to read their responses at shutdown.
 const API_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -73,16 +72,16 @@
     mechanisms: Mechanisms,
     signals: SignalSource,
 ) -> Result<(), ControlError> {
-    let (sender, events) = mpsc::channel(MAX_WAITING_EVENTS);
+    let (sender, events) = event_queue();
     let mut context = ProcessContext { clock: Clock::start(), settings_path, mechanisms, sender, events };
     let sender = &context.sender;
-    spawn_local(forward_signals(signals, sender.clone()));
+    spawn_local(forward_signals(signals, sender.ordinary().clone()));
     let peer_address = identity::peer_address(&settings, settings.ip);
     let listener =
         transport::listener::bind(peer_address).map_err(|error| ControlError::Listen(peer_address, error))?;
     let control = settings.listen.control.ok_or(ControlError::NoControlAddress)?;
-    let api = operator_api::serve(control.into(), sender.clone())?;
-    spawn_local(transport::listener::accept(listener, sender.clone()));
+    let api = operator_api::serve(control.into(), sender.ordinary().clone())?;
+    tokio::spawn(transport::listener::accept(listener, sender.clone()));
     run_drivers(settings, &mut context).await?;
     // The last replies may not have been written yet.
     if timeout(API_CLOSE_TIMEOUT, api.close()).await.is_err() {
--- a/crates/control/src/transport/connection.rs
+++ b/crates/control/src/transport/connection.rs
@@ -1,6 +1,7 @@
 //! Reads and writes the frames of one connection until it ends.
 
 use super::outbox::Outbox;
+use crate::event_queue::EventSender;
 use crate::events::{ConnectionId, DriverEvent};
 use messages::peer::PeerFrame;
 use messages::{decode, FrameError, FrameReader};
@@ -11,7 +12,6 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::net::TcpStream;
 use tokio::select;
-use tokio::sync::mpsc;
 use tokio::time::{timeout_at, Instant};
 
 /// A peer that reads no byte for this long is stalled: the connection is dropped.
@@ -114,7 +114,7 @@
     first: Vec<u8>,
     outbox: &Outbox,
     connection: ConnectionId,
-    events: &mpsc::Sender<DriverEvent>,
+    events: &EventSender,
 ) -> ConnectionError {
     outbox.set_connected(true);
     let error = match carry_frames(stream, first, outbox, connection, events).await {
@@ -130,7 +130,7 @@
     first: Vec<u8>,
     outbox: &Outbox,
     connection: ConnectionId,
-    events: &mpsc::Sender<DriverEvent>,
+    events: &EventSender,
 ) -> Result<std::convert::Infallible, ConnectionError> {
     let (mut read, write) = stream.split();
     let mut frames = FrameReader::new();
@@ -156,7 +156,7 @@
 async fn deliver(
     frames: &mut FrameReader,
     connection: ConnectionId,
-    events: &mpsc::Sender<DriverEvent>,
+    events: &EventSender,
 ) -> Result<(), ConnectionError> {
     while let Some(bytes) = frames.next_frame()? {
         let frame: PeerFrame = decode(&bytes)?;
--- a/crates/control/src/transport/link.rs
+++ b/crates/control/src/transport/link.rs
@@ -3,6 +3,7 @@
 use super::connection::{carry, ConnectionError};
 use super::outbox::{Outbox, Overflow};
 use super::socket::connect;
+use crate::event_queue::EventSender;
 use crate::events::{ConnectionId, DriverEvent};
 use messages::encode_frame;
 use messages::peer::{mod_PeerFrame::OneOfbody, Hello, PeerFrame};
@@ -12,8 +13,8 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::select;
-use tokio::sync::{mpsc, Notify};
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, Instant};
 
 /// Backoff after the first failed connection.
@@ -31,12 +32,7 @@
 
 impl Link {
     /// Starts to connect to `address`; `hello` is the first frame on each connection.
-    pub fn open(
-        address: SocketAddr,
-        hello: &Hello,
-        connection: ConnectionId,
-        events: mpsc::Sender<DriverEvent>,
-    ) -> Self {
+    pub fn open(address: SocketAddr, hello: &Hello, connection: ConnectionId, events: EventSender) -> Self {
         let outbox = Arc::new(Outbox::new(Overflow::Drop));
         let mut greeting = Vec::new();
         encode_frame(&PeerFrame { body: OneOfbody::hello(hello.clone()) }, &mut greeting);
@@ -49,7 +45,7 @@
             connection,
             events,
         };
-        let task = spawn_local(task.run()).abort_handle();
+        let task = tokio::spawn(task.run()).abort_handle();
         Link { outbox, peer_seen, task }
     }
 
@@ -85,7 +81,7 @@
     outbox: Arc<Outbox>,
     peer_seen: Arc<Notify>,
     connection: ConnectionId,
-    events: mpsc::Sender<DriverEvent>,
+    events: EventSender,
 }
 
 impl LinkTask {
--- a/crates/control/src/transport/listener.rs
+++ b/crates/control/src/transport/listener.rs
@@ -3,6 +3,7 @@
 use super::connection::carry;
 use super::outbox::{Outbox, Overflow};
 use super::socket::tune;
+use crate::event_queue::EventSender;
 use crate::events::{ConnectionId, DriverEvent, FIRST_ACCEPTED};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io;
@@ -10,8 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// Connections that may wait to be accepted: a full queue drops opening packets, which come again only after seconds.
@@ -34,12 +33,12 @@
 }
 
 /// Accepts connections until the driver is gone.
-pub async fn accept(listener: TcpListener, events: mpsc::Sender<DriverEvent>) {
+pub async fn accept(listener: TcpListener, events: EventSender) {
     let mut next = FIRST_ACCEPTED;
     while !events.is_closed() {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(serve(stream, next, events.clone()));
+                tokio::spawn(serve(stream, next, events.clone()));
                 next += 1;
             }
             Err(error) => {
@@ -50,7 +49,7 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, connection: ConnectionId, events: mpsc::Sender<DriverEvent>) {
+async fn serve(mut stream: TcpStream, connection: ConnectionId, events: EventSender) {
     if let Err(error) = tune(SockRef::from(&stream)) {
         log::debug!("options of an accepted connection: {error}");
     }
