Undo the circles of imports in the driver and in the leader

Change: the part of a turn that an event counts for has a file of its own; the work of a leader is reported beside its load; Leader::new stands beside the recovery. Decisions are as before.

Evidence: node/tests/architecture.rs, 5 passed.

--- a/crates/control/src/driver/load_log.rs
+++ b/crates/control/src/driver/load_log.rs
@@ -2,9 +2,7 @@
 
 use super::Driver;
 use crate::clock::{MILLISECOND, SECOND};
-use crate::events::DriverEvent;
 use crate::metrics::turns::{TurnPart, TurnSpan};
-use messages::peer::mod_PeerFrame::OneOfbody;
 
 /// Least time between two records.
 const RECORD_INTERVAL: u64 = SECOND;
@@ -13,16 +11,6 @@
 /// or if one turn took this long: other processes then take it for dead.
 const LONG_TURN: u64 = 100 * MILLISECOND;
 
-/// The part of a turn that handles an event.
-pub(super) fn part_of(event: &DriverEvent) -> TurnPart {
-    match event {
-        DriverEvent::Frame { body: OneOfbody::request(_), .. } => TurnPart::Requests,
-        DriverEvent::CallFinished { .. } => TurnPart::WorkerCalls,
-        DriverEvent::Instances(_) | DriverEvent::InstancesUnchanged => TurnPart::Instances,
-        _ => TurnPart::OtherEvents,
-    }
-}
-
 impl Driver {
     /// Records what this leader's turns cost since the last record, if it was busy.
     pub(super) fn record_load(&mut self, now: u64) {
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -6,6 +6,7 @@
 mod leadership;
 mod load_log;
 mod shutdown;
+mod turn_parts;
 
 use crate::clients::Clients;
 use crate::clock::{Clock, MILLISECOND};
@@ -249,7 +250,7 @@
         let turn_ends = now + TURN_TIME;
         while at < turn_ends {
             let Some(event) = events.next_ordinary() else { break };
-            let part = load_log::part_of(&event);
+            let part = turn_parts::part_of(&event);
             self.handle_event(now, event);
             at = self.part_ended(part, 1, at);
         }
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -19,7 +19,6 @@
 use super::outlier_detector::PeerAverages;
 use super::pending_requests::{PendingClients, PendingConfigurations};
 use super::poll_queue::PollQueue;
-use super::recovery::LeaderRecovery;
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
@@ -96,12 +95,6 @@
 }
 
 impl Leader {
-    /// The leader of `term`, with `state` as of the commit of the term's first entry. `now` is in nanoseconds of the
-    /// steady clock; `seed` determines the jitter of its timers. `LeaderRecovery` does the same in slices.
-    pub fn new(term: u64, settings: LeaderSettings, state: &State, now: u64, seed: u64) -> Self {
-        LeaderRecovery::new(term, settings, state, now, seed).complete(state)
-    }
-
     /// A leader that knows nothing of the state yet.
     pub(super) fn empty(term: u64, settings: LeaderSettings, now: u64, seed: u64) -> Self {
         Self {
--- a/crates/scheduler/src/leader/recovery.rs
+++ b/crates/scheduler/src/leader/recovery.rs
@@ -76,6 +76,12 @@
 }
 
 impl Leader {
+    /// The leader of `term`, with `state` as of the commit of the term's first entry. `now` is in nanoseconds of the
+    /// steady clock; `seed` determines the jitter of its timers. `LeaderRecovery` does the same in slices.
+    pub fn new(term: u64, settings: LeaderSettings, state: &State, now: u64, seed: u64) -> Self {
+        LeaderRecovery::new(term, settings, state, now, seed).complete(state)
+    }
+
     fn recover_workers(&mut self, state: &State) {
         self.load_configuration(state);
         for worker in state.workers() {
--- a/crates/scheduler/src/leader/reports/load.rs
+++ b/crates/scheduler/src/leader/reports/load.rs
@@ -1,6 +1,8 @@
-//! Report of what a leader carries: its workers, what waits, and what is in flight.
+//! Reports of what a leader carries (its workers, what waits, what is in flight) and of the work it has done.
 
 use crate::leader::event_loop::Leader;
+use crate::leader::service::Service;
+use crate::leader::work::LeaderWork;
 
 /// What a leader carries at one moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -40,4 +42,11 @@
             open_tasks: self.open_tasks,
         }
     }
+
+    /// The work done since the last call.
+    pub fn take_work(&mut self) -> LeaderWork {
+        let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
+        let share_updates = self.services.iter_mut().map(Service::take_share_updates).sum();
+        LeaderWork { workers_examined, share_updates, ..std::mem::take(&mut self.work) }
+    }
 }
--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -1,8 +1,5 @@
 //! How much work a leader has done, in units that do not depend on the machine: what its processor time goes to.
 
-use super::event_loop::Leader;
-use super::service::Service;
-
 /// Units of work since they were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LeaderWork {
@@ -21,12 +18,3 @@
     /// Calls to workers that were given up.
     pub calls_cancelled: u64,
 }
-
-impl Leader {
-    /// The work done since the last call.
-    pub fn take_work(&mut self) -> LeaderWork {
-        let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
-        let share_updates = self.services.iter_mut().map(Service::take_share_updates).sum();
-        LeaderWork { workers_examined, share_updates, ..std::mem::take(&mut self.work) }
-    }
-}
