--- a/crates/mutants/src/list/answers.rs
+++ b/crates/mutants/src/list/answers.rs
@@ -82,8 +82,8 @@
             name: "sent-again-after-a-cut",
             point: 5,
             file: "crates/control/src/worker_client.rs",
-            find: "Err(CallError::NotSent) if is_reused => {}",
-            replace: "Err(CallError::NotSent | CallError::ConnectionLost(_)) if is_reused => {}",
+            find: "Err(CallError::NotSent) if is_reused &&",
+            replace: "Err(CallError::NotSent | CallError::ConnectionLost(_)) if is_reused &&",
             test: "-p control --test worker_connections",
         },
 ];
