--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -21,6 +21,7 @@
 use super::outlier_detector::PeerAverages;
 use super::own_lateness::OwnLateness;
 use super::pending_requests::{PendingClients, PendingConfigurations};
+use super::poll_queue::PollQueue;
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
@@ -70,8 +71,8 @@
     /// Keys of workers by the instance of their incarnation.
     pub(super) worker_keys: HashMap<Arc<str>, WorkerKey>,
     pub(super) next_worker: WorkerKey,
-    /// Workers whose session is to be polled at the end of this turn.
-    pub(super) workers_to_poll: Vec<WorkerKey>,
+    /// Workers whose session is to be polled.
+    pub(super) poll_queue: PollQueue,
     pub(super) lateness: OwnLateness,
     pub(super) status_queries: StatusQueryBudget,
     /// Workers with ends that are not yet proposed.
@@ -105,10 +106,9 @@
 }
 
 impl Leader {
-    /// The leader of `term`, with `state` as of the commit of the term's first entry. `now` is in nanoseconds of the
-    /// steady clock; `seed` determines the jitter of its timers.
-    pub fn new(term: u64, settings: LeaderSettings, state: &State, now: u64, seed: u64) -> Self {
-        let mut leader = Self {
+    /// A leader that knows nothing of the state yet.
+    pub(super) fn empty(term: u64, settings: LeaderSettings, now: u64, seed: u64) -> Self {
+        Self {
             term,
             settings,
             now,
@@ -128,7 +128,7 @@
             workers: BTreeMap::new(),
             worker_keys: HashMap::new(),
             next_worker: 0,
-            workers_to_poll: Vec::new(),
+            poll_queue: PollQueue::default(),
             lateness: OwnLateness::new(now),
             status_queries: StatusQueryBudget::default(),
             workers_with_ends: Vec::new(),
@@ -149,10 +149,7 @@
             session_outputs: Vec::new(),
             random: fastrand::Rng::with_seed(seed),
             work: LeaderWork::default(),
-        };
-        leader.recover(state);
-        leader.timers.set(now, Timer::ReadInstances);
-        leader
+        }
     }
 
     /// The term, which is the fencing token of all calls to workers.
@@ -166,7 +163,9 @@
         self.now = self.now.max(now);
         self.lease_until = until;
         if had_expired && until > now {
-            let keys: Vec<WorkerKey> = self.workers.keys().copied().collect();
+            // The others send nothing that needs the lease.
+            let busy = self.workers.iter().filter(|(_, entry)| !entry.session.is_idle());
+            let keys: Vec<WorkerKey> = busy.map(|(key, _)| *key).collect();
             for key in keys {
                 self.schedule_poll(key);
             }
@@ -258,6 +257,8 @@
                 Timer::ExamineAttempts => self.examine_attempts(state),
                 Timer::Schedule => self.start_due_times(state),
                 Timer::ReleaseGangs => self.release_gangs(),
+                // Sessions are polled at the end of each turn.
+                Timer::PollWorkers => {}
                 Timer::Admit => self.services.iter_mut().for_each(|service| service.due = true),
             }
         }
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -50,6 +50,11 @@
         self.blocked.values().filter_map(|blocked| blocked.retry_at).min()
     }
 
+    /// How often the shares of all waiting steps were computed since the last call.
+    pub(in crate::leader) fn take_share_updates(&mut self) -> u64 {
+        std::mem::take(&mut self.share_updates)
+    }
+
     /// Computes the shares of the queues' entries again if workers that came into use changed the total by much.
     fn update_shares(&mut self) {
         let total = self.fleet.total();
@@ -59,6 +64,7 @@
         }
         self.blocked.clear();
         self.shares_total = total;
+        self.share_updates += 1;
         self.queues = Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight }));
         let steps: Vec<StepKey> = self.ready.keys().copied().collect();
         for step in steps {
--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -13,6 +13,8 @@
     pub workers_examined: u64,
     /// Polls of workers' sessions.
     pub sessions_polled: u64,
+    /// How often the shares of all waiting steps of a service were computed.
+    pub share_updates: u64,
     /// Calls to workers that were given up.
     pub calls_cancelled: u64,
     /// Calls to workers that were not reached.
