Let work of core processes take processor time in the simulation

Change: Site::processor. With it a core process is a server with a queue: events wait and are handled in turns as the driver does it, a turn costs time by its counted work with named costs, paid from a quota of a tenth of a second, and its outputs leave at its end.

--- /dev/null
+++ b/crates/simulation/examples/overload.rs
@@ -0,0 +1,92 @@
+//! Searches for states of overload that do not end by themselves.
+//!
+//! `overload --days N --seed S --parts P` plays N drawn cases from seed S on, each with one part in P of the large
+//! deployment, and prints those that do not return to their pace. `overload --replay S --parts P` prints what happens on
+//! one of them, and `overload --loss-of-power S --parts P` on the day on which all core machines lose power.
+
+use simulation::overload::OverloadCase;
+use simulation::time::ms;
+use std::time::Instant;
+
+/// Breaches of a day that are printed.
+const MAX_SHOWN: usize = 3;
+
+enum Command {
+    Search,
+    Replay,
+    LossOfPower,
+}
+
+struct Arguments {
+    command: Command,
+    days: u64,
+    seed: u64,
+    parts: usize,
+    trace: bool,
+}
+
+fn arguments() -> Arguments {
+    let mut arguments = Arguments { command: Command::Search, days: 20, seed: 1, parts: 4, trace: false };
+    let mut words = std::env::args().skip(1);
+    while let Some(word) = words.next() {
+        let mut number = || words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+        match word.as_str() {
+            "--days" => arguments.days = number(),
+            "--seed" => arguments.seed = number(),
+            "--parts" => arguments.parts = number().max(1) as usize,
+            "--replay" => (arguments.command, arguments.seed) = (Command::Replay, number()),
+            "--loss-of-power" => (arguments.command, arguments.seed) = (Command::LossOfPower, number()),
+            "--trace" => arguments.trace = true,
+            other => eprintln!(
+                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --trace"
+            ),
+        }
+    }
+    arguments
+}
+
+fn show(case: &OverloadCase, trace: bool) {
+    println!("{case:?}");
+    let begun = Instant::now();
+    let report = case.play(trace);
+    println!("{}", report.recovery);
+    report.breaches.iter().take(MAX_SHOWN).for_each(|breach| println!("{breach}"));
+    println!("{} breaches", report.breaches.len());
+    println!("played in {:.1} s", begun.elapsed().as_secs_f64());
+}
+
+fn search(arguments: &Arguments) {
+    let begun = Instant::now();
+    let (mut stuck, mut unfit, mut broken) = (0, 0, 0);
+    for seed in arguments.seed..arguments.seed + arguments.days {
+        let case = OverloadCase::draw(seed, arguments.parts);
+        let report = case.play(false);
+        let bound = ms(case.site().bounds.recovery_ms);
+        broken += u64::from(!report.breaches.is_empty());
+        for breach in report.breaches.iter().take(MAX_SHOWN) {
+            println!("seed {seed} breaks {breach}");
+        }
+        if !report.recovery.kept_up_before() {
+            unfit += 1;
+            println!("seed {seed} did not keep up before the fault: {case:?}: {}", report.recovery);
+        } else if !report.recovery.is_within(bound) {
+            stuck += 1;
+            println!("seed {seed} does not come back: {case:?}: {}", report.recovery);
+        }
+    }
+    let (days, took) = (arguments.days, begun.elapsed().as_secs_f64());
+    println!(
+        "{days} cases in {took:.0} s: {stuck} do not come back, {broken} break a rule, {unfit} say nothing"
+    );
+}
+
+fn main() {
+    let arguments = arguments();
+    match arguments.command {
+        Command::Search => search(&arguments),
+        Command::Replay => show(&OverloadCase::draw(arguments.seed, arguments.parts), arguments.trace),
+        Command::LossOfPower => {
+            show(&OverloadCase::loss_of_power(arguments.seed, arguments.parts), arguments.trace);
+        }
+    }
+}
--- a/crates/simulation/src/core_process/disk.rs
+++ b/crates/simulation/src/core_process/disk.rs
@@ -9,9 +9,6 @@
 use super::writer::Written;
 use super::{CoreOutput, CoreProcess};
 
-/// Snapshots are taken far more often than the control role takes them, so that days meet them.
-const SNAPSHOT_LOG_ENTRIES: usize = 400;
-
 impl CoreProcess {
     pub(super) fn push_write(&mut self, write: LogWrite) {
         if self.writer.push(write) {
@@ -37,11 +34,12 @@
     }
 
     pub(super) fn take_snapshot_if_due(&mut self) {
-        if self.snapshot_under_way || self.entries_since_snapshot < SNAPSHOT_LOG_ENTRIES {
+        if self.snapshot_under_way || self.entries_since_snapshot < self.pacing.snapshot_entries {
             return;
         }
         let Some(meta) = self.node.snapshot_meta(self.applied_index) else { return };
         let data = Arc::new(encode(&self.state.snapshot()));
+        self.work.snapshot_bytes += data.len() as u64;
         self.snapshot_under_way = true;
         self.entries_since_snapshot = 0;
         self.push_write(LogWrite::Snapshot(Snapshot { meta, data }));
--- a/crates/simulation/src/core_process/effects.rs
+++ b/crates/simulation/src/core_process/effects.rs
@@ -62,9 +62,9 @@
     /// Lets everything that is due take place, until nothing follows any more.
     pub(super) fn settle(&mut self) {
         for turn in 0.. {
-            self.drain_effects();
+            let is_drained = self.drain_effects();
             self.flush_leader();
-            if self.leader_outputs.is_empty() && self.effects.is_empty() {
+            if self.leader_outputs.is_empty() && (self.effects.is_empty() || !is_drained) {
                 return;
             }
             if turn >= MAX_TURNS {
@@ -79,11 +79,19 @@
         }
     }
 
-    fn drain_effects(&mut self) {
+    /// Carries effects out in order; false if it stopped at an entry because this turn may apply no more.
+    fn drain_effects(&mut self) -> bool {
         while let Some(effect) = self.effects.pop_front() {
             match effect {
+                Effect::Committed(entry) if self.apply_budget == 0 => {
+                    self.effects.push_front(Effect::Committed(entry));
+                    return false;
+                }
                 Effect::Send { to, message } => self.send(to, message),
-                Effect::Committed(entry) => self.apply(entry),
+                Effect::Committed(entry) => {
+                    self.apply_budget -= 1;
+                    self.apply(entry);
+                }
                 Effect::Restore(snapshot) => self.restore(&snapshot),
                 Effect::ProposalDropped => self.notify_leader(Input::ProposalDropped),
                 Effect::BecameLeader { term } => self.begin_to_lead(term),
@@ -96,6 +104,7 @@
                 Effect::Removed => self.out.push(CoreOutput::Removed),
             }
         }
+        true
     }
 
     fn send(&mut self, to: NodeId, message: Message) {
--- a/crates/simulation/src/core_process/interface.rs
+++ b/crates/simulation/src/core_process/interface.rs
@@ -19,6 +19,24 @@
     pub target_voters: usize,
     /// What the leader goes by.
     pub leader: LeaderSettings,
+    /// How often it takes snapshots.
+    pub pacing: Pacing,
+}
+
+/// How often a process takes snapshots, and what it keeps of the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Pacing {
+    /// Entries after which a snapshot is due.
+    pub snapshot_entries: usize,
+    /// Entries that are kept behind a snapshot.
+    pub retained_entries: u64,
+}
+
+impl Pacing {
+    /// Far more often than the control role, so that days meet snapshots.
+    pub const FREQUENT: Pacing = Pacing { snapshot_entries: 400, retained_entries: 64 };
+    /// As the control role does it.
+    pub const USUAL: Pacing = Pacing { snapshot_entries: 20_000, retained_entries: 1_024 };
 }
 
 /// Frames that core processes send each other.
@@ -117,6 +135,11 @@
         /// The instances on the list.
         instances: Option<Vec<Instance>>,
     },
+    /// The platform's list has not changed since it was last read.
+    InstancesUnchanged {
+        /// The leadership that it belongs to.
+        term: u64,
+    },
     /// SIGTERM.
     Stop,
 }
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -12,6 +12,7 @@
         self.stop_leading();
         let seed = self.rng.u64(..);
         self.leader_term = term;
+        self.work.recovered_jobs += self.state.jobs().count() as u64;
         self.leader = Some(Leader::new(term, self.leader_settings.clone(), &self.state, self.now, seed));
         self.announced_lease = 0;
         self.announce();
@@ -20,6 +21,7 @@
 
     /// Leads no longer: what was pending is answered, calls are given up.
     pub(super) fn stop_leading(&mut self) {
+        self.count_leader_work();
         if self.leader.take().is_none() {
             return;
         }
--- a/crates/simulation/src/core_process/mod.rs
+++ b/crates/simulation/src/core_process/mod.rs
@@ -10,24 +10,28 @@
 mod leading;
 mod peers;
 mod replicated_state;
+mod turns;
 mod writer;
 
 use std::collections::{BTreeMap, VecDeque};
 
 use consensus::{Event, Node, NodeId, Options, Output};
 use fastrand::Rng;
-use scheduler::leader::{self, Input, Leader, LeaderSettings};
+use scheduler::leader::{self, Input, Leader, LeaderLoad, LeaderSettings};
 use scheduler::state::State;
 use storage::model::ModelDirectory;
 use storage::StorageError;
 
-pub use interface::{CoreEvent, CoreFrame, CoreOutput, CoreSettings, OperatorReply};
+pub use interface::{CoreEvent, CoreFrame, CoreOutput, CoreSettings, OperatorReply, Pacing};
+pub use turns::MAX_EVENTS_PER_TURN;
 
 use clients::Pending;
 use effects::Effect;
 use joining::Joining;
 use writer::Writer;
 
+use crate::processor::TurnWork;
+
 /// A process. Times are nanoseconds of its machine's steady clock.
 pub struct CoreProcess {
     machine: usize,
@@ -41,6 +45,11 @@
     applied_index: u64,
     snapshot_under_way: bool,
     entries_since_snapshot: usize,
+    pacing: Pacing,
+    /// Committed entries that this turn may still apply.
+    apply_budget: usize,
+    /// Work of this turn so far.
+    work: TurnWork,
     leader: Option<Leader>,
     leader_settings: LeaderSettings,
     leader_term: u64,
@@ -68,7 +77,7 @@
         let opened = identity::open(directory, settings.machine, &settings.founders, &mut rng)?;
         let mut options = Options::new(opened.id);
         options.target_voters = settings.target_voters;
-        options.retained_entries = 64;
+        options.retained_entries = settings.pacing.retained_entries;
         let entries = opened.restored.entries.len();
         let snapshot = opened.restored.snapshot.clone();
         let node = Node::new(options, opened.restored, now, rng.u64(..));
@@ -84,6 +93,9 @@
             applied_index: 0,
             snapshot_under_way: false,
             entries_since_snapshot: entries,
+            pacing: settings.pacing,
+            apply_budget: usize::MAX,
+            work: TurnWork::default(),
             leader: None,
             leader_settings: settings.leader.clone(),
             leader_term: 0,
@@ -121,6 +133,11 @@
         self.leader.is_some()
     }
 
+    /// What this process carries as a leader, and what waits at it.
+    pub fn load_report(&self) -> Option<LeaderLoad> {
+        self.leader.as_ref().map(|leader| leader.load_report(self.now))
+    }
+
     /// Whether this process holds a lease at a time of its machine's steady clock.
     pub fn holds_lease(&self, now: u64) -> bool {
         self.node.lease_until() > now
@@ -133,6 +150,9 @@
 
     /// When `CoreEvent::Tick` is due at the latest.
     pub fn next_timer(&self) -> u64 {
+        if !self.effects.is_empty() {
+            return self.now;
+        }
         let knows_leader = self.node.leader().is_some();
         let joining = self.joining.next_timer(self.node.is_member(), knows_leader);
         let mut next = self.node.next_timer().min(joining);
@@ -146,14 +166,20 @@
     pub fn handle(&mut self, now: u64, time_of_day_ms: u64, event: CoreEvent, out: &mut Vec<CoreOutput>) {
         self.now = self.now.max(now);
         self.time_of_day_ms = time_of_day_ms;
+        self.apply_budget = usize::MAX;
         self.take_event(event);
+        self.finish_turn();
+        out.append(&mut self.out);
+    }
+
+    /// Lets what is due and all that follows take place.
+    fn finish_turn(&mut self) {
         self.tick();
         self.settle();
         self.take_snapshot_if_due();
         if self.stopping && !self.node.is_leader() && self.pending.is_empty() {
             self.out.push(CoreOutput::Stopped);
         }
-        out.append(&mut self.out);
     }
 
     fn take_event(&mut self, event: CoreEvent) {
@@ -182,6 +208,11 @@
                     });
                 }
             }
+            CoreEvent::InstancesUnchanged { term } => {
+                if term == self.leader_term {
+                    self.notify_leader(Input::InstancesUnchanged);
+                }
+            }
             CoreEvent::Stop => self.stop(),
         }
     }
--- a/crates/simulation/src/core_process/replicated_state.rs
+++ b/crates/simulation/src/core_process/replicated_state.rs
@@ -15,6 +15,7 @@
         let Payload::Command(bytes) = entry.payload else { return };
         match decode::<CommandBatch>(&bytes) {
             Ok(batch) => {
+                self.work.applied_commands += batch.commands.len() as u64;
                 let changes = self.state.apply(&batch);
                 self.notify_leader(Input::BatchApplied { changes, batch });
             }
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -226,6 +226,19 @@
     pub text: String,
 }
 
+/// A core process began to lead, or leads no longer.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderChange {
+    /// When.
+    pub at: u64,
+    /// Which machine.
+    pub machine: Machine,
+    /// In which term.
+    pub term: u64,
+    /// Whether it leads now.
+    pub leads: bool,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -265,6 +278,8 @@
     pub process_faults: Vec<ProcessFault>,
     /// The final fault, until the machines were back.
     pub final_fault: Option<Span>,
+    /// Changes of leaders, on days on which work takes processor time.
+    pub leader_changes: Vec<LeaderChange>,
     /// When traffic began and ended.
     pub traffic: Option<Span>,
     /// When the day ended.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -12,6 +12,8 @@
 mod digest;
 pub mod history;
 pub mod oracle;
+pub mod overload;
+pub mod processor;
 pub mod script;
 pub mod site;
 pub mod time;
--- a/crates/simulation/src/script.rs
+++ b/crates/simulation/src/script.rs
@@ -73,6 +73,8 @@
     EdgeKill,
     /// `node_freeze` of edges.
     EdgeFreeze,
+    /// `herd_kill` with `power` of edges: more than half of them lose power for a while.
+    EdgesLost,
     /// `node_cut` of edges.
     EdgePartition,
     /// `reset_conns`.
--- a/crates/simulation/src/site.rs
+++ b/crates/simulation/src/site.rs
@@ -1,9 +1,13 @@
 //! A deployment: machines, services with their workers, bounds of the rules.
 
+mod large;
+
 use configuration::Bounds;
 use scheduler::placement::Resources;
 
+use crate::processor::Processor;
 use crate::time::{ms, SECOND};
+use crate::workload::Queue;
 
 /// One service and its workers.
 #[derive(Clone, Debug)]
@@ -55,8 +59,23 @@
     pub length: u64,
     /// Jobs a second.
     pub jobs_per_s: f64,
+    /// Changes of the load, in order of their times.
+    pub load: Vec<LoadChange>,
+    /// Its queues with their mix of jobs.
+    pub queues: &'static [Queue; 4],
     /// Its services.
     pub services: Vec<ServiceSite>,
+    /// The processors of core machines; `None`: work takes no time.
+    pub processor: Option<Processor>,
+}
+
+/// A change of the load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadChange {
+    /// When.
+    pub at: u64,
+    /// How many times `jobs_per_s` come from then on.
+    pub factor: f64,
 }
 
 /// Figures of the published example.
@@ -85,6 +104,8 @@
             lead: 10 * SECOND,
             length: 34 * SECOND,
             jobs_per_s: 5.0,
+            load: Vec::new(),
+            queues: &Queue::ALL,
             services: vec![
                 ServiceSite {
                     name: "rolls",
@@ -103,9 +124,15 @@
                     sizes: &[2],
                 },
             ],
+            processor: None,
         }
     }
 
+    /// How many times `jobs_per_s` come at a time.
+    pub fn load_at(&self, at: u64) -> f64 {
+        self.load.iter().rev().find(|change| change.at <= at).map_or(1.0, |change| change.factor)
+    }
+
     /// The small deployment with five core machines, two of which may be lost at one time, and unguarded workers.
     pub fn five() -> Site {
         Site { cores: 5, spare_cores: 2, tolerated: 2, ..Site::unguarded() }
--- a/crates/simulation/src/workload.rs
+++ b/crates/simulation/src/workload.rs
@@ -74,6 +74,10 @@
     timed: f64,
     /// Chance that a run fails.
     fail_chance: f64,
+    /// Most tasks of a step.
+    max_width: u32,
+    /// Most members of a gang.
+    max_gang: u32,
 }
 
 impl Queue {
@@ -97,6 +101,8 @@
             twice: 0.0,
             timed: 0.12,
             fail_chance: 0.005,
+            max_width: 16,
+            max_gang: 4,
         },
         Queue {
             route: "r-recon",
@@ -116,6 +122,8 @@
             twice: 0.2,
             timed: 0.0,
             fail_chance: 0.03,
+            max_width: 16,
+            max_gang: 4,
         },
         Queue {
             route: "r-scan",
@@ -135,6 +143,8 @@
             twice: 0.0,
             timed: 0.0,
             fail_chance: 0.03,
+            max_width: 16,
+            max_gang: 4,
         },
         Queue {
             route: "r-lookup",
@@ -154,6 +164,57 @@
             twice: 0.0,
             timed: 0.05,
             fail_chance: 0.03,
+            max_width: 16,
+            max_gang: 4,
+        },
+    ];
+
+    /// The same queues with the mix of a large deployment: nearly all jobs are one step of a few short tasks, and the
+    /// others are wide.
+    pub const LARGE: [Queue; 4] = [
+        Queue {
+            share: 0.0164,
+            steps: 4.0,
+            width: 25.0,
+            work_ms: 1_300,
+            cpu: 12_000,
+            mem_mb: 17_000,
+            max_width: 150,
+            ..Queue::ALL[0]
+        },
+        Queue {
+            share: 0.0034,
+            steps: 2.5,
+            width: 70.0,
+            work_ms: 4_700,
+            cpu: 10_000,
+            mem_mb: 19_000,
+            gang: 0.0,
+            fail_chance: 0.05,
+            max_width: 420,
+            ..Queue::ALL[1]
+        },
+        Queue {
+            share: 0.0207,
+            steps: 1.5,
+            width: 15.0,
+            work_ms: 3_800,
+            cpu: 21_000,
+            mem_mb: 73_000,
+            fail_chance: 0.005,
+            max_width: 90,
+            ..Queue::ALL[2]
+        },
+        Queue {
+            share: 0.9595,
+            steps: 1.0,
+            width: 4.5,
+            work_ms: 620,
+            cpu: 4_200,
+            mem_mb: 4_300,
+            fail_chance: 0.005,
+            max_width: 27,
+            ..Queue::ALL[3]
         },
     ];
 }
@@ -172,14 +233,10 @@
 const APART: f64 = 0.12;
 /// Labels that workers of a service carry by turns.
 pub const KINDS: [&str; 3] = ["a", "a", "b"];
-/// Most tasks of a step.
-const MAX_WIDTH: u32 = 16;
-/// Most members of a gang.
-const MAX_GANG: u32 = 4;
 
 /// Makes a job of a queue that is handed in at `submit_at`.
 pub fn make_job(site: &Site, queue: usize, submit_at: u64, rng: &mut Rng) -> JobPlan {
-    let kind = &Queue::ALL[queue];
+    let kind = &site.queues[queue];
     let steps = draw_count(kind.steps, rng).min(6);
     let long_running = rng.f64() < LONG_RUNNING;
     let poison = rng.f64() < POISON;
@@ -213,9 +270,9 @@
 fn make_stage(site: &Site, kind: &Queue, step: u32, long_running: bool, rng: &mut Rng) -> Stage {
     let service = &site.services[kind.service];
     let gang = !long_running && rng.f64() < kind.gang;
-    let mut count = draw_count(kind.width, rng).min(MAX_WIDTH);
+    let mut count = draw_count(kind.width, rng).min(kind.max_width);
     if gang {
-        count = count.clamp(2, MAX_GANG);
+        count = count.clamp(2, kind.max_gang);
     }
     let mut stage = Stage {
         count,
@@ -264,18 +321,18 @@
     let mut rng = Rng::with_seed(seed);
     let mut jobs = Vec::new();
     let mut at = site.lead;
-    let mean_gap = SECOND as f64 / site.jobs_per_s;
     while at < site.lead + site.length {
-        jobs.push(make_job(site, draw_queue(&mut rng), at, &mut rng));
+        jobs.push(make_job(site, draw_queue(site, &mut rng), at, &mut rng));
+        let mean_gap = SECOND as f64 / (site.jobs_per_s * site.load_at(at));
         at += (mean_gap * 2.0 * rng.f64()) as u64;
     }
     jobs
 }
 
 /// Draws a queue by its share.
-pub fn draw_queue(rng: &mut Rng) -> usize {
+pub fn draw_queue(site: &Site, rng: &mut Rng) -> usize {
     let mut left = rng.f64();
-    for (position, queue) in Queue::ALL.iter().enumerate() {
+    for (position, queue) in site.queues.iter().enumerate() {
         left -= queue.share;
         if left < 0.0 {
             return position;
--- a/crates/simulation/src/world/calls.rs
+++ b/crates/simulation/src/world/calls.rs
@@ -82,6 +82,7 @@
     }
 
     pub(super) fn cancel_worker_call(&mut self, machine: usize, term: u64, call: CallId) {
+        self.cores[machine].turns.drop_answers_to((term, call));
         let Some(id) = self.worker_calls.by_caller.remove(&(machine, term, call)) else { return };
         if let Some(exchange) = self.worker_calls.exchanges.get_mut(&id) {
             exchange.abandoned = true;
--- a/crates/simulation/src/world/cores.rs
+++ b/crates/simulation/src/world/cores.rs
@@ -7,8 +7,9 @@
 
 use super::event::Event;
 use super::network::Endpoint;
+use super::turns::Turns;
 use super::World;
-use crate::core_process::{CoreEvent, CoreFrame, CoreOutput, CoreProcess, CoreSettings};
+use crate::core_process::{CoreEvent, CoreFrame, CoreOutput, CoreProcess, CoreSettings, Pacing};
 use crate::time::{ms, DAY_BEGINS_MS, MS, SECOND};
 
 /// Pause before a failed write is tried again.
@@ -43,7 +44,11 @@
     pub(super) disk_since: u64,
     /// It was replaced: once its process ends it does not come back.
     pub(super) leaves: bool,
-    steady_offset: u64,
+    /// Its turns, on days on which work takes processor time.
+    pub(super) turns: Turns,
+    /// The list that it read last: of which leadership, and which version.
+    pub(super) last_list: Option<(u64, usize)>,
+    pub(super) steady_offset: u64,
     generation: u64,
     wakes_at: u64,
 }
@@ -65,6 +70,8 @@
             had_first_start: false,
             disk_since: 0,
             leaves: false,
+            turns: Turns::default(),
+            last_list: None,
             steady_offset,
             generation: 0,
             wakes_at: u64::MAX,
@@ -95,6 +102,7 @@
             seeds: (0..SEEDS.min(self.site.cores)).collect(),
             target_voters: (2 * self.site.tolerated + 1).max(SEEDS.min(self.site.cores)),
             leader: self.leader_settings(),
+            pacing: if self.site.processor.is_some() { Pacing::USUAL } else { Pacing::FREQUENT },
         };
         let rng = fastrand::Rng::with_seed(self.rng.u64(..));
         let now = self.now;
@@ -123,6 +131,7 @@
             process.halt_disk(operations);
         }
         core.process = None;
+        core.turns.clear();
         core.power += 1;
         core.powered = !power_lost;
         core.frozen_until = core.frozen_until.min(now);
@@ -259,6 +268,10 @@
 
     /// Hands an event to a process and carries out what follows.
     pub(super) fn core_event(&mut self, machine: usize, event: CoreEvent) {
+        if self.site.processor.is_some() {
+            self.enqueue_core_event(machine, event);
+            return;
+        }
         let now = self.now;
         let core = &mut self.cores[machine];
         let steady = now + core.steady_offset;
@@ -285,7 +298,7 @@
     }
 
     /// A process holds a lease: no other one may, frozen or not.
-    fn check_leases(&mut self, holder: usize) {
+    pub(super) fn check_leases(&mut self, holder: usize) {
         let now = self.now;
         let holds_too = |machine: &usize| {
             let core = &self.cores[*machine];
@@ -300,7 +313,7 @@
         }
     }
 
-    fn schedule_core(&mut self, machine: usize) {
+    pub(super) fn schedule_core(&mut self, machine: usize) {
         let now = self.now;
         let core = &mut self.cores[machine];
         let Some(process) = &core.process else { return };
@@ -316,7 +329,7 @@
         }
     }
 
-    fn core_output(&mut self, machine: usize, output: CoreOutput) {
+    pub(super) fn core_output(&mut self, machine: usize, output: CoreOutput) {
         if let Some(digest) = &mut self.digest {
             digest.core_output(self.now, machine, &output);
         }
--- a/crates/simulation/src/world/event.rs
+++ b/crates/simulation/src/world/event.rs
@@ -5,7 +5,7 @@
 use scheduler::worker::CallOutcome;
 
 use super::calls::WorkerCallId;
-use crate::core_process::{CoreFrame, OperatorReply};
+use crate::core_process::{CoreFrame, CoreOutput, OperatorReply};
 use crate::history::Answer;
 
 /// An event. Processes are named by machine and incarnation: what is for an earlier incarnation is dropped.
@@ -15,6 +15,10 @@
     CoreStarts { machine: usize, power: u32 },
     /// A core process's timer.
     CoreWakes { machine: usize, incarnation: u32, generation: u64 },
+    /// A core process begins a turn.
+    TurnBegins { machine: usize, incarnation: u32 },
+    /// A core process ends a turn, and what it gives leaves.
+    TurnEnds { machine: usize, incarnation: u32, outputs: Vec<CoreOutput> },
     /// A frame between core machines arrives.
     CoreFrame { machine: usize, from: usize, frame: CoreFrame },
     /// A core process learns that a connection broke.
--- a/crates/simulation/src/world/fault_injection/clients.rs
+++ b/crates/simulation/src/world/fault_injection/clients.rs
@@ -12,7 +12,7 @@
         let until = self.now + fault.lasts.min(4 * SECOND);
         let gap = (SECOND as f64 / self.site.jobs_per_s / 2.0) as u64;
         while at < until {
-            let queue = draw_queue(&mut self.rng);
+            let queue = draw_queue(&self.site, &mut self.rng);
             let mut job = make_job(&self.site, queue, at, &mut self.rng);
             if poison && self.rng.bool() {
                 job.steps[0].poison = true;
--- a/crates/simulation/src/world/fault_injection/groups.rs
+++ b/crates/simulation/src/world/fault_injection/groups.rs
@@ -5,6 +5,8 @@
 
 /// How much later processes killed at once return, at most.
 pub(super) const RESTART_SPREAD: u64 = 900 * MS;
+/// Edges lost at once, where most of them are.
+const LOST_EDGES_PERCENT: usize = 55;
 
 impl World {
     pub(super) fn inject_on_all_cores(&mut self, power_lost: bool, lasts: u64) {
@@ -27,7 +29,16 @@
     }
 
     pub(super) fn kill_all_edges(&mut self, down: u64) {
-        for edge in 0..self.edges.len() {
+        self.kill_edges(self.edges.len(), down);
+    }
+
+    /// More than half of the edges are lost at once.
+    pub(super) fn kill_most_edges(&mut self, down: u64) {
+        self.kill_edges(self.edges.len() * LOST_EDGES_PERCENT / 100, down);
+    }
+
+    fn kill_edges(&mut self, count: usize, down: u64) {
+        for edge in 0..count {
             self.record_machine_fault(FIRST_EDGE + edge, self.now + down + RESTART_SPREAD);
             self.edge_dies(edge);
             let returns = down + self.rng.u64(0..RESTART_SPREAD);
--- a/crates/simulation/src/world/fault_injection/mod.rs
+++ b/crates/simulation/src/world/fault_injection/mod.rs
@@ -66,6 +66,7 @@
                 self.power_loss_of_all_after_accept = Some(fault.lasts.min(MAX_POWER_LOSS_AFTER_ACCEPT));
             }
             ClockStep => return self.step_clocks(fault),
+            EdgesLost => self.kill_most_edges(fault.lasts),
             EdgeKill | EdgeFreeze | EdgePartition => self.inject_on_edge(fault),
             ResetConnections => self.reset_connections(fault),
             AppliedLate => {
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod queue;
 mod setting_up;
+mod turns;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -41,6 +42,8 @@
 
 /// Events of one day beyond which something runs in circles.
 const MAX_EVENTS: u64 = 3_000_000;
+/// The same where work takes processor time: these days have far more jobs.
+const MAX_EVENTS_OF_LOADED_DAY: u64 = 60_000_000;
 /// Events within a millisecond beyond which something spins.
 const MAX_EVENTS_PER_MS: u64 = 5_000;
 
@@ -115,6 +118,7 @@
 
     fn play_to_end(&mut self) {
         let end = self.day_end();
+        let max_events = if self.site.processor.is_some() { MAX_EVENTS_OF_LOADED_DAY } else { MAX_EVENTS };
         let mut events = 0;
         let (mut millisecond, mut events_in_it) = (0, 0);
         while let Some((at, event)) = self.queue.pop() {
@@ -126,7 +130,7 @@
                 events_in_it = 0;
             }
             events_in_it += 1;
-            if events > MAX_EVENTS || events_in_it > MAX_EVENTS_PER_MS {
+            if events > max_events || events_in_it > MAX_EVENTS_PER_MS {
                 let text = format!("the day does not come to an end: {event:?}");
                 self.record_process_fault(0, text.chars().take(200).collect());
                 break;
@@ -154,6 +158,10 @@
             Event::CoreWakes { machine, incarnation, generation } => {
                 self.core_wakes(machine, incarnation, generation);
             }
+            Event::TurnBegins { machine, incarnation } => self.turn_begins(machine, incarnation),
+            Event::TurnEnds { machine, incarnation, outputs } => {
+                self.turn_ends(machine, incarnation, outputs);
+            }
             Event::CoreFrame { machine, from, frame } => self.core_frame(machine, from, frame),
             Event::PeerLost { machine, incarnation, lost } => self.peer_lost(machine, incarnation, lost),
             Event::PeerRefused { machine, incarnation, refused } => {
--- a/crates/simulation/src/world/platform.rs
+++ b/crates/simulation/src/world/platform.rs
@@ -29,13 +29,26 @@
 }
 
 impl World {
+    /// Starts all workers at the beginning of a day.
+    pub(super) fn boot_all_workers(&mut self) {
+        for worker in 0..self.fleet.workers.len() {
+            self.fleet.boot(worker, self.now);
+            self.add_to_list(worker);
+        }
+        self.list_changed();
+    }
+
     /// An incarnation stands on the list from now on.
     pub(super) fn list_worker(&mut self, worker: usize) {
+        self.add_to_list(worker);
+        self.list_changed();
+    }
+
+    fn add_to_list(&mut self, worker: usize) {
         let Some(incarnation) = &self.fleet.workers[worker].incarnation else { return };
         let instance = incarnation.instance.clone();
         self.incarnations.insert(instance.clone(), worker);
         self.platform.entries.push(Entry { worker, instance, drains_until: None });
-        self.list_changed();
     }
 
     /// A worker's present incarnation is to end.
@@ -117,6 +130,13 @@
             self.queue.push(until, Event::ListArrives { machine, incarnation, term, version });
             return;
         }
+        if self.site.processor.is_some() {
+            let read = version.map(|version| (term, version));
+            if read.is_some() && std::mem::replace(&mut self.cores[machine].last_list, read) == read {
+                self.core_event(machine, CoreEvent::InstancesUnchanged { term });
+                return;
+            }
+        }
         let instances = version.map(|version| self.shown_version(version));
         for instance in instances.iter().flatten().filter(|instance| instance.draining) {
             let read = DrainRead { reader: machine, instance: instance.id.clone(), at: self.now };
--- a/crates/simulation/src/world/setting_up.rs
+++ b/crates/simulation/src/world/setting_up.rs
@@ -22,6 +22,8 @@
 const MAX_STEADY_OFFSET: u64 = 3_600 * SECOND;
 /// Largest part in a thousand by which workers' clocks are slow.
 const MAX_CLOCK_SLOW: u64 = 20;
+/// Workers of a service whose addresses differ in the last part only.
+const WORKERS_PER_BLOCK: usize = 250;
 
 pub(super) fn set_up(site: Site, script: Script) -> World {
     let mut rng = Rng::with_seed(script.seed);
@@ -87,7 +89,8 @@
 ) -> Worker {
     let kind = KINDS[number % KINDS.len()].to_owned();
     let rack = rack_name(position, number / service.rack_size);
-    let address = format!("10.128.{position}.{}:8080", number + 1);
+    let (block, place) = (128 + number / WORKERS_PER_BLOCK, number % WORKERS_PER_BLOCK + 1);
+    let address = format!("10.{block}.{position}.{place}:8080");
     let mut worker = Worker::new(address, position, number % site.zones, vec![kind, rack]);
     let halves = service.sizes[number % service.sizes.len()];
     let full = service.available;
@@ -103,8 +106,10 @@
 
 impl World {
     fn schedule_day(&mut self) {
-        for worker in 0..self.fleet.workers.len() {
-            self.worker_boots(worker);
+        if self.site.processor.is_some() {
+            self.boot_all_workers();
+        } else {
+            (0..self.fleet.workers.len()).for_each(|worker| self.worker_boots(worker));
         }
         for machine in 0..self.site.cores {
             let at = self.rng.u64(0..START_SPREAD);
@@ -115,7 +120,10 @@
             self.queue.push(at, Event::EdgeStarts { edge });
         }
         self.queue.push(SECOND, Event::ReadinessAsked);
-        self.queue.push(self.site.lead, Event::ChecksIdle);
+        // Where work takes processor time, jobs may wait for it.
+        if self.site.processor.is_none() {
+            self.queue.push(self.site.lead, Event::ChecksIdle);
+        }
         for (job, plan) in self.jobs.iter().enumerate() {
             self.queue.push(plan.submit_at, Event::JobComes { job });
         }
--- /dev/null
+++ b/crates/simulation/src/world/turns.rs
@@ -0,0 +1,188 @@
+//! Turns of core processes on days on which work takes processor time: events wait until the process gets to them, and
+//! what a turn gives leaves at its end.
+
+use std::collections::VecDeque;
+
+use super::event::Event;
+use super::World;
+use crate::core_process::{CoreEvent, CoreOutput, CoreProcess, MAX_EVENTS_PER_TURN};
+use crate::processor::{Processor, QuotaUse, TurnWork};
+use crate::time::{seconds, DAY_BEGINS_MS, MS};
+
+/// Time between two records of what a leader carries, on days that are traced.
+const RECORD_INTERVAL: u64 = 500 * MS;
+
+/// Events that wait for a core process, and the turns that it takes.
+#[derive(Default)]
+pub(super) struct Turns {
+    waiting: VecDeque<CoreEvent>,
+    /// The disk has finished its pending write: that is handled first, in a turn of its own.
+    disk_done: bool,
+    /// A turn is under way, or waits for processor time.
+    is_busy: bool,
+    quota: QuotaUse,
+    /// Time in turns since the last record.
+    busy: u64,
+    /// Work since the last record.
+    work: TurnWork,
+    /// Longest turn since the last record.
+    longest: u64,
+    recorded_at: u64,
+}
+
+impl Turns {
+    /// The process has ended, and with it all that waited for it.
+    pub(super) fn clear(&mut self) {
+        self.waiting.clear();
+        self.disk_done = false;
+        self.is_busy = false;
+    }
+
+    /// Answers to a call that was given up are not handled any more.
+    pub(super) fn drop_answers_to(&mut self, given_up: (u64, scheduler::leader::CallId)) {
+        self.waiting.retain(
+            |event| !matches!(event, CoreEvent::CallFinished { term, call, .. } if (*term, *call) == given_up),
+        );
+    }
+
+    fn push(&mut self, event: CoreEvent) {
+        match event {
+            CoreEvent::DiskDone => self.disk_done = true,
+            event => self.waiting.push_back(event),
+        }
+    }
+
+    fn has_events(&self) -> bool {
+        self.disk_done || !self.waiting.is_empty()
+    }
+
+    /// The events of the next turn.
+    fn take_events(&mut self) -> Vec<CoreEvent> {
+        if std::mem::take(&mut self.disk_done) {
+            return vec![CoreEvent::DiskDone];
+        }
+        let count = self.waiting.len().min(MAX_EVENTS_PER_TURN);
+        self.waiting.drain(..count).collect()
+    }
+}
+
+impl World {
+    /// An event waits for a process until it takes its next turn.
+    pub(super) fn enqueue_core_event(&mut self, machine: usize, event: CoreEvent) {
+        if self.cores[machine].process.is_none() {
+            return;
+        }
+        self.cores[machine].turns.push(event);
+        if !self.cores[machine].turns.is_busy {
+            self.begin_turn_at(machine, self.now);
+        }
+    }
+
+    fn begin_turn_at(&mut self, machine: usize, at: u64) {
+        let core = &mut self.cores[machine];
+        core.turns.is_busy = true;
+        self.queue.push(at, Event::TurnBegins { machine, incarnation: core.incarnation });
+    }
+
+    /// Whether a turn's process is still there.
+    fn is_running(&self, machine: usize, incarnation: u32) -> bool {
+        self.cores[machine].incarnation == incarnation && self.cores[machine].process.is_some()
+    }
+
+    pub(super) fn turn_begins(&mut self, machine: usize, incarnation: u32) {
+        let Some(processor) = self.site.processor else { return };
+        if !self.is_running(machine, incarnation) {
+            return;
+        }
+        let now = self.now;
+        let core = &mut self.cores[machine];
+        let runs_from = core.frozen_until.max(core.turns.quota.runs_from(&processor, now));
+        if runs_from > now {
+            self.begin_turn_at(machine, runs_from);
+            return;
+        }
+        self.take_turn(machine, &processor);
+    }
+
+    fn take_turn(&mut self, machine: usize, processor: &Processor) {
+        let now = self.now;
+        let core = &mut self.cores[machine];
+        let steady = now + core.steady_offset;
+        let day = (DAY_BEGINS_MS + now / MS).saturating_add_signed(core.day_offset_ms);
+        let Some(process) = core.process.as_mut() else { return };
+        let events = core.turns.take_events();
+        let was_leading = process.is_leading();
+        let mut outputs = Vec::new();
+        let work = process.take_turn(steady, day, events, &mut outputs);
+        let (leads, term) = (process.is_leading(), process.node().term());
+        let cost = processor.cost_of(&work);
+        let until = core.turns.quota.spend(processor, now, cost);
+        core.turns.busy += cost;
+        core.turns.work.add(&work);
+        core.turns.longest = core.turns.longest.max(until - now);
+        let incarnation = core.incarnation;
+        self.queue.push(until, Event::TurnEnds { machine, incarnation, outputs });
+        if leads != was_leading {
+            self.history.leader_changes.push(crate::history::LeaderChange {
+                at: until,
+                machine,
+                term,
+                leads,
+            });
+            let what = if leads { "leads" } else { "leads no longer" };
+            self.trace(|| format!("core {machine} {what} in term {term} from {:.4}", seconds(until)));
+        }
+    }
+
+    pub(super) fn turn_ends(&mut self, machine: usize, incarnation: u32, outputs: Vec<CoreOutput>) {
+        if !self.is_running(machine, incarnation) {
+            return;
+        }
+        let thaws_at = self.cores[machine].frozen_until;
+        if thaws_at > self.now {
+            self.queue.push(thaws_at, Event::TurnEnds { machine, incarnation, outputs });
+            return;
+        }
+        for output in outputs {
+            self.core_output(machine, output);
+            if !self.is_running(machine, incarnation) {
+                return;
+            }
+        }
+        self.record_load(machine);
+        self.check_held_lease(machine);
+        if self.cores[machine].turns.has_events() {
+            self.begin_turn_at(machine, self.now);
+            return;
+        }
+        self.cores[machine].turns.is_busy = false;
+        self.schedule_core(machine);
+    }
+
+    fn check_held_lease(&mut self, machine: usize) {
+        let core = &self.cores[machine];
+        let steady = self.now + core.steady_offset;
+        if core.process.as_ref().is_some_and(|process| process.holds_lease(steady)) {
+            self.check_leases(machine);
+        }
+    }
+
+    /// Traces what a leader carries, twice a second.
+    fn record_load(&mut self, machine: usize) {
+        let now = self.now;
+        let turns = &mut self.cores[machine].turns;
+        if !self.trace || now < turns.recorded_at + RECORD_INTERVAL {
+            return;
+        }
+        turns.recorded_at = now;
+        let (busy, longest) = (std::mem::take(&mut turns.busy) / MS, std::mem::take(&mut turns.longest) / MS);
+        let work = std::mem::take(&mut turns.work);
+        let waiting = turns.waiting.len();
+        let report = self.cores[machine].process.as_ref().and_then(CoreProcess::load_report);
+        if let Some(report) = report {
+            self.trace(|| {
+                format!("core {machine}: busy {busy} ms, longest turn {longest} ms, {waiting} events wait, {report:?} {work:?}")
+            });
+        }
+    }
+}
