--- a/crates/simulation/examples/overload.rs
+++ b/crates/simulation/examples/overload.rs
@@ -2,7 +2,8 @@
 //!
 //! `overload --days N --seed S --parts P` plays N drawn cases from seed S on, each with one part in P of the large
 //! deployment, and prints those that do not return to their pace. `overload --replay S --parts P` prints what happens on
-//! one of them, and `overload --loss-of-power S --parts P` on the day on which all core machines lose power.
+//! one of them, and `overload --loss-of-power S --parts P` on the day on which all core machines lose power,
+//! and `overload --calm S --parts P` on the same day without a fault.
 
 use simulation::overload::OverloadCase;
 use simulation::time::ms;
@@ -15,6 +16,7 @@
     Search,
     Replay,
     LossOfPower,
+    Calm,
 }
 
 struct Arguments {
@@ -36,9 +38,10 @@
             "--parts" => arguments.parts = number().max(1) as usize,
             "--replay" => (arguments.command, arguments.seed) = (Command::Replay, number()),
             "--loss-of-power" => (arguments.command, arguments.seed) = (Command::LossOfPower, number()),
+            "--calm" => (arguments.command, arguments.seed) = (Command::Calm, number()),
             "--trace" => arguments.trace = true,
             other => eprintln!(
-                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --trace"
+                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --calm, --trace"
             ),
         }
     }
@@ -85,6 +88,7 @@
     match arguments.command {
         Command::Search => search(&arguments),
         Command::Replay => show(&OverloadCase::draw(arguments.seed, arguments.parts), arguments.trace),
+        Command::Calm => show(&OverloadCase::calm(arguments.seed, arguments.parts), arguments.trace),
         Command::LossOfPower => {
             show(&OverloadCase::loss_of_power(arguments.seed, arguments.parts), arguments.trace);
         }
--- a/crates/simulation/src/overload.rs
+++ b/crates/simulation/src/overload.rs
@@ -50,8 +50,8 @@
     pub share: f64,
     /// Full traffic, in parts of what the large deployment has.
     pub traffic: f64,
-    /// The fault.
-    pub fault: FaultKind,
+    /// The fault; `None`: the day is calm, and only the load changes.
+    pub fault: Option<FaultKind>,
     /// How long it lasts.
     pub lasts: u64,
     /// Load just before the fault, in parts of the full traffic.
@@ -77,13 +77,18 @@
             parts,
             share: USUAL_SHARE,
             traffic: 1.0,
-            fault: FaultKind::AllCoresPower,
+            fault: Some(FaultKind::AllCoresPower),
             lasts: ms(1_500),
             load_before: 1.0,
             load_during: 1.0,
         }
     }
 
+    /// The same day without a fault.
+    pub fn calm(seed: u64, parts: usize) -> OverloadCase {
+        OverloadCase { fault: None, ..OverloadCase::loss_of_power(seed, parts) }
+    }
+
     /// A case drawn from its seed.
     pub fn draw(seed: u64, parts: usize) -> OverloadCase {
         let mut rng = Rng::with_seed(seed ^ 0x0f_e11_0ad);
@@ -93,7 +98,7 @@
             parts,
             share,
             traffic: share / USUAL_SHARE,
-            fault: FAULTS[rng.usize(0..FAULTS.len())],
+            fault: Some(FAULTS[rng.usize(0..FAULTS.len())]),
             lasts: ms(rng.u64(500..5_000)),
             load_before: 1.0 + 2.0 * rng.f64() * f64::from(rng.u8(0..2)),
             load_during: 0.5 + rng.f64(),
@@ -125,8 +130,8 @@
     /// The fault as a script.
     pub fn script(&self, site: &Site) -> Script {
         let at = OverloadCase::begins_at(site) / MS * MS;
-        let fault = InjectedFault { at, lasts: self.lasts, kind: self.fault, pick: self.seed };
-        Script { faults: vec![fault], ..Script::calm(self.seed) }
+        let inject = |kind| InjectedFault { at, lasts: self.lasts, kind, pick: self.seed };
+        Script { faults: self.fault.map(inject).into_iter().collect(), ..Script::calm(self.seed) }
     }
 
     /// Plays the case and judges it.
