Bound the polls of a turn, however often it is flushed

Need: with admission at the end of a turn, its two runs of polls had the bound of one event each, so that a new leader called 128 workers at once. Change: both share one bound.

--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -21,7 +21,7 @@
 use super::outlier_detector::PeerAverages;
 use super::own_lateness::OwnLateness;
 use super::pending_requests::{PendingClients, PendingConfigurations};
-use super::poll_queue::PollQueue;
+use super::poll_queue::{PollQueue, POLLS_PER_TURN};
 use super::schedule::Schedule;
 use super::service::Service;
 use super::settings::LeaderSettings;
@@ -200,10 +200,10 @@
     /// of events, with the state as of all batches handed back so far.
     pub fn flush(&mut self, state: &State, now: u64, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        self.poll_workers(out);
+        let polled = self.poll_workers(POLLS_PER_TURN, out);
         self.admit(state);
         // Attempts that were preempted are to be stopped.
-        self.poll_workers(out);
+        self.poll_workers(POLLS_PER_TURN - polled, out);
         self.propose_ends();
         self.propose_clock();
         if !self.batch.is_empty() {
--- a/crates/scheduler/src/leader/poll_queue.rs
+++ b/crates/scheduler/src/leader/poll_queue.rs
@@ -1,6 +1,6 @@
 //! Which sessions of workers are polled next, and how many workers are contacted for the first time at once.
 //!
-//! A new leader has to talk to every worker. One event polls a bounded number of them, so that the driver can send
+//! A new leader has to talk to every worker. One turn polls a bounded number of them, so that the driver can send
 //! heartbeats in between. Workers that carry attempts come first. The others are contacted as fast as they answer: each
 //! first contact costs a connection and a call.
 
@@ -9,8 +9,8 @@
 use crate::placement::WorkerKey;
 use crate::time::NANOS_PER_MS;
 
-/// Sessions that one event polls.
-pub(super) const POLLS_PER_EVENT: usize = 64;
+/// Sessions that one turn polls at most.
+pub(super) const POLLS_PER_TURN: usize = 64;
 /// First contacts in flight.
 const MAX_FIRST_CONTACTS: usize = 64;
 /// A first contact without an answer stops counting after this time, in nanoseconds.
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -12,7 +12,6 @@
 use super::event_loop::Leader;
 use super::interface::{CallId, Output};
 use super::mechanisms::Mechanism;
-use super::poll_queue::POLLS_PER_EVENT;
 use super::timers::Timer;
 use super::worker_entry::WorkerEntry;
 use super::worker_events::WorkerEvent;
@@ -114,10 +113,13 @@
         self.schedule_poll(worker);
     }
 
-    /// Polls sessions for which something changed, up to a bound. The rest follows at once in another event.
-    pub(super) fn poll_workers(&mut self, out: &mut Vec<Output>) {
-        for _ in 0..POLLS_PER_EVENT {
+    /// Polls sessions for which something changed, `most` at most, and returns how many those were. The rest follows at
+    /// once in another turn.
+    pub(super) fn poll_workers(&mut self, most: usize, out: &mut Vec<Output>) -> usize {
+        let mut polled = 0;
+        while polled < most {
             let Some(key) = self.poll_queue.pop(self.now) else { break };
+            polled += 1;
             let calls_before = out.len();
             let is_first_contact = self.workers.get(&key).is_some_and(WorkerEntry::is_first_contact);
             self.poll_worker(key, out);
@@ -128,6 +130,7 @@
         if let Some(at) = self.poll_queue.next_due(self.now) {
             self.timers.set_no_later(at.max(self.now + 1), Timer::PollWorkers);
         }
+        polled
     }
 
     fn poll_worker(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
