Search the workers of a gang in order of what is free, and keep blocks by capacity alone

A gang's search examined every block; it now takes the workers that have enough of the scarcest resource. Blocks of workers depend on capacities alone, so that reservations no longer update them.

--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -11,7 +11,7 @@
     pub admission_passes: u64,
     /// Waiting steps for which a worker was searched.
     pub steps_examined: u64,
-    /// Workers that these searches examined.
+    /// Workers, and blocks of them, that these searches examined.
     pub workers_examined: u64,
     /// Polls of workers' sessions.
     pub sessions_polled: u64,
--- a/crates/scheduler/src/placement/blocks.rs
+++ b/crates/scheduler/src/placement/blocks.rs
@@ -1,4 +1,4 @@
-//! What searches may find among a run of workers: whole blocks in which nothing can suit are skipped.
+//! What a run of workers has: searches skip whole blocks in which none is large enough.
 
 use std::ops::Range;
 
@@ -11,12 +11,8 @@
 /// The greatest amounts among the slots of a block, of each resource by itself: no single slot need have them all.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Block {
-    /// What is free on workers that may take starts.
-    pub(super) free: Resources,
     /// What workers that may take starts have.
     pub(super) capacity: Resources,
-    /// What is free on ejected workers.
-    pub(super) ejected_free: Resources,
     /// What ejected workers have.
     pub(super) ejected_capacity: Resources,
     /// What any worker has.
@@ -30,11 +26,9 @@
         for slot in slots {
             block.largest = block.largest.max(slot.capacity);
             if slot.usable {
-                block.free = block.free.max(slot.free());
                 block.capacity = block.capacity.max(slot.capacity);
             }
             if slot.ejected {
-                block.ejected_free = block.ejected_free.max(slot.free());
                 block.ejected_capacity = block.ejected_capacity.max(slot.capacity);
             }
         }
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -184,7 +184,7 @@
     }
 
     /// The workers with the label that is asked for, in order of what is free there; none if none may take starts.
-    fn orders_for(&self, matcher: &Matcher) -> Option<&FreeOrders> {
+    pub(super) fn orders_for(&self, matcher: &Matcher) -> Option<&FreeOrders> {
         self.orders.with_label(matcher.constraint())
     }
 
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -103,8 +103,8 @@
 /// The workers of one service, what is reserved on them, and the sums over those that may take starts, if only as
 /// the last resort.
 ///
-/// The sums and the blocks always equal those over the slots: every change of a slot goes through `change`,
-/// `add_slot` or `remove_slot`.
+/// The sums, the orders and the blocks always equal those over the slots: every change of a slot goes through
+/// `change`, `add_slot` or `remove_slot`. Blocks do not depend on what is reserved.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub(super) slots: Vec<Slot>,
@@ -114,8 +114,9 @@
     pub(super) largest: Resources,
     /// Of workers of like quality, the first one in order of keys is taken in position of the fullest.
     pub(super) first_fit: bool,
-    /// What searches may find among each run of `BLOCK_SIZE` slots.
+    /// What each run of `BLOCK_SIZE` slots has.
     blocks: Vec<Block>,
+    /// The slots in order of what is free there.
     pub(super) orders: Orders,
     /// The workers of each rack.
     by_rack: BTreeMap<Symbol, Vec<WorkerKey>>,
@@ -160,6 +161,7 @@
                     (slot.rack, slot.labels) = (rack, labels);
                 });
                 self.join_rack(position);
+                self.update_block(position / BLOCK_SIZE);
                 self.largest = self.largest.max(capacity);
                 if is_largest_somewhere(before, self.largest) && !before.fits_in(capacity) {
                     self.recompute_largest();
@@ -296,7 +298,7 @@
         self.largest = self.blocks.iter().fold(Resources::ZERO, |most, block| most.max(block.largest));
     }
 
-    /// Changes a slot and keeps the sums and its block.
+    /// Changes a slot and keeps the sums and the orders.
     fn change(&mut self, position: usize, change: impl FnOnce(&mut Slot)) {
         let slot = &mut self.slots[position];
         let before = sums(slot);
@@ -308,7 +310,6 @@
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
-        self.update_block(position / BLOCK_SIZE);
     }
 
     fn add_slot(&mut self, slot: Slot) {
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -1,6 +1,5 @@
 //! The workers for a gang: all of its members at once, or none.
 
-use super::blocks::Block;
 use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
 use super::matching::{Demand, Matcher, LIKE_QUALITY};
 use std::cmp::Ordering;
@@ -54,7 +53,9 @@
             true => demand.need.times_in(slot.free(), matcher.tasks_left(slot)),
             false => 0,
         };
-        let hosts = self.hosts(matcher, |block| matcher.suits_in(block), members);
+        let candidates = self.orders_for(matcher).map_or(&[][..], |orders| orders.fewest_with(demand.need));
+        let slots = candidates.iter().map(|(_, position)| self.examine_position(*position));
+        let hosts = hosts(matcher, slots, members);
         let fast_enough: Vec<Host> =
             hosts.iter().copied().filter(|host| host.quality >= MIN_GANG_QUALITY).collect();
         place(&fast_enough, demand.rack_local, count).or_else(|| place(&hosts, demand.rack_local, count))
@@ -65,8 +66,8 @@
     pub fn could_ever_fit_gang(&self, demand: &Demand, count: usize) -> bool {
         let Some(matcher) = Matcher::new(self, demand) else { return false };
         let limit = demand.anti_affinity.map_or(u64::MAX, u64::from);
-        let may_hold = |block: &Block| demand.need.fits_in(block.largest);
-        let hosts = self.hosts(&matcher, may_hold, |slot| demand.need.times_in(slot.capacity, limit));
+        let slots = self.examine(|block| demand.need.fits_in(block.largest));
+        let hosts = hosts(&matcher, slots, |slot| demand.need.times_in(slot.capacity, limit));
         place(&hosts, demand.rack_local, count).is_some()
     }
 
@@ -79,30 +80,29 @@
             true => demand.need.times_in(slot.capacity, limit),
             false => 0,
         };
-        let hosts = self.hosts(&matcher, |block| matcher.may_suit_in(block), members);
+        let slots = self.examine(|block| matcher.may_suit_in(block));
+        let hosts = hosts(&matcher, slots, members);
         place(&hosts, demand.rack_local, count).is_some()
     }
+}
 
-    /// The workers that have capacity for members, by racks, the best first within each. Blocks that `may_hold` denies
-    /// have none.
-    fn hosts(
-        &self,
-        matcher: &Matcher,
-        may_hold: impl Fn(&Block) -> bool,
-        members: impl Fn(&Slot) -> u64,
-    ) -> Vec<Host> {
-        let allowed = self.examine(may_hold).filter(|slot| matcher.allows(slot));
-        let host = |slot: &Slot| Host {
-            key: slot.key,
-            rack: slot.rack.map_or(RackGroup::Alone(slot.key), RackGroup::Known),
-            members: members(slot).min(MAX_MEMBERS_PER_WORKER),
-            quality: matcher.quality(slot),
-            near: matcher.near(slot),
-        };
-        let mut hosts: Vec<Host> = allowed.map(host).filter(|host| host.members > 0).collect();
-        hosts.sort_unstable_by(by_rack_and_quality);
-        hosts
-    }
+/// The workers among these that have capacity for members, by racks, the best first within each.
+fn hosts<'a>(
+    matcher: &Matcher,
+    slots: impl Iterator<Item = &'a Slot>,
+    members: impl Fn(&Slot) -> u64,
+) -> Vec<Host> {
+    let host = |slot: &Slot| Host {
+        key: slot.key,
+        rack: slot.rack.map_or(RackGroup::Alone(slot.key), RackGroup::Known),
+        members: members(slot).min(MAX_MEMBERS_PER_WORKER),
+        quality: matcher.quality(slot),
+        near: matcher.near(slot),
+    };
+    let allowed = slots.filter(|slot| matcher.allows(slot)).map(host);
+    let mut hosts: Vec<Host> = allowed.filter(|host| host.members > 0).collect();
+    hosts.sort_unstable_by(by_rack_and_quality);
+    hosts
 }
 
 /// By racks; within one those of higher quality first, then those with capacity for more members, so that fewer workers are used.
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -122,12 +122,6 @@
         has_capacity && self.allows(slot) && self.tasks_left(slot) > 0
     }
 
-    /// Whether a worker of the block may take the task now, as far as the block shows.
-    pub(super) fn suits_in(&self, block: &Block) -> bool {
-        let need = self.demand.need;
-        need.fits_in(block.free) || (self.including_ejected && need.fits_in(block.ejected_free))
-    }
-
     /// Whether a worker of the block may take the task, now or once it has the capacity, as far as the block shows.
     pub(super) fn may_suit_in(&self, block: &Block) -> bool {
         let need = self.demand.need;
