Keep files of placement and admission free of circles, and count a gang's members as starts

crates/node/tests/architecture.rs allows no circle between files of the scheduler: slots, the budget of a turn and what a scan found have files of their own. A gang counts with all its members against the budget.

--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -13,37 +13,11 @@
 use super::placement_choice::{choose, PlacementContext};
 use super::service::{Choice, NextStep};
 use super::timers::Timer;
+use super::turn_budget::TurnBudget;
 
-/// Steps that are started in one turn.
-const STEPS_PER_TURN: usize = 128;
-/// Workers that searches for capacity may examine in one turn before no further search begins.
-const WORKERS_PER_TURN: u64 = 50_000;
 /// Time until the next turn when more steps wait, in nanoseconds.
 const NEXT_TURN_DELAY: u64 = NANOS_PER_MS;
 
-/// What the admission of one turn may still cost: a turn stays short whatever waits.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct TurnBudget {
-    /// The time of the turn.
-    turn: u64,
-    steps: usize,
-    workers: u64,
-}
-
-impl TurnBudget {
-    /// The budget as it is at `now`: that of another turn is not spent.
-    fn at(self, now: u64) -> Self {
-        if self.turn == now {
-            return self;
-        }
-        TurnBudget { turn: now, steps: STEPS_PER_TURN, workers: WORKERS_PER_TURN }
-    }
-
-    fn is_spent(self) -> bool {
-        self.steps == 0 || self.workers == 0
-    }
-}
-
 impl Leader {
     /// Starts the tasks for which there is capacity, in all services in which something changed. Once the turn's
     /// budget is spent, the next turn continues with the service at which this one stopped.
@@ -77,19 +51,25 @@
         self.start_urgent(state, position);
         self.serve_reservation(state, position);
         if !self.pauses_for_gang(state, position) {
-            let examined_limit = examined_before + budget.workers;
-            self.start_waiting(state, position, examined_limit, &mut budget.steps);
+            let examined_limit = examined_before + budget.workers();
+            self.start_waiting(state, position, examined_limit, budget);
         }
         let service = &self.services[position];
-        budget.workers = budget.workers.saturating_sub(service.fleet.examined() - examined_before);
+        budget.spend_workers(service.fleet.examined() - examined_before);
         if let Some(at) = service.next_retry_at() {
             self.timers.set_no_later(at, Timer::Admit);
         }
     }
 
     /// Starts tasks in the order of the queues.
-    fn start_waiting(&mut self, state: &State, position: usize, examined_limit: u64, steps: &mut usize) {
-        while *steps > 0 {
+    fn start_waiting(
+        &mut self,
+        state: &State,
+        position: usize,
+        examined_limit: u64,
+        budget: &mut TurnBudget,
+    ) {
+        while !budget.is_spent() {
             let Self { services, attempts, failed_on, settings, now, work, .. } = self;
             let context = PlacementContext::new(state, attempts, failed_on, settings, *now);
             let next = services[position].next(examined_limit, |fleet, candidate| {
@@ -98,7 +78,7 @@
             });
             match next {
                 NextStep::Step(released, choice) => {
-                    *steps -= 1;
+                    budget.spend_starts(choice.starts());
                     self.start_released(state, position, &released, choice);
                 }
                 NextStep::None => {
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -10,7 +10,6 @@
 use crate::time::NANOS_PER_MS;
 use crate::worker::SessionOutput;
 
-use super::admission::TurnBudget;
 use super::attempts::{Attempts, FailedOn};
 use super::batch::Batch;
 use super::clock::DayClock;
@@ -23,6 +22,7 @@
 use super::service::Service;
 use super::settings::LeaderSettings;
 use super::timers::{Timer, Timers};
+use super::turn_budget::TurnBudget;
 use super::work::LeaderWork;
 use super::worker_entry::WorkerEntry;
 use super::worker_events::{WorkerEvent, WorkerEvents};
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -38,6 +38,7 @@
 mod service;
 mod settings;
 mod timers;
+mod turn_budget;
 mod work;
 mod worker_availability;
 mod worker_entry;
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -19,8 +19,7 @@
 use super::capacity_reservation::CapacityReservation;
 use super::mechanisms::{Mechanism, Mechanisms};
 
-pub(super) use scan::NextStep;
-pub(super) use steps::{plan_of, Candidate, Choice, QueueEnd, StepKind, WaitingStep};
+pub(super) use steps::{plan_of, Candidate, Choice, NextStep, QueueEnd, StepKind, WaitingStep};
 
 use steps::{Blocked, PlanHead, ReadyStep, WEIGHTS};
 
--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -5,23 +5,12 @@
 use crate::ids::StepKey;
 use crate::placement::{Fleet, RESOURCES};
 
-use super::steps::{Candidate, Choice};
+use super::steps::{Candidate, Choice, NextStep};
 use super::Service;
 
 /// How many waiting steps of a queue are scanned for one that has capacity.
 const SCAN_DEPTH: usize = 32;
 
-/// What a scan of the queues found.
-#[derive(Debug)]
-pub(in crate::leader) enum NextStep {
-    /// The step whose turn it is, taken out of its queue, and where it goes.
-    Step(Released<StepKey, RESOURCES>, Choice),
-    /// No step that is not blocked has capacity.
-    None,
-    /// None yet, and more workers were examined than the scan may examine.
-    LimitReached,
-}
-
 impl Service {
     /// The step whose turn it is, and where `choose` puts it. Steps for which there is no capacity keep their position.
     /// Once the fleet has `examined_limit` examined workers on its account, no search for a further step begins.
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use mqos::Released;
+
 use crate::ids::{StepKey, TaskKey};
-use crate::placement::{Resources, WorkerKey};
+use crate::placement::{Resources, WorkerKey, RESOURCES};
 
 /// Weights of the plans, by priority. Lower priorities share the last one.
 pub(super) const WEIGHTS: [f64; 6] = [32.0, 16.0, 8.0, 4.0, 2.0, 1.0];
@@ -56,6 +58,17 @@
     Gone,
 }
 
+/// What a scan of the queues found.
+#[derive(Debug)]
+pub(in crate::leader) enum NextStep {
+    /// The step whose turn it is, taken out of its queue, and where it goes.
+    Step(Released<StepKey, RESOURCES>, Choice),
+    /// No step that is not blocked has capacity.
+    None,
+    /// None yet, and more workers were examined than the scan may examine.
+    LimitReached,
+}
+
 /// Where a step enters its queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::leader) enum QueueEnd {
@@ -106,6 +119,16 @@
     pub(in crate::leader) since: u64,
 }
 
+impl Choice {
+    /// How many attempts it starts; at least one, since a step has had its turn.
+    pub(in crate::leader) fn starts(&self) -> u64 {
+        match self {
+            Choice::Gang(workers) => workers.len().max(1) as u64,
+            Choice::Task(_) | Choice::NoCapacity | Choice::Later(_) | Choice::Gone => 1,
+        }
+    }
+}
+
 impl ReadyStep {
     /// Whether attempts may be preempted for it.
     pub(super) fn is_urgent(&self) -> bool {
--- a/crates/scheduler/src/placement/blocks.rs
+++ b/crates/scheduler/src/placement/blocks.rs
@@ -2,8 +2,8 @@
 
 use std::ops::Range;
 
-use super::fleet::Slot;
 use super::resources::Resources;
+use super::slot::Slot;
 
 /// Slots of a block. About the square root of a large fleet, so that neither blocks nor slots are many to examine.
 pub(super) const BLOCK_SIZE: usize = 16;
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -1,9 +1,10 @@
 //! The worker for one task.
 
-use super::fleet::{Fleet, Slot, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher, BEST_QUALITY, LIKE_QUALITY, OFF_RACK_FACTOR};
 use super::orders::FreeOrders;
 use super::resources::{Resources, RESOURCES};
+use super::slot::{Slot, WorkerKey};
 use std::cmp::Reverse;
 
 /// Weight of the capacity left of a resource that the task needs less of, beside the one it needs most of.
--- a/crates/scheduler/src/placement/explain.rs
+++ b/crates/scheduler/src/placement/explain.rs
@@ -1,7 +1,8 @@
 //! Why a worker is not chosen, for reports to people; placement itself does not use it.
 
-use super::fleet::{Fleet, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher};
+use super::slot::WorkerKey;
 
 /// What keeps a task from a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -4,6 +4,7 @@
 use super::orders::Orders;
 use super::resources::Resources;
 use super::shortages::Shortages;
+use super::slot::{Slot, StepCount, Symbol, Symbols, WorkerKey};
 use crate::ids::StepKey;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,9 +12,6 @@
 /// The most of a resource that a worker is taken to have: sums over a fleet stay exact.
 const MAX_CAPACITY: Resources = Resources { cpu: 1 << 40, mem_mb: 1 << 40, gpu: 1 << 40 };
 
-/// The caller's identifier of a worker.
-pub type WorkerKey = u64;
-
 /// What is known of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerFacts {
@@ -36,70 +34,6 @@
     pub trust: f64,
 }
 
-/// A text that was given a number, to be compared fast.
-pub(super) type Symbol = u32;
-
-/// Numbers for labels and racks.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Symbols {
-    numbers: BTreeMap<String, Symbol>,
-}
-
-impl Symbols {
-    fn number(&mut self, text: &str) -> Symbol {
-        if let Some(number) = self.numbers.get(text) {
-            return *number;
-        }
-        let number = Symbol::try_from(self.numbers.len()).unwrap_or(Symbol::MAX);
-        self.numbers.insert(text.to_owned(), number);
-        number
-    }
-
-    /// The number of a text, if a worker has ever had it.
-    pub(super) fn find(&self, text: &str) -> Option<Symbol> {
-        self.numbers.get(text).copied()
-    }
-}
-
-/// How many tasks of a step have a reservation on a worker.
-#[derive(Clone, Copy, Debug)]
-struct StepCount {
-    step: StepKey,
-    tasks: u32,
-}
-
-/// A worker as placement sees it.
-#[derive(Clone, Debug)]
-pub(super) struct Slot {
-    pub(super) key: WorkerKey,
-    pub(super) capacity: Resources,
-    pub(super) reserved: Resources,
-    pub(super) usable: bool,
-    pub(super) ejected: bool,
-    /// Pace times success rate.
-    pub(super) quality: f64,
-    pub(super) rack: Option<Symbol>,
-    pub(super) labels: Vec<Symbol>,
-    steps: Vec<StepCount>,
-}
-
-impl Slot {
-    /// What is left for further tasks.
-    pub(super) fn free(&self) -> Resources {
-        self.capacity.minus(self.reserved)
-    }
-
-    /// Whether it may take starts, if only as the last resort.
-    pub(super) fn may_take_starts(&self) -> bool {
-        self.usable || self.ejected
-    }
-
-    /// How many tasks of a step have a reservation here.
-    pub(super) fn tasks_of(&self, step: &StepKey) -> u32 {
-        self.steps.iter().find(|count| count.step == *step).map_or(0, |count| count.tasks)
-    }
-}
-
 /// The workers of one service, what is reserved on them, and the sums over those that may take starts, if only as
 /// the last resort.
 ///
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -1,7 +1,8 @@
 //! The workers for a gang: all of its members at once, or none.
 
-use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher, LIKE_QUALITY};
+use super::slot::{Slot, Symbol, WorkerKey};
 use std::cmp::Ordering;
 
 /// A gang runs as slowly as its slowest member: workers of a lower quality are used only where it fits
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -1,8 +1,9 @@
 //! What a task asks of a worker, and how well a worker suits it.
 
 use super::blocks::Block;
-use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
+use super::fleet::Fleet;
 use super::resources::Resources;
+use super::slot::{Slot, Symbol, WorkerKey};
 use crate::ids::StepKey;
 
 /// How much slower a task is taken to be away from its data: the factor for a worker on another rack.
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -14,9 +14,11 @@
 mod resources;
 mod shortages;
 mod shortfall;
+mod slot;
 
 pub use explain::PlacementObstacle;
-pub use fleet::{Fleet, WorkerFacts, WorkerKey};
+pub use fleet::{Fleet, WorkerFacts};
 pub use matching::Demand;
 pub use preempt::{Preemption, Victim};
 pub use resources::{Resources, RESOURCES};
+pub use slot::WorkerKey;
--- a/crates/scheduler/src/placement/orders.rs
+++ b/crates/scheduler/src/placement/orders.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::fleet::{Slot, Symbol};
 use super::resources::{Resources, RESOURCES};
+use super::slot::{Slot, Symbol};
 
 /// What is free on a worker of one resource, and the position of its slot.
 type Entry = (u64, usize);
--- a/crates/scheduler/src/placement/preempt.rs
+++ b/crates/scheduler/src/placement/preempt.rs
@@ -1,8 +1,9 @@
 //! The attempts to stop so that a task that may preempt gets the capacity it needs.
 
-use super::fleet::{Fleet, Slot, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher};
 use super::resources::Resources;
+use super::slot::{Slot, WorkerKey};
 use crate::ids::AttemptKey;
 
 /// A running attempt that may be stopped.
--- a/crates/scheduler/src/placement/shortages.rs
+++ b/crates/scheduler/src/placement/shortages.rs
@@ -1,7 +1,7 @@
 //! What no worker has had the capacity for since some was last freed: such a search need not be made again.
 
-use super::fleet::Symbol;
 use super::resources::Resources;
+use super::slot::Symbol;
 
 /// A search that found no worker.
 #[derive(Clone, Copy, Debug)]
--- a/crates/scheduler/src/placement/shortfall.rs
+++ b/crates/scheduler/src/placement/shortfall.rs
@@ -1,8 +1,9 @@
 //! The worker that lacks least for a task which fits nowhere now.
 
-use super::fleet::{Fleet, Slot, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher};
 use super::resources::Resources;
+use super::slot::{Slot, WorkerKey};
 
 impl Fleet {
     /// Of the workers that may take the task once they have the capacity, the one that lacks least for it.
