--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -44,6 +44,7 @@
 mod start_delay;
 mod status_queries;
 mod timers;
+mod turn_budget;
 mod work;
 mod worker_availability;
 mod worker_entry;
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -20,8 +20,7 @@
 use super::mechanisms::{Mechanism, Mechanisms};
 use super::start_delay::StartDelay;
 
-pub(super) use scan::NextStep;
-pub(super) use steps::{plan_of, Candidate, Choice, QueueEnd, StepKind, WaitingStep};
+pub(super) use steps::{plan_of, Candidate, Choice, NextStep, QueueEnd, StepKind, WaitingStep};
 
 use steps::{Blocked, PlanHead, ReadyStep, WEIGHTS};
 
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -1,9 +1,10 @@
 //! The worker for one task.
 
-use super::fleet::{Fleet, Slot, WorkerKey};
+use super::fleet::Fleet;
 use super::matching::{Demand, Matcher, BEST_QUALITY, LIKE_QUALITY, OFF_RACK_FACTOR};
 use super::orders::FreeOrders;
 use super::resources::{Resources, RESOURCES};
+use super::slot::{Slot, WorkerKey};
 use std::cmp::Reverse;
 
 /// Weight of the capacity left of a resource that the task needs less of, beside the one it needs most of.
@@ -184,7 +185,7 @@
     }
 
     /// The workers with the label that is asked for, in order of what is free there; none if none may take starts.
-    fn orders_for(&self, matcher: &Matcher) -> Option<&FreeOrders> {
+    pub(super) fn orders_for(&self, matcher: &Matcher) -> Option<&FreeOrders> {
         self.orders.with_label(matcher.constraint())
     }
 
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -4,6 +4,7 @@
 use super::orders::Orders;
 use super::resources::Resources;
 use super::shortages::Shortages;
+use super::slot::{Slot, StepCount, Symbol, Symbols, WorkerKey};
 use crate::ids::StepKey;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,9 +12,6 @@
 /// The most of a resource that a worker is taken to have: sums over a fleet stay exact.
 const MAX_CAPACITY: Resources = Resources { cpu: 1 << 40, mem_mb: 1 << 40, gpu: 1 << 40 };
 
-/// The caller's identifier of a worker.
-pub type WorkerKey = u64;
-
 /// What is known of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerFacts {
@@ -36,75 +34,11 @@
     pub trust: f64,
 }
 
-/// A text that was given a number, to be compared fast.
-pub(super) type Symbol = u32;
-
-/// Numbers for labels and racks.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Symbols {
-    numbers: BTreeMap<String, Symbol>,
-}
-
-impl Symbols {
-    fn number(&mut self, text: &str) -> Symbol {
-        if let Some(number) = self.numbers.get(text) {
-            return *number;
-        }
-        let number = Symbol::try_from(self.numbers.len()).unwrap_or(Symbol::MAX);
-        self.numbers.insert(text.to_owned(), number);
-        number
-    }
-
-    /// The number of a text, if a worker has ever had it.
-    pub(super) fn find(&self, text: &str) -> Option<Symbol> {
-        self.numbers.get(text).copied()
-    }
-}
-
-/// How many tasks of a step have a reservation on a worker.
-#[derive(Clone, Copy, Debug)]
-struct StepCount {
-    step: StepKey,
-    tasks: u32,
-}
-
-/// A worker as placement sees it.
-#[derive(Clone, Debug)]
-pub(super) struct Slot {
-    pub(super) key: WorkerKey,
-    pub(super) capacity: Resources,
-    pub(super) reserved: Resources,
-    pub(super) usable: bool,
-    pub(super) ejected: bool,
-    /// Pace times success rate.
-    pub(super) quality: f64,
-    pub(super) rack: Option<Symbol>,
-    pub(super) labels: Vec<Symbol>,
-    steps: Vec<StepCount>,
-}
-
-impl Slot {
-    /// What is left for further tasks.
-    pub(super) fn free(&self) -> Resources {
-        self.capacity.minus(self.reserved)
-    }
-
-    /// Whether it may take starts, if only as the last resort.
-    pub(super) fn may_take_starts(&self) -> bool {
-        self.usable || self.ejected
-    }
-
-    /// How many tasks of a step have a reservation here.
-    pub(super) fn tasks_of(&self, step: &StepKey) -> u32 {
-        self.steps.iter().find(|count| count.step == *step).map_or(0, |count| count.tasks)
-    }
-}
-
 /// The workers of one service, what is reserved on them, and the sums over those that may take starts, if only as
 /// the last resort.
 ///
-/// The sums and the blocks always equal those over the slots: every change of a slot goes through `change`,
-/// `add_slot` or `remove_slot`.
+/// The sums, the orders and the blocks always equal those over the slots: every change of a slot goes through
+/// `change`, `add_slot` or `remove_slot`. Blocks do not depend on what is reserved.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub(super) slots: Vec<Slot>,
@@ -114,8 +48,9 @@
     pub(super) largest: Resources,
     /// Of workers of like quality, the first one in order of keys is taken in position of the fullest.
     pub(super) first_fit: bool,
-    /// What searches may find among each run of `BLOCK_SIZE` slots.
+    /// What each run of `BLOCK_SIZE` slots has.
     blocks: Vec<Block>,
+    /// The slots in order of what is free there.
     pub(super) orders: Orders,
     /// The workers of each rack.
     by_rack: BTreeMap<Symbol, Vec<WorkerKey>>,
@@ -160,6 +95,7 @@
                     (slot.rack, slot.labels) = (rack, labels);
                 });
                 self.join_rack(position);
+                self.update_block(position / BLOCK_SIZE);
                 self.largest = self.largest.max(capacity);
                 if is_largest_somewhere(before, self.largest) && !before.fits_in(capacity) {
                     self.recompute_largest();
@@ -296,7 +232,7 @@
         self.largest = self.blocks.iter().fold(Resources::ZERO, |most, block| most.max(block.largest));
     }
 
-    /// Changes a slot and keeps the sums and its block.
+    /// Changes a slot and keeps the sums and the orders.
     fn change(&mut self, position: usize, change: impl FnOnce(&mut Slot)) {
         let slot = &mut self.slots[position];
         let before = sums(slot);
@@ -308,7 +244,6 @@
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
-        self.update_block(position / BLOCK_SIZE);
     }
 
     fn add_slot(&mut self, slot: Slot) {
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -1,8 +1,9 @@
 //! What a task asks of a worker, and how well a worker suits it.
 
 use super::blocks::Block;
-use super::fleet::{Fleet, Slot, Symbol, WorkerKey};
+use super::fleet::Fleet;
 use super::resources::Resources;
+use super::slot::{Slot, Symbol, WorkerKey};
 use crate::ids::StepKey;
 
 /// How much slower a task is taken to be away from its data: the factor for a worker on another rack.
@@ -122,12 +123,6 @@
         has_capacity && self.allows(slot) && self.tasks_left(slot) > 0
     }
 
-    /// Whether a worker of the block may take the task now, as far as the block shows.
-    pub(super) fn suits_in(&self, block: &Block) -> bool {
-        let need = self.demand.need;
-        need.fits_in(block.free) || (self.including_ejected && need.fits_in(block.ejected_free))
-    }
-
     /// Whether a worker of the block may take the task, now or once it has the capacity, as far as the block shows.
     pub(super) fn may_suit_in(&self, block: &Block) -> bool {
         let need = self.demand.need;
