Test that a late process opens no second connection for a call that waits

A call behind a busy connection, and a wait that ends 96 ms late. With the runtime's plain timeout in the lane the test fails: a second connection is opened.

--- a/crates/control/tests/worker_connections.rs
+++ b/crates/control/tests/worker_connections.rs
@@ -13,11 +13,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{yield_now, LocalSet};
-use tokio::time::timeout;
+use tokio::time::{advance, pause, resume, timeout};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Turns of the runtime in which a second copy of a call would have left.
 const TURNS: usize = 200;
+/// How long a call waits for a busy connection at least, rounded up to the runtime's timers.
+const BUSY_WAIT: Duration = Duration::from_millis(32);
 
 fn on_one_thread(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -191,3 +193,20 @@
         assert!(worker.opens_nothing_more().await);
     });
 }
+
+#[test]
+fn a_call_that_waits_while_the_process_is_late_opens_no_second_connection() {
+    on_one_thread(async {
+        let mut worker = Worker::new().await;
+        worker.start();
+        let _busy = worker.accept().await;
+        pause();
+        worker.start();
+        assert!(worker.opens_nothing_more().await, "it waits for the busy connection");
+        advance(BUSY_WAIT * 4).await;
+        assert!(worker.opens_nothing_more().await, "the wait ended late: the connection may only look busy");
+        advance(BUSY_WAIT).await;
+        resume();
+        worker.accept().await;
+    });
+}
