--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -13,7 +13,7 @@
 use super::attempts::{Attempts, FailedOn};
 use super::batch::Batch;
 use super::clock::DayClock;
-use super::gang_starts::HeldGangs;
+use super::held_gangs::HeldGangs;
 use super::history::AttemptHistory;
 use super::interface::{Input, Output};
 use super::mechanisms::Mechanism;
--- a/crates/scheduler/src/leader/gang_starts.rs
+++ b/crates/scheduler/src/leader/gang_starts.rs
@@ -7,12 +7,13 @@
 
 use std::collections::BTreeMap;
 
-use crate::ids::{AttemptKey, StepKey};
+use crate::ids::AttemptKey;
 use crate::placement::WorkerKey;
 use crate::time::NANOS_PER_MS;
 
 use super::attempts::Attempt;
 use super::event_loop::Leader;
+use super::held_gangs::HeldGang;
 use super::timers::Timer;
 
 /// How long orders are held until all members can start, in nanoseconds. Afterwards the gang is placed anew.
@@ -27,32 +28,6 @@
 /// After this time the lists of a worker show the progress of a member that is at work, in nanoseconds.
 const PROGRESS_DELAY: u64 = 500 * NANOS_PER_MS;
 
-/// One run of a gang: all members carry the same attempt number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct GangRun {
-    step: StepKey,
-    attempt: u32,
-}
-
-impl GangRun {
-    fn of(key: AttemptKey) -> Self {
-        Self { step: key.task.step_key(), attempt: key.attempt }
-    }
-}
-
-/// A gang whose orders are held.
-#[derive(Debug)]
-struct HeldGang {
-    since: u64,
-    members: Vec<AttemptKey>,
-}
-
-/// Gangs whose intents are durable and whose orders have not left.
-#[derive(Debug, Default)]
-pub(super) struct HeldGangs {
-    by_run: BTreeMap<GangRun, HeldGang>,
-}
-
 /// Whether the orders of a gang may leave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Readiness {
@@ -66,24 +41,20 @@
 impl Leader {
     /// The intent to start a gang's member is durable: its order is held until those of all members can leave.
     pub(super) fn hold_gang_member(&mut self, key: AttemptKey) {
-        let unheld = || HeldGang { since: self.now, members: Vec::new() };
-        let gang = self.held_gangs.by_run.entry(GangRun::of(key)).or_insert_with(unheld);
-        gang.members.push(key);
+        self.held_gangs.add(key, self.now);
         self.timers.set_no_later(self.now, Timer::ReleaseGangs);
     }
 
     /// Lets the orders of those gangs leave whose members can all start, and gives up those that were held too long.
     pub(super) fn release_gangs(&mut self) {
-        for (run, gang) in std::mem::take(&mut self.held_gangs.by_run) {
+        for gang in self.held_gangs.take() {
             match self.readiness(&gang) {
                 Readiness::Ready => self.release_gang(&gang),
-                Readiness::NotYet if self.now < gang.since + LONGEST_HOLD => {
-                    self.held_gangs.by_run.insert(run, gang);
-                }
+                Readiness::NotYet if self.now < gang.since + LONGEST_HOLD => self.held_gangs.put_back(gang),
                 Readiness::NotYet | Readiness::Incomplete => self.withdraw_gang(&gang),
             }
         }
-        if !self.held_gangs.by_run.is_empty() {
+        if !self.held_gangs.is_empty() {
             self.timers.set_no_later(self.now + CHECK_INTERVAL, Timer::ReleaseGangs);
         }
     }
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -21,6 +21,7 @@
 mod event_loop;
 mod gang_pause;
 mod gang_starts;
+mod held_gangs;
 mod history;
 mod instances;
 mod interface;
