Test that no gang member ends alone under leaders that are late with everything

42 cases: the leader handles what comes only every 0 to 700 ms, and another one takes over 100 to 3,000 ms after the job was accepted, while one worker's orders get lost.

--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -91,6 +91,8 @@
     pub alone: u32,
     /// Whether all answers of workers are lost on their way.
     pub loses_answers: bool,
+    /// A late leader handles what comes only at multiples of this time; 0: at once.
+    pub leader_period: u64,
     random: fastrand::Rng,
     jobs: BTreeMap<u64, JobSpec>,
     done_ends: Vec<DoneEnd>,
@@ -165,6 +167,7 @@
             has_lease: true,
             alone: 0,
             loses_answers: false,
+            leader_period: 0,
             random: fastrand::Rng::with_seed(7),
             jobs: BTreeMap::new(),
             done_ends: Vec::new(),
@@ -271,7 +274,10 @@
                 return until(self);
             }
             self.now = self.now.max(at);
-            self.play(event);
+            match self.leader_handles_at(&event) {
+                later if later > self.now => self.at(later, event),
+                _ => self.play(event),
+            }
         }
         true
     }
@@ -284,6 +290,16 @@
         self.run_until(ms, |_| false);
     }
 
+    /// When the leader handles an event that is due now, if it is one for the leader.
+    fn leader_handles_at(&self, event: &Event) -> u64 {
+        let is_for_leader =
+            matches!(event, Event::Tick | Event::Commit { .. } | Event::List { .. } | Event::Answer { .. });
+        match is_for_leader && self.leader_period > 0 {
+            true => self.now.next_multiple_of(self.leader_period),
+            false => self.now,
+        }
+    }
+
     fn play(&mut self, event: Event) {
         match event {
             Event::Tick => self.handle(Input::Tick { time_of_day_ms: self.time_of_day_ms() }),
--- a/crates/scheduler/tests/leader_gangs.rs
+++ b/crates/scheduler/tests/leader_gangs.rs
@@ -215,3 +215,30 @@
     assert!(runs.clone().all(|(_, runs)| *runs == 1), "{:?}", runs.collect::<Vec<_>>());
     cluster.check();
 }
+
+/// Plays a gang of which one worker's orders get lost under a leader that handles what comes only at multiples of
+/// `period_ms`; a new one takes over `takeover_ms` after the job was accepted. Gives the members that ended alone.
+fn alone_under_late_leader(period_ms: u64, takeover_ms: u64) -> u32 {
+    let mut cluster = cluster_at_work();
+    cluster.leader_period = period_ms * MS;
+    mute(&mut cluster, "i-0", true);
+    cluster.submit("/a/", JOB, job(vec![gang(800)]));
+    cluster.run(takeover_ms);
+    cluster.elect();
+    cluster.run(5_000);
+    cluster.leader_period = 0;
+    mute(&mut cluster, "i-0", false);
+    assert!(cluster.reaches(JOB, "completed", 15_000), "{}", cluster.state_of(JOB));
+    cluster.check();
+    cluster.alone
+}
+
+#[test]
+fn no_member_ends_alone_under_leaders_that_are_late_with_everything() {
+    for period_ms in [0, 60, 150, 300, 450, 700] {
+        for takeover_ms in [100, 400, 700, 1_000, 1_300, 1_700, 3_000] {
+            let alone = alone_under_late_leader(period_ms, takeover_ms);
+            assert_eq!(alone, 0, "{period_ms} ms late, a new leader after {takeover_ms} ms");
+        }
+    }
+}
