--- a/crates/simulation/examples/overload.rs
+++ b/crates/simulation/examples/overload.rs
@@ -3,7 +3,7 @@
 //! `overload --days N --seed S --parts P` plays N drawn cases from seed S on, each with one part in P of the large
 //! deployment, and prints those that do not return to their pace. `overload --replay S --parts P` prints what happens on
 //! one of them, and `overload --loss-of-power S --parts P` on the day on which all core machines lose power,
-//! and `overload --calm S --parts P` on the same day without a fault.
+//! and `overload --calm S --parts P` on the same day without a fault. With `--traffic T` each has T percent of its traffic.
 
 use simulation::overload::OverloadCase;
 use simulation::time::ms;
@@ -24,11 +24,14 @@
     days: u64,
     seed: u64,
     parts: usize,
+    /// Traffic in percent of what a case has by itself.
+    traffic: u64,
     trace: bool,
 }
 
 fn arguments() -> Arguments {
-    let mut arguments = Arguments { command: Command::Search, days: 20, seed: 1, parts: 4, trace: false };
+    let mut arguments =
+        Arguments { command: Command::Search, days: 20, seed: 1, parts: 4, traffic: 100, trace: false };
     let mut words = std::env::args().skip(1);
     while let Some(word) = words.next() {
         let mut number = || words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
@@ -36,22 +39,28 @@
             "--days" => arguments.days = number(),
             "--seed" => arguments.seed = number(),
             "--parts" => arguments.parts = number().max(1) as usize,
+            "--traffic" => arguments.traffic = number(),
             "--replay" => (arguments.command, arguments.seed) = (Command::Replay, number()),
             "--loss-of-power" => (arguments.command, arguments.seed) = (Command::LossOfPower, number()),
             "--calm" => (arguments.command, arguments.seed) = (Command::Calm, number()),
             "--trace" => arguments.trace = true,
             other => eprintln!(
-                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --calm, --trace"
+                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --calm, --traffic, --trace"
             ),
         }
     }
     arguments
 }
 
-fn show(case: &OverloadCase, trace: bool) {
+fn loaded(case: OverloadCase, arguments: &Arguments) -> OverloadCase {
+    OverloadCase { traffic: case.traffic * arguments.traffic as f64 / 100.0, ..case }
+}
+
+fn show(case: OverloadCase, arguments: &Arguments) {
+    let case = loaded(case, arguments);
     println!("{case:?}");
     let begun = Instant::now();
-    let report = case.play(trace);
+    let report = case.play(arguments.trace);
     println!("{}", report.recovery);
     report.breaches.iter().take(MAX_SHOWN).for_each(|breach| println!("{breach}"));
     println!("{} breaches", report.breaches.len());
@@ -62,7 +71,7 @@
     let begun = Instant::now();
     let (mut stuck, mut unfit, mut broken) = (0, 0, 0);
     for seed in arguments.seed..arguments.seed + arguments.days {
-        let case = OverloadCase::draw(seed, arguments.parts);
+        let case = loaded(OverloadCase::draw(seed, arguments.parts), arguments);
         let report = case.play(false);
         let bound = ms(case.site().bounds.recovery_ms);
         broken += u64::from(!report.breaches.is_empty());
@@ -87,10 +96,10 @@
     let arguments = arguments();
     match arguments.command {
         Command::Search => search(&arguments),
-        Command::Replay => show(&OverloadCase::draw(arguments.seed, arguments.parts), arguments.trace),
-        Command::Calm => show(&OverloadCase::calm(arguments.seed, arguments.parts), arguments.trace),
+        Command::Replay => show(OverloadCase::draw(arguments.seed, arguments.parts), &arguments),
+        Command::Calm => show(OverloadCase::calm(arguments.seed, arguments.parts), &arguments),
         Command::LossOfPower => {
-            show(&OverloadCase::loss_of_power(arguments.seed, arguments.parts), arguments.trace);
+            show(OverloadCase::loss_of_power(arguments.seed, arguments.parts), &arguments);
         }
     }
 }
