--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -207,6 +207,12 @@
         }
     }
 
+    /// The work done since the last call.
+    pub fn take_work(&mut self) -> LeaderWork {
+        let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
+        LeaderWork { workers_examined, ..std::mem::take(&mut self.work) }
+    }
+
     /// Takes the events of workers since the last call, the oldest first. Calling it is optional: beyond a bound
     /// further events are dropped.
     pub fn take_worker_events(&mut self) -> Vec<WorkerEvent> {
--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -1,7 +1,5 @@
 //! How much work a leader has done, in units that do not depend on the machine: what its processor time goes to.
 
-use super::event_loop::Leader;
-
 /// Units of work since they were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LeaderWork {
@@ -18,11 +16,3 @@
     /// Calls to workers that were given up.
     pub calls_cancelled: u64,
 }
-
-impl Leader {
-    /// The work done since the last call.
-    pub fn take_work(&mut self) -> LeaderWork {
-        let workers_examined = self.services.iter().map(|service| service.fleet.take_examined()).sum();
-        LeaderWork { workers_examined, ..std::mem::take(&mut self.work) }
-    }
-}
--- a/crates/scheduler/tests/leader_backlog.rs
+++ b/crates/scheduler/tests/leader_backlog.rs
@@ -147,6 +147,12 @@
     /// Submits jobs of `STEPS_PER_JOB` steps, on all routes by turns, until so many steps are submitted, and lets the
     /// leader admit what it can. The tasks ask for workers of a kind, or for any.
     fn submit(&mut self, steps: usize, kind: Option<&str>) {
+        let inputs = self.submissions(steps, kind);
+        inputs.into_iter().for_each(|input| self.turn(vec![input]));
+        self.idle_turns(50);
+    }
+
+    fn submissions(&mut self, steps: usize, kind: Option<&str>) -> Vec<Input> {
         let stage = Stage {
             count: TASKS_PER_STEP,
             cpu: 1_000,
@@ -156,6 +162,7 @@
             ..Stage::default()
         };
         let stages = vec![stage; STEPS_PER_JOB];
+        let mut inputs = Vec::new();
         for (prefix, _) in ROUTES.into_iter().cycle().take(steps / STEPS_PER_JOB) {
             self.jobs += 1;
             let job = JobSpec { spec: "text".to_owned(), stages: stages.clone(), ..JobSpec::default() };
@@ -163,9 +170,9 @@
             let call = OneOfcall::submit(SubmitRequest { id: self.jobs, job: Some(job) });
             let host = HOST.to_owned();
             let request = ClientRequest { request_id: self.jobs, host, path, time_left_ms: 3_000, call };
-            self.turn(vec![Input::Client { token: self.jobs, request }]);
+            inputs.push(Input::Client { token: self.jobs, request });
         }
-        self.idle_turns(50);
+        inputs
     }
 
     /// One attempt ends at each of the first `count` workers of a kind; the leader gets their lists in one turn.
@@ -236,3 +243,21 @@
     assert!(many.workers_examined < (ENDS * WORKERS) as u64, "{many:?} beside {few:?}");
     assert!(many.workers_examined < 2 * few.workers_examined, "{many:?} beside {few:?}");
 }
+
+#[test]
+fn a_burst_of_jobs_is_started_over_several_turns() {
+    const STARTS_PER_TURN: usize = 128;
+    let mut site = Site::new(WORKERS);
+    let burst = site.submissions(WORKERS / TASKS_PER_STEP as usize, None);
+    // All that follows at the same time belongs to one turn.
+    site.turn(burst);
+    let mut before = site.starts;
+    assert!((1..=STARTS_PER_TURN).contains(&before), "{before} in the first turn");
+    while site.waiting_steps() > 0 {
+        site.idle_turns(1);
+        let started = site.starts - before;
+        assert!((1..=STARTS_PER_TURN).contains(&started), "{started} in a turn, {before} before it");
+        before = site.starts;
+    }
+    assert_eq!(site.starts, WORKERS);
+}
