--- a/crates/control/src/driver/lateness.rs
+++ b/crates/control/src/driver/lateness.rs
@@ -1,30 +1,7 @@
 //! Tells the leader how late this process is, and up to when it has read what arrived.
 
 use super::Driver;
-use crate::events::DriverEvent;
-use crate::input_marker::mark_input;
 use scheduler::leader::{Input, Leader};
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
-
-/// Sends a marker behind the input that has arrived, at most one at a time, when the leader waits for one.
-pub(super) struct InputMarkers {
-    events: mpsc::Sender<DriverEvent>,
-    is_on_its_way: bool,
-}
-
-impl InputMarkers {
-    pub(super) fn new(events: mpsc::Sender<DriverEvent>) -> Self {
-        InputMarkers { events, is_on_its_way: false }
-    }
-
-    fn send(&mut self, now: u64) {
-        if !self.is_on_its_way {
-            self.is_on_its_way = true;
-            spawn_local(mark_input(now, self.events.clone()));
-        }
-    }
-}
 
 impl Driver {
     /// Tells the leader how long this process was absent before the turn that begins now.
@@ -47,7 +24,7 @@
 
     /// Everything that arrived before `at` was handled.
     pub(super) fn handle_input_marker(&mut self, now: u64, at: u64) {
-        self.input_markers.is_on_its_way = false;
+        self.input_markers.arrived();
         self.notify_leader(now, Input::ReadUntil { at });
     }
 }
--- a/crates/control/src/input_marker.rs
+++ b/crates/control/src/input_marker.rs
@@ -6,7 +6,7 @@
 
 use crate::events::DriverEvent;
 use tokio::sync::mpsc;
-use tokio::task::yield_now;
+use tokio::task::{spawn_local, yield_now};
 
 /// How often a marker lets all waiting tasks run, each time after the sockets were asked what has arrived: once for the
 /// task of a connection, once for the task of its call, and the rest since one question reports a limited number of
@@ -21,3 +21,29 @@
     // The driver is gone only if the process ends.
     let _ = events.send(DriverEvent::InputMarker { at }).await;
 }
+
+/// Sends a marker behind the input that has arrived, at most one at a time, when the leader waits for one.
+pub(crate) struct InputMarkers {
+    events: mpsc::Sender<DriverEvent>,
+    is_on_its_way: bool,
+}
+
+impl InputMarkers {
+    /// No marker is on its way.
+    pub(crate) fn new(events: mpsc::Sender<DriverEvent>) -> Self {
+        InputMarkers { events, is_on_its_way: false }
+    }
+
+    /// Sends a marker for `now`, the present moment, unless one is on its way.
+    pub(crate) fn send(&mut self, now: u64) {
+        if !self.is_on_its_way {
+            self.is_on_its_way = true;
+            spawn_local(mark_input(now, self.events.clone()));
+        }
+    }
+
+    /// The marker on its way has arrived.
+    pub(crate) fn arrived(&mut self) {
+        self.is_on_its_way = false;
+    }
+}
