Let drawn overload cases be played without their fault

Need: whether a load by itself is too much, or the fault before it, is told by the same case without the fault.

Change: --no-fault of the example.

--- a/crates/simulation/examples/overload.rs
+++ b/crates/simulation/examples/overload.rs
@@ -3,7 +3,8 @@
 //! `overload --days N --seed S --parts P` plays N drawn cases from seed S on, each with one part in P of the large
 //! deployment, and prints those that do not return to their pace. `overload --replay S --parts P` prints what happens on
 //! one of them, and `overload --loss-of-power S --parts P` on the day on which all core machines lose power,
-//! and `overload --calm S --parts P` on the same day without a fault. With `--traffic T` each has T percent of its traffic.
+//! and `overload --calm S --parts P` on the same day without a fault. With `--traffic T` each has T percent of its traffic, and
+//! with `--no-fault` no fault: what is left is the change of the load.
 
 use simulation::overload::OverloadCase;
 use simulation::time::ms;
@@ -26,12 +27,21 @@
     parts: usize,
     /// Traffic in percent of what a case has by itself.
     traffic: u64,
+    /// Cases are played without their fault.
+    no_fault: bool,
     trace: bool,
 }
 
 fn arguments() -> Arguments {
-    let mut arguments =
-        Arguments { command: Command::Search, days: 20, seed: 1, parts: 4, traffic: 100, trace: false };
+    let mut arguments = Arguments {
+        command: Command::Search,
+        days: 20,
+        seed: 1,
+        parts: 4,
+        traffic: 100,
+        no_fault: false,
+        trace: false,
+    };
     let mut words = std::env::args().skip(1);
     while let Some(word) = words.next() {
         let mut number = || words.next().and_then(|text| text.parse().ok()).unwrap_or(1);
@@ -43,9 +53,10 @@
             "--replay" => (arguments.command, arguments.seed) = (Command::Replay, number()),
             "--loss-of-power" => (arguments.command, arguments.seed) = (Command::LossOfPower, number()),
             "--calm" => (arguments.command, arguments.seed) = (Command::Calm, number()),
+            "--no-fault" => arguments.no_fault = true,
             "--trace" => arguments.trace = true,
             other => eprintln!(
-                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --calm, --traffic, --trace"
+                "{other} is not known: use --days, --seed, --parts, --replay, --loss-of-power, --calm, --traffic, --no-fault, --trace"
             ),
         }
     }
@@ -53,7 +64,8 @@
 }
 
 fn loaded(case: OverloadCase, arguments: &Arguments) -> OverloadCase {
-    OverloadCase { traffic: case.traffic * arguments.traffic as f64 / 100.0, ..case }
+    let fault = case.fault.filter(|_| !arguments.no_fault);
+    OverloadCase { fault, traffic: case.traffic * arguments.traffic as f64 / 100.0, ..case }
 }
 
 fn show(case: OverloadCase, arguments: &Arguments) {
