--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -25,6 +25,7 @@
 mod history;
 mod instances;
 mod interface;
+mod lateness_notices;
 mod lease_rules;
 mod load_shedding;
 mod mechanisms;
--- a/crates/scheduler/src/leader/own_lateness.rs
+++ b/crates/scheduler/src/leader/own_lateness.rs
@@ -9,8 +9,6 @@
 use crate::time::NANOS_PER_S;
 use crate::worker::ResponseClock;
 
-use super::event_loop::Leader;
-
 /// The longest absence that is credited in full, in nanoseconds.
 const MAX_ABSENCE_CREDIT: u64 = NANOS_PER_S;
 /// Over longer times, this share of the time may be credited as absence, in percent: a leader that is always late
@@ -54,31 +52,25 @@
         }
     }
 
-    /// The session of this worker has to be polled once more input is read.
-    pub(super) fn await_input(&mut self, worker: WorkerKey) {
-        self.awaiting_input.insert(worker);
+    /// This process was absent for `span` nanoseconds up to `now`.
+    pub(super) fn was_absent(&mut self, now: u64, span: u64) {
+        let credited = self.credit.take(now, span);
+        self.response_clock.add_absence(credited);
     }
-}
 
-impl Leader {
-    /// The driver's process was absent for `span` nanoseconds up to `now`: it neither sent nor read anything. To be
-    /// called before what arrived meanwhile is handed in.
-    pub fn was_absent(&mut self, now: u64, span: u64) {
-        let credited = self.lateness.credit.take(now, span);
-        self.lateness.response_clock.add_absence(credited);
+    /// Everything that arrived before `at` was handed in. Gives the workers whose sessions waited for that.
+    pub(super) fn read_until(&mut self, at: u64) -> BTreeSet<WorkerKey> {
+        self.response_clock.set_read_until(at);
+        std::mem::take(&mut self.awaiting_input)
     }
 
-    /// Whether a time limit for an answer has passed that is not judged before `Input::ReadUntil` names a moment from
-    /// now on.
-    pub fn awaits_input(&self) -> bool {
-        !self.lateness.awaiting_input.is_empty()
+    /// Whether any session waits until more input is read.
+    pub(super) fn awaits_input(&self) -> bool {
+        !self.awaiting_input.is_empty()
     }
 
-    /// Everything that arrived before `at` was handed in.
-    pub(super) fn read_until(&mut self, at: u64) {
-        self.lateness.response_clock.set_read_until(at);
-        for worker in std::mem::take(&mut self.lateness.awaiting_input) {
-            self.schedule_poll(worker);
-        }
+    /// The session of this worker has to be polled once more input is read.
+    pub(super) fn await_input(&mut self, worker: WorkerKey) {
+        self.awaiting_input.insert(worker);
     }
 }
--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -13,8 +13,6 @@
 use super::session::{Standing, WorkerSession};
 use super::types::{SessionOutput, WorkerRequest};
 
-/// Least time between two status queries while an attempt is uncertain, in nanoseconds.
-pub(super) const MIN_STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
 /// Most lease renewals in flight.
 const MAX_IN_FLIGHT: usize = 3;
 /// Time between two lease renewals to a worker that runs nothing of ours but doesn't answer.
--- a/crates/scheduler/src/worker/lease_schedule.rs
+++ b/crates/scheduler/src/worker/lease_schedule.rs
@@ -4,6 +4,8 @@
 
 use super::backoff::{exponential_backoff, RETRY_DELAY};
 
+/// Least time between two status queries while an attempt is uncertain, in nanoseconds.
+pub(super) const MIN_STATUS_QUERY_SPACING: u64 = 50 * NANOS_PER_MS;
 /// Mean time between two lease renewals in ordinary operation, over longer times: each one has its price.
 const RENEWAL_INTERVAL: u64 = 100 * NANOS_PER_MS;
 /// How far ahead of that pace lease renewals may be, so that single ends are reported at once.
