Keep connections under seven tenths of the descriptors, and open none over the budget

Cause: workers could take all but 500 descriptors, and a call that found its lane busy opened a further connection also over the budget.

Change: all connections together take 70 percent, of which 300 descriptors are left to other connections. At the budget a lane that has a connection waits for it. The first connection of a lane may still exceed the budget.

--- a/crates/control/src/connection_budget.rs
+++ b/crates/control/src/connection_budget.rs
@@ -9,6 +9,10 @@
 /// Descriptors reserved for connections to peers, edges, the platform and operator_calls.
 const OTHER_CONNECTIONS: u64 = 300;
 
+/// Share of the descriptors that all connections together may take, in percent. Bursts in which all connections to
+/// workers are in use, and connections that are closing, need the rest.
+const CONNECTIONS_PERCENT: u64 = 70;
+
 /// Connections to workers that fit beside the others, of `max_descriptors` of the process (0: no limit is known).
 ///
 /// Under very low limits workers still get half.
@@ -17,7 +21,9 @@
         return usize::MAX;
     }
     let rest = max_descriptors.saturating_sub(FILE_DESCRIPTORS + OTHER_CONNECTIONS);
-    usize::try_from(rest.max(max_descriptors / 2)).unwrap_or(usize::MAX)
+    let share = max_descriptors.saturating_mul(CONNECTIONS_PERCENT) / 100;
+    let usual = rest.min(share.saturating_sub(OTHER_CONNECTIONS));
+    usize::try_from(usual.max(max_descriptors / 2)).unwrap_or(usize::MAX)
 }
 
 /// Names an idle connection that may be closed. Rises with time.
@@ -52,6 +58,11 @@
         self.open
     }
 
+    /// Whether one more connection fits within the limit, if need be in place of an idle one.
+    pub fn has_room(&self) -> bool {
+        self.open < self.limit || !self.idle.is_empty()
+    }
+
     /// One more connection is being opened.
     pub fn opened(&mut self) {
         self.open += 1;
--- a/crates/control/src/worker_lane.rs
+++ b/crates/control/src/worker_lane.rs
@@ -107,7 +107,7 @@
     }
 
     /// An idle connection, or a reserved one. While all are busy, a call waits for one to be released before it opens
-    /// another.
+    /// another, and opens none over the budget: only the first connection of a lane may exceed it.
     pub(crate) async fn acquire(self: &Rc<Self>) -> BorrowedConnection {
         let mut has_waited = false;
         loop {
@@ -115,7 +115,7 @@
                 return connection;
             }
             let open = self.open.get();
-            if open == 0 || (open < self.limit && has_waited) {
+            if open == 0 || (has_waited && open < self.limit && self.budget.borrow().has_room()) {
                 return self.reserve();
             }
             if timeout(BUSY_WAIT_LIMIT, self.released.notified()).await.is_err() {
--- a/crates/control/tests/worker_calls.rs
+++ b/crates/control/tests/worker_calls.rs
@@ -18,6 +18,8 @@
 use tokio::time::timeout;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longer than a call waits for a busy connection where there is room for another.
+const BUSY_WAIT: Duration = Duration::from_millis(200);
 /// Turns of the runtime in which a call would have left.
 const TURNS: usize = 200;
 
@@ -260,6 +262,24 @@
     });
 }
 
+#[test]
+fn at_the_limit_a_busy_lane_opens_no_further_connection() {
+    on_one_thread(async {
+        let (mut client, mut events, listener) = worker().await;
+        client.set_max_connections(1);
+        client.start(call(1, &listener, stop()));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await;
+        client.start(call(2, &listener, stop()));
+        assert!(timeout(BUSY_WAIT, listener.accept()).await.is_err(), "the second call waits for the first");
+        reply(&mut stream, r#"{"NowMs":1}"#).await;
+        assert_eq!(outcome(&mut events).await.0, 1);
+        read_request(&mut stream).await;
+        reply(&mut stream, r#"{"NowMs":2}"#).await;
+        assert_eq!(outcome(&mut events).await.0, 2);
+    });
+}
+
 #[test]
 fn connections_outlive_a_leadership_for_the_next_one_of_this_process() {
     on_one_thread(async {
