Wake a leader whose turn was cut, and take worker events beside heartbeats

Change: the leader polls, admits and proposes with a millisecond between two runs, kept by a time of its own; a leader that is woken asks for its wake-up again; each turn moves waiting events; other tasks run four times between turns that follow at once. A call that the state does not back counts as not sent again, not as withheld for ever.

--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -1,13 +1,16 @@
 //! Leader duties: runs the scheduler's leader from election to step-down and executes its outputs.
 
 use super::Driver;
-use crate::clock::time_of_day_ms;
+use crate::clock::{time_of_day_ms, MILLISECOND};
 use crate::metrics::Leadership;
 use crate::operator_calls::reply_of;
 use crate::worker_calls::WorkerCall;
 use scheduler::leader::{client_reply_under_lease, Input, Leader, LeaderRecovery, LeaderSettings, Output};
 use scheduler::worker::CallOutcome;
 
+/// Least time between two runs of polls, admission and proposals, in nanoseconds.
+const FLUSH_INTERVAL: u64 = MILLISECOND;
+
 impl Driver {
     /// Begins to build the leader: this process leads `term`, and its state is complete.
     pub(super) fn become_leader(&mut self, now: u64, term: u64) {
@@ -36,6 +39,7 @@
     fn start_leader(&mut self, now: u64, leader: Leader) {
         self.leader = Some(leader);
         self.announced_lease = 0;
+        self.next_flush = 0;
         self.metrics.leadership_changed(Leadership::Gained);
         self.announce_leader();
         self.notify_leader(now, Input::ReadUntil { at: now });
@@ -52,6 +56,7 @@
         self.metrics.leadership_changed(Leadership::Lost);
         self.leader_outputs.clear();
         self.wake_at = u64::MAX;
+        self.flush_due = u64::MAX;
         self.workers.abandon_calls();
         self.platform.stop();
         self.clients.fail_pending();
@@ -72,8 +77,16 @@
         }
     }
 
-    /// Notifies the leader of its lease, if that changed, and lets it end the turn.
+    /// Notifies the leader of its lease, if that changed, and lets it poll, admit and propose.
+    ///
+    /// Between two such runs lies `FLUSH_INTERVAL`, in which other tasks run and input is read: under load, what many
+    /// events ask for becomes one entry of the log.
     pub(super) fn flush_leader(&mut self, now: u64) {
+        if now < self.next_flush {
+            self.flush_due = self.next_flush;
+            return;
+        }
+        self.flush_due = u64::MAX;
         let lease_until = self.replica.node().lease_until();
         if let Some(leader) = self.leader.as_mut() {
             if self.announced_lease != lease_until {
@@ -81,6 +94,7 @@
                 leader.set_lease(now, lease_until);
             }
             leader.flush(self.replica.state(), now, &mut self.leader_outputs);
+            self.next_flush = self.clock.now() + FLUSH_INTERVAL;
         }
     }
 
@@ -106,7 +120,7 @@
     }
 
     /// Sends a call to a worker if the applied log backs it (`State::check_call`) and the lease holds. Otherwise the leader is
-    /// told that the call was not sent.
+    /// told that the call was not sent, or was withheld for want of the lease.
     ///
     /// The lease is checked against the clock as it stands at this moment: `now` is the start of the turn, and applying
     /// entries may have taken longer than the rest of the lease. The call carries the leader's term as its fencing token;
@@ -115,7 +129,7 @@
         let call = worker_call.call;
         if let Err(error) = self.replica.state().check_call(&worker_call.instance, &worker_call.request) {
             log::error!("{error}");
-            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::Withheld });
+            self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
         } else if self.replica.has_lease(self.clock.now()) {
             self.workers.start(worker_call);
         } else {
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -40,6 +40,9 @@
 /// After this time in a turn no further event is handled and no further entry applied, in nanoseconds: between turns,
 /// heartbeats are sent and the responses to them are read.
 const TURN_TIME: u64 = 4 * MILLISECOND;
+/// How often other tasks get to run between two turns that follow each other at once: an answer passes through the
+/// tasks of its connection and of its call.
+const YIELDS_BETWEEN_TURNS: usize = 4;
 /// Committed entries applied in one turn. After a restart thousands become committed at once.
 const MAX_APPLIED_PER_TURN: usize = 256;
 
@@ -90,6 +93,10 @@
     pub(crate) leader_outputs: Vec<Output>,
     /// When the leader wants its next tick, in nanoseconds of `clock`.
     pub(crate) wake_at: u64,
+    /// When the leader may next poll, admit and propose, in nanoseconds of `clock`.
+    next_flush: u64,
+    /// When the leader is to do so at the latest, in nanoseconds of `clock`; `u64::MAX` if nothing asks for it.
+    flush_due: u64,
     /// End of the lease that the leader was last notified of, in nanoseconds of `clock`.
     pub(crate) announced_lease: u64,
     effects: VecDeque<Effect>,
@@ -184,6 +191,8 @@
             recovery: None,
             leader_outputs: Vec::new(),
             wake_at: u64::MAX,
+            next_flush: 0,
+            flush_due: u64::MAX,
             announced_lease: 0,
             effects: VecDeque::new(),
             group_join: GroupJoin::new(id, &own.address, seeds, now),
@@ -226,7 +235,9 @@
             timer.as_mut().reset(self.clock.instant(next_timer).into());
             if self.has_work() || events.has_ordinary() {
                 // The next turn is due at once: without this, the tasks of connections would not run.
-                yield_now().await;
+                for _ in 0..YIELDS_BETWEEN_TURNS {
+                    yield_now().await;
+                }
             }
             let mut first = None;
             select! {
@@ -249,6 +260,7 @@
     /// out what follows from all of them.
     fn take_turn(&mut self, now: u64, first: Option<DriverEvent>, events: &mut EventQueue) {
         let mut at = now;
+        events.move_waiting();
         let mut next = first;
         while let Some(event) = next.take().or_else(|| events.next_consensus()) {
             self.handle_event(now, event);
@@ -300,7 +312,7 @@
         let join_timer = self.group_join.next_timer(self.member_status());
         let mut next = self.replica.node().next_timer().min(join_timer).min(self.founding.next_timer());
         if self.leader.is_some() {
-            next = next.min(self.wake_at);
+            next = next.min(self.wake_at).min(self.flush_due);
         }
         if self.replica.node().is_leader() {
             next = next.min(self.next_seed_check);
@@ -375,8 +387,8 @@
                 self.execute(now, output);
             }
             if self.clock.now() >= turn_ends {
-                // What the outputs led to is for the leader to process: it is woken at once.
-                self.wake_at = self.wake_at.min(turn_ends);
+                // What the outputs led to is for the leader to process in another turn.
+                self.flush_due = self.next_flush;
                 return self.send_messages();
             }
         }
--- a/crates/control/src/event_queue.rs
+++ b/crates/control/src/event_queue.rs
@@ -85,17 +85,26 @@
         }
     }
 
+    /// Makes ordinary events that wait available, a bounded number of them. Turns that begin with a message of consensus
+    /// or a write thus handle them too.
+    pub fn move_waiting(&mut self) {
+        while self.moved.len() < MAX_MOVED_EVENTS {
+            let Ok(event) = self.ordinary.try_recv() else { return };
+            self.moved.push_back(event);
+        }
+    }
+
     /// The next message of consensus that waits.
     pub fn next_consensus(&mut self) -> Option<DriverEvent> {
         self.consensus.try_recv().ok()
     }
 
-    /// The next other event that waits, of those present when `wait` returned.
+    /// The next other event that waits, of those that `wait` or `move_waiting` made available.
     pub fn next_ordinary(&mut self) -> Option<DriverEvent> {
         self.moved.pop_front()
     }
 
-    /// Whether events wait that `wait` has returned for.
+    /// Whether ordinary events were made available that are not handled yet.
     pub fn has_ordinary(&self) -> bool {
         !self.moved.is_empty()
     }
--- a/crates/control/tests/event_queue.rs
+++ b/crates/control/tests/event_queue.rs
@@ -98,3 +98,22 @@
         assert!(matches!(queue.next().await, Some(DriverEvent::Frame { connection: 1, .. })));
     });
 }
+
+#[test]
+fn a_flood_of_heartbeats_does_not_delay_worker_events() {
+    on_one_thread(async {
+        let (sender, mut queue) = event_queue();
+        sender.ordinary().send(worker_event(7)).await.expect("room for a worker event");
+        sender.send(heartbeat(1)).await.expect("room for consensus");
+        let first = queue.wait().await;
+        assert_eq!(take_heartbeats(first, &mut queue), [1]);
+        queue.move_waiting();
+        let event =
+            queue.next_ordinary().expect("the turn that begins with a heartbeat takes the worker event, too");
+        assert!(matches!(event, DriverEvent::CallFinished { call: CallId { call: 7, .. }, .. }));
+        flood(&sender);
+        queue.move_waiting();
+        let moved = std::iter::from_fn(|| queue.next_ordinary()).count();
+        assert!((1..=256).contains(&moved), "{moved} at one time");
+    });
+}
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -228,6 +228,8 @@
     }
 
     fn tick(&mut self, time_of_day_ms: u64) {
+        // The driver has no wake-up left, whether this one was asked for or not.
+        self.wake_up_at = None;
         let first = !self.clock.is_known();
         self.clock.set(self.now, time_of_day_ms);
         if first {
--- a/crates/scheduler/tests/leader_workers.rs
+++ b/crates/scheduler/tests/leader_workers.rs
@@ -2,8 +2,9 @@
 
 mod cluster;
 
-use cluster::Cluster;
+use cluster::{Cluster, DAY_START_MS};
 use messages::job::{JobSpec, Stage};
+use scheduler::leader::{Input, Output};
 
 const JOB: u64 = 0x10;
 
@@ -104,3 +105,18 @@
     assert_eq!(cluster.state_of(JOB + 1), "pending", "no worker is of kind a any more");
     cluster.check();
 }
+
+#[test]
+fn a_leader_that_is_woken_early_asks_for_its_wake_up_again() {
+    let mut cluster = Cluster::new(1);
+    cluster.run(3_000);
+    let now = cluster.now;
+    let (state, leader) = (&cluster.state, cluster.leader.as_mut().expect("a leader"));
+    let mut out = Vec::new();
+    for _ in 0..2 {
+        out.clear();
+        leader.handle(state, now, Input::Tick { time_of_day_ms: DAY_START_MS }, &mut out);
+        leader.flush(state, now, &mut out);
+        assert!(out.iter().any(|output| matches!(output, Output::WakeAt { .. })), "{out:?}");
+    }
+}
