Withdraw starts that have not left when their worker drains or they grow old

An order that waited, in the session for its turn or in the driver for a connection, left whenever that came.

Change: a session gives up the starts that have not left once its worker is listed as draining, so that they are placed elsewhere, and a start that has waited for a connection for 500 ms is withheld and decided on anew.

Result: worker_orders has a test, which has no counterpart in the code before (new method).

--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -34,6 +34,10 @@
         NotSent {
             display("the persistent connection had been closed: the call may be made again on a new one")
         }
+        /// The call waited too long for its connection: no byte of it was sent.
+        WaitedTooLong {
+            display("no connection was free in time: see whether this machine is overloaded")
+        }
         /// The connection ended before the complete answer; the request may have been executed.
         ConnectionLost(reason: String) {
             display("no complete answer ({reason}): the call may have been executed")
--- a/crates/control/src/worker_client.rs
+++ b/crates/control/src/worker_client.rs
@@ -14,7 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::sleep;
@@ -29,6 +29,9 @@
 /// time for the answer. Beyond that its connection closes.
 const ABANDONED_CALL_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// A start that waits longer for its connection does not leave: its worker may drain by now, or its task be cancelled.
+const MAX_START_WAIT: Duration = Duration::from_millis(500);
+
 /// All connections to workers, and the calls in flight.
 ///
 /// A call sends exactly one `CallFinished` event, unless it is cancelled or abandoned first. `generation` keeps outcomes of
@@ -205,6 +208,7 @@
 async fn run_call(lane: &Rc<Lane>, call: &WorkerCall, phase: &Cell<CallPhase>) -> CallOutcome {
     match send_call(lane, call, phase).await {
         Ok(outcome) => outcome,
+        Err(CallError::WaitedTooLong) => CallOutcome::Withheld,
         Err(CallError::ConnectionLost(reason)) => {
             log::debug!("call to {} at {}: {reason}", call.instance, call.address);
             CallOutcome::NoResponse
@@ -224,11 +228,16 @@
 ) -> Result<CallOutcome, CallError> {
     let address = parse_address(&call.address)?;
     let (parts, body) = request_for(call)?.into_parts();
+    let began = Instant::now();
     loop {
         let mut connection = lane.acquire().await;
         let is_reused = connection.is_open();
         let request = Request::from_parts(parts.clone(), body.clone());
         let result = match connection.prepare(address).await {
+            Ok(()) if is_outdated(call, began) => {
+                connection.release();
+                return Err(CallError::WaitedTooLong);
+            }
             Ok(()) => {
                 phase.set(CallPhase::Sent);
                 connection.call(request).await
@@ -247,3 +256,8 @@
         }
     }
 }
+
+/// Whether a start has waited for its connection for so long that the leader has to decide on it again.
+fn is_outdated(call: &WorkerCall, began: Instant) -> bool {
+    matches!(call.request, WorkerRequest::Start { .. }) && began.elapsed() > MAX_START_WAIT
+}
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -155,11 +155,16 @@
             attempt.fresh = order.checkpoint.is_empty();
         }
         let Some(entry) = self.workers.get_mut(&worker) else { return };
+        let drains = entry.listing.as_ref().is_some_and(|listing| listing.draining);
+        match is_gang {
+            true => entry.session.hold_start(order),
+            false => entry.session.start(order),
+        }
+        if drains {
+            entry.session.withdraw_starts();
+        }
         if is_gang {
-            entry.session.hold_start(order);
             self.hold_gang_member(key);
-        } else {
-            entry.session.start(order);
         }
         if stopping {
             self.stop_attempt(key);
--- a/crates/scheduler/src/leader/instances.rs
+++ b/crates/scheduler/src/leader/instances.rs
@@ -110,6 +110,8 @@
         entry.listed = true;
         entry.unlisted_since = None;
         if instance.draining && !was_draining {
+            entry.session.withdraw_starts();
+            self.schedule_poll(key);
             self.timers.set_no_later(now, Timer::ExamineAttempts);
         }
         key
--- a/crates/scheduler/src/worker/health.rs
+++ b/crates/scheduler/src/worker/health.rs
@@ -36,6 +36,11 @@
     }
 
     /// Gives up starts that have not left, so that they can be placed elsewhere.
+    pub fn withdraw_starts(&mut self) {
+        self.wake_at = 0;
+        self.reject_queued();
+    }
+
     fn reject_queued(&mut self) {
         let queued = std::mem::take(&mut self.start_queue);
         let held = std::mem::take(&mut self.held_starts);
--- a/crates/scheduler/tests/worker_orders.rs
+++ b/crates/scheduler/tests/worker_orders.rs
@@ -358,3 +358,13 @@
     assert!(resolutions(&out).contains(&(key(0, 1), Resolution::REJECTED)));
     assert!(!driver.session.holds_start(key(0, 1)));
 }
+
+#[test]
+fn starts_that_have_not_left_are_withdrawn_from_a_worker_that_drains() {
+    let mut driver = Driver::new();
+    driver.session.start(order(key(0, 1), "text"));
+    driver.session.withdraw_starts();
+    assert_eq!(resolutions(&driver.poll()), [(key(0, 1), Resolution::REJECTED)]);
+    let out = driver.poll_for_ms(3_000);
+    assert!(starts(&out).is_empty(), "{out:?}");
+}
