Do not let the demonstration's clients wait for the end of the killed leader

Cause: Children::kill killed the leader and waited for its end, blocking the one thread on which clients, workers and the platform's stand-in run. A process that is in a sync of a busy disk ends only once the sync is done.

Change: the child is killed and collected at the end.

--- a/crates/demo/src/children.rs
+++ b/crates/demo/src/children.rs
@@ -16,14 +16,19 @@
     child: Child,
 }
 
-/// Children that run. Dropped, they are killed and waited for.
+/// Children that run, and those that were killed. Dropped, all of them are killed and waited for.
 #[derive(Default)]
 pub struct Children {
     running: Vec<Running>,
+    killed: Vec<Running>,
 }
 
 impl Children {
     /// Starts a role of the program with these settings; the log goes beside them.
+    ///
+    /// # Errors
+    ///
+    /// A [`DemoError`] if the log cannot be created or the program cannot be started.
     pub fn start(&mut self, program: &Path, role: &str, settings: &Path) -> Result<(), DemoError> {
         let log = settings.with_extension("log");
         let file = File::create(&log).map_err(|error| DemoError::Folder(log.clone(), error))?;
@@ -40,17 +45,27 @@
         Ok(())
     }
 
-    /// Kills one child by its handle and waits for its end.
+    /// Kills one child by its handle, without waiting for its end: a process that is writing to a busy disk ends only
+    /// once that write is done, and the clients and stand-ins of the play share this thread.
+    ///
+    /// # Errors
+    ///
+    /// A [`DemoError`] if the child cannot be killed.
     pub fn kill(&mut self, name: &str) -> Result<(), DemoError> {
         let Some(position) = self.running.iter().position(|running| running.name == name) else {
             return Ok(());
         };
-        let mut running = self.running.swap_remove(position);
-        running.child.kill().and_then(|()| running.child.wait()).map_err(DemoError::Kill)?;
-        Ok(())
+        let mut killed = self.running.swap_remove(position);
+        let outcome = killed.child.kill().map_err(DemoError::Kill);
+        self.killed.push(killed);
+        outcome
     }
 
-    /// An error if a child has ended by itself.
+    /// Looks for children that have ended by themselves.
+    ///
+    /// # Errors
+    ///
+    /// A [`DemoError`] that names one that has, with the end of its log.
     pub fn check(&mut self) -> Result<(), DemoError> {
         for running in &mut self.running {
             if let Ok(Some(_)) = running.child.try_wait() {
@@ -66,7 +81,7 @@
 
 impl Drop for Children {
     fn drop(&mut self) {
-        for running in &mut self.running {
+        for running in self.running.iter_mut().chain(&mut self.killed) {
             // One that has ended already cannot be killed; it is waited for all the same.
             let _ = running.child.kill();
             let _ = running.child.wait();
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -3,7 +3,7 @@
 
 #![warn(missing_docs)]
 
-mod children;
+pub mod children;
 mod clients;
 mod error;
 mod http;
