Do not reserve a worker on which the step that waits fits already

Cause: a pass over what waits first reserves capacity for the step that has waited longest, on the worker that is closest to fitting. Where it fits there, the reservation took the capacity from the same pass, and nothing made another pass due.

Change: capacity is reserved only where the step does not fit yet.

--- a/crates/scheduler/src/leader/reservations.rs
+++ b/crates/scheduler/src/leader/reservations.rs
@@ -57,7 +57,11 @@
         let Some(step) = self.services[position].waiting_head(since, StepKind::Single) else { return };
         let Some(stage) = state.open_stage(step).filter(|stage| stage.anti_affinity == 0) else { return };
         let demand = demand_of(step, stage, &[]);
-        if let Some(worker) = self.services[position].fleet.closest_to_fitting(&demand) {
+        let fleet = &self.services[position].fleet;
+        let Some(worker) = fleet.closest_to_fitting(&demand) else { return };
+        // Where it fits, this pass starts it: a reservation would take the capacity from it.
+        let fits = fleet.free_on(worker).is_some_and(|free| demand.need.fits_in(free));
+        if !fits {
             self.reserve_capacity(state, position, step, worker);
         }
     }
--- a/crates/scheduler/tests/leader_jobs.rs
+++ b/crates/scheduler/tests/leader_jobs.rs
@@ -490,3 +490,16 @@
     leader.flush(&state, 2 * MS, &mut out);
     assert!(out.iter().any(|output| matches!(output, Output::Call { .. })), "{out:?}");
 }
+
+#[test]
+fn a_job_that_waited_is_started_on_the_only_worker_that_comes_into_use() {
+    let mut cluster = Cluster::new(1);
+    cluster.run(2_000);
+    cluster.workers.get_mut("i-0").expect("a worker").instance.draining = true;
+    cluster.run(1_500);
+    cluster.submit("/a/", JOB, job(vec![stage(1, 3_000, 150)]));
+    cluster.run(1_500);
+    cluster.add_worker("i-1", 1, 4_000);
+    assert!(cluster.reaches(JOB, "completed", 3_000));
+    cluster.check();
+}
