--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration_changes;
 mod foundings;
+mod listings;
 mod membership_changes;
 mod snapshots;
 mod terms_and_leases;
@@ -18,6 +19,7 @@
         foundings::MUTANTS,
         snapshots::MUTANTS,
         answers::MUTANTS,
+        listings::MUTANTS,
     ]
     .concat()
 }
--- a/crates/mutants/src/main.rs
+++ b/crates/mutants/src/main.rs
@@ -14,7 +14,7 @@
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "only", "only the changes whose names contain this", "TEXT");
-    options.optopt("", "point", "only the changes that break this point, 1 to 5", "N");
+    options.optopt("", "point", "only the changes that break this point, 1 to 6", "N");
     options.optopt("", "folder", "the scratch folder (target/mutants)", "FOLDER");
     options.optflag("", "list", "print the changes and their tests, try none out");
     options.optflag("h", "help", "print this help");
--- a/crates/mutants/src/mutant.rs
+++ b/crates/mutants/src/mutant.rs
@@ -5,7 +5,7 @@
 pub struct Mutant {
     /// What it does.
     pub name: &'static str,
-    /// The point of `docs/control-safety.md` that it breaks, 1 to 5.
+    /// The point of `docs/control-safety.md` that it breaks, 1 to 6.
     pub point: u8,
     /// The file, from the root of the workspace.
     pub file: &'static str,
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -23,6 +23,8 @@
 const LATENCY: u64 = 2 * MS;
 const COMMIT: u64 = 6 * MS;
 const LIST: u64 = 20 * MS;
+/// How long a start is held back that is withheld in the end.
+const HELD_BACK: u64 = 200 * MS;
 /// The longest delay of a call.
 const LATEST: u64 = 4_000 * MS;
 /// Time between two rounds of the log's heartbeats, which renew the lease.
@@ -95,6 +97,8 @@
     pub loses_answers: bool,
     /// How long the platform's list takes to come.
     pub list_delay: u64,
+    /// Whether starts are held back and withheld in the end, as by a driver that is late.
+    pub withholds_starts: bool,
     /// Which worker a run began on, and when.
     pub run_starts: Vec<(String, u64)>,
     /// A late leader handles what comes only at multiples of this time; 0: at once.
@@ -174,6 +178,7 @@
             alone: 0,
             loses_answers: false,
             list_delay: LIST,
+            withholds_starts: false,
             run_starts: Vec::new(),
             leader_period: 0,
             random: fastrand::Rng::with_seed(7),
@@ -268,6 +273,10 @@
                 if let Err(error) = self.state.check_call(&instance, &request) {
                     self.broken_rules.push(format!("UNBACKED: {error}"));
                 }
+                if self.withholds_starts && matches!(request, WorkerRequest::Start { .. }) {
+                    let outcome = CallOutcome::Withheld;
+                    return self.at(now + HELD_BACK, Event::Answer { term, call, outcome });
+                }
                 let arrive = Event::Arrive { term, call, instance, request };
                 match self.random.u8(..100) {
                     luck if luck >= self.loss_percent => self.at(now + LATENCY, arrive),
--- a/crates/scheduler/tests/leader_listing_age.rs
+++ b/crates/scheduler/tests/leader_listing_age.rs
@@ -57,7 +57,8 @@
     let begun = cluster.now;
     cluster.submit("/a/", FIRST_JOB, short_job());
     cluster.run(500);
-    assert!(!cluster.reaches(FIRST_JOB, "completed", 100), "the list is too old for a start");
+    let work = cluster.state.open_work(FIRST_JOB).expect("an open job");
+    assert_eq!(work.active_attempts().count(), 0, "no worker is chosen on a list that is too old");
     cluster.list_delay = 20 * MS;
     assert!(cluster.reaches(FIRST_JOB, "completed", 6_000));
     assert!(cluster.now > begun);
@@ -78,6 +79,23 @@
     assert!(!cluster.starts_on("i-1").is_empty());
 }
 
+#[test]
+fn a_start_that_is_held_back_on_a_worker_that_drains_by_then_is_placed_elsewhere() {
+    let mut cluster = Cluster::new(1);
+    cluster.run(2_000);
+    cluster.withholds_starts = true;
+    cluster.submit("/a/", FIRST_JOB, short_job());
+    cluster.run(20);
+    cluster.workers.get_mut("i-0").expect("a worker").instance.draining = true;
+    cluster.hand_in_page(cluster.workers["i-0"].instance.clone());
+    cluster.withholds_starts = false;
+    cluster.run(800);
+    assert!(cluster.starts_on("i-0").is_empty(), "the worker drains");
+    cluster.add_worker("i-1", 1, 4_000);
+    assert!(cluster.reaches(FIRST_JOB, "completed", 4_000));
+    assert!(cluster.starts_on("i-0").is_empty(), "the worker drains");
+}
+
 #[test]
 fn limits_of_starts_leave_time_for_their_way() {
     for drain_ms in [0, 400, 1_000, 3_000, 4_000, 60_000] {
--- a/crates/scheduler/tests/worker_orders.rs
+++ b/crates/scheduler/tests/worker_orders.rs
@@ -369,3 +369,36 @@
     let out = driver.poll_for_ms(3_000);
     assert!(starts(&out).is_empty(), "{out:?}");
 }
+
+#[test]
+fn a_start_that_waits_past_the_age_of_its_listing_does_not_leave() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    driver.session.withdraw_starts();
+    driver.session.start(order(key(0, 1), "text"));
+    assert!(starts(&driver.poll_for_ms(200)).is_empty(), "nothing is known of the worker");
+    let limit = driver.now + 10 * MS;
+    assert!(driver.session.extend_start_limit(limit), "a start waits for the limit");
+    let out = driver.poll();
+    let expires = calls(&out).into_iter().find_map(|(_, request)| match request {
+        WorkerRequest::Start { expires_at, .. } => Some(expires_at),
+        _ => None,
+    });
+    assert_eq!(expires, Some(limit));
+    driver.pass_ms(10);
+    driver.session.start(order(key(1, 1), "text"));
+    assert!(starts(&driver.poll_for_ms(200)).is_empty(), "the limit has passed");
+}
+
+#[test]
+fn a_start_that_was_held_back_at_the_age_of_its_listing_is_placed_elsewhere() {
+    let mut driver = Driver::new();
+    driver.meet(&[], &[]);
+    driver.session.withdraw_starts();
+    driver.session.start(order(key(0, 1), "text"));
+    driver.session.extend_start_limit(driver.now + 10 * MS);
+    let start = starts(&driver.poll())[0];
+    driver.pass_ms(10);
+    let out = driver.answer(start, CallOutcome::Withheld);
+    assert_eq!(resolutions(&out), [(key(0, 1), Resolution::REJECTED)]);
+}
