Have the other core machines make the leader's calls to workers

Cause: the leader spent its quota of processor time while four machines like it were idle; a third of its time went to connections, requests and answers of 1,100 workers, none of which is a decision.

A leader of 500 workers or more now sends its calls in batches to the other core processes, each of which calls its part of the workers and reports outcomes. Fencing tokens rise with each change of the machine that calls a worker; limits in time are given in the relay's steady clock; batches and reports are numbered; what is lost makes the outcomes unknown without saying anything of the workers (docs/control-safety.md, point 7). Fewer workers are called by the leader itself, as before.

--- a/crates/control/src/driver/event_handlers.rs
+++ b/crates/control/src/driver/event_handlers.rs
@@ -22,7 +22,7 @@
             DriverEvent::Refused { connection } => self.handle_connection_refused(now, connection),
             DriverEvent::CallFinished { generation, call, outcome } => {
                 if self.workers.finished(generation, call) {
-                    self.notify_leader(now, Input::CallFinished { call, outcome });
+                    self.handle_call_finished(now, call, outcome);
                 }
             }
             DriverEvent::InputMarker { at } => self.handle_input_marker(now, at),
@@ -71,6 +71,8 @@
             OneOfbody::founding_offer(offer) => self.handle_founding_offer(now, connection, offer),
             OneOfbody::founding_proposal(proposal) => self.handle_founding_proposal(now, proposal),
             OneOfbody::group_notice(notice) => self.handle_group_notice(now, notice),
+            OneOfbody::worker_calls(batch) => self.handle_call_batch(batch),
+            OneOfbody::relay_report(report) => self.handle_relay_report(now, report),
             OneOfbody::join(Join { member: None })
             | OneOfbody::reply(_)
             | OneOfbody::pong(_)
@@ -114,6 +116,7 @@
     fn handle_connection_closed(&mut self, now: u64, connection: ConnectionId) {
         if connection < FIRST_ACCEPTED {
             for to in self.peers.ids_of(connection) {
+                self.relay_unreachable(now, to);
                 self.step_consensus(now, Event::PeerLost { to });
             }
             return;
--- a/crates/control/src/driver/lateness.rs
+++ b/crates/control/src/driver/lateness.rs
@@ -15,10 +15,12 @@
         }
     }
 
-    /// Sends a marker if the leader may judge the silence of workers only after what has arrived is read.
+    /// Sends a marker if the leader may judge the silence of workers, or this process that of relays, only after what has arrived is read.
     pub(super) fn send_marker_if_awaited(&mut self) {
-        if self.leader.as_ref().is_some_and(Leader::awaits_input) {
-            self.input_markers.send(self.clock.now());
+        let now = self.clock.now();
+        let awaits_input = |leader: &Leader| leader.awaits_input() || self.router.awaits_input(now);
+        if self.leader.as_ref().is_some_and(awaits_input) {
+            self.input_markers.send(now);
         }
     }
 
@@ -26,5 +28,6 @@
     pub(super) fn handle_input_marker(&mut self, now: u64, at: u64) {
         self.input_markers.arrived();
         self.notify_leader(now, Input::ReadUntil { at });
+        self.judge_relays(now, at);
     }
 }
--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -41,6 +41,8 @@
         self.announced_lease = 0;
         self.next_flush = 0;
         self.metrics.leadership_changed(Leadership::Gained);
+        let term = self.replica.node().term();
+        self.begin_routing(now, term);
         self.announce_leader();
         self.notify_leader(now, Input::ReadUntil { at: now });
         self.tick_leader(now);
@@ -58,6 +60,7 @@
         self.wake_at = u64::MAX;
         self.flush_due = u64::MAX;
         self.workers.abandon_calls();
+        self.router.end_term();
         self.platform.stop();
         self.clients.fail_pending();
         self.operator_calls.fail_pending();
@@ -111,9 +114,9 @@
                 self.operator_calls.answer(token, reply_of(reply.under_lease(has_lease)));
             }
             Output::Call { call, address, instance, request } => {
-                self.call_worker(now, WorkerCall { call, address, instance, request });
+                self.call_worker(now, WorkerCall::new(call, address, instance, request));
             }
-            Output::CancelCall { call } => self.workers.cancel(call),
+            Output::CancelCall { call } => self.cancel_call(call),
             Output::ReadInstances => self.platform.read(),
             Output::WakeAt { at } => self.wake_at = at,
         }
@@ -123,15 +126,15 @@
     /// told that the call was not sent, or was withheld for want of the lease.
     ///
     /// The lease is checked against the clock as it stands at this moment: `now` is the start of the turn, and applying
-    /// entries may have taken longer than the rest of the lease. The call carries the leader's term as its fencing token;
-    /// workers reject one that is lower than the highest they have seen.
+    /// entries may have taken longer than the rest of the lease. The call's fencing token rises with the term and with the
+    /// worker's route (`relay`); workers reject one that is lower than the highest they have seen.
     fn call_worker(&mut self, now: u64, worker_call: WorkerCall) {
         let call = worker_call.call;
         if let Err(error) = self.replica.state().check_call(&worker_call.instance, &worker_call.request) {
             log::error!("{error}");
             self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::NotSent });
         } else if self.replica.has_lease(self.clock.now()) {
-            self.workers.start(worker_call);
+            self.route_call(worker_call);
         } else {
             self.notify_leader(now, Input::CallFinished { call, outcome: CallOutcome::Withheld });
         }
--- a/crates/control/src/driver/load_log.rs
+++ b/crates/control/src/driver/load_log.rs
@@ -27,10 +27,12 @@
         }
         let load = leader.load_report(now);
         log::warn!(
-            "leader is busy: busy_percent={} {} connections={} {load:?} {work:?}",
+            "leader is busy: busy_percent={} {} connections={} relays={} relayed_calls={} {load:?} {work:?}",
             span.busy.saturating_mul(100) / elapsed,
             costs_text(&span),
             self.workers.open_connections(),
+            self.router.ready_relays(),
+            self.router.relayed_calls(),
         );
     }
 }
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -6,6 +6,7 @@
 mod lateness;
 mod leadership;
 mod load_log;
+mod relaying;
 mod shutdown;
 
 use crate::absence::AbsenceMeter;
@@ -23,6 +24,7 @@
 use crate::operator_calls::OperatorCalls;
 use crate::peer_connections::PeerConnections;
 use crate::platform::PlatformClient;
+use crate::relay::{CallRouter, RelayAgent, MIN_RELAYED_WORKERS};
 use crate::replica::{Effect, Replica};
 use crate::worker_client::WorkerClient;
 use crate::writer::{Writer, Written};
@@ -104,6 +106,12 @@
     pub(crate) clients: Clients,
     pub(crate) operator_calls: OperatorCalls,
     pub(crate) workers: WorkerClient,
+    /// Who makes the calls of this process as a leader.
+    pub(crate) router: CallRouter,
+    /// The calls that this process makes for another leader.
+    relay: RelayAgent,
+    /// When this process as a relay may report next, in nanoseconds of `clock`.
+    next_report: u64,
     pub(crate) platform: PlatformClient,
     pub(crate) metrics: Metrics,
     group_join: GroupJoin,
@@ -208,6 +216,9 @@
             clients,
             operator_calls: OperatorCalls::default(),
             workers: WorkerClient::new(events.ordinary().clone(), clock),
+            router: CallRouter::new(id, MIN_RELAYED_WORKERS),
+            relay: RelayAgent::new(id),
+            next_report: 0,
             platform: PlatformClient::new(
                 &settings.discovery,
                 platform_address,
@@ -289,6 +300,7 @@
         self.advance_recovery(now, turn_ends);
         at = self.part_ended(TurnPart::Timers, 1, at);
         self.process_outputs(now, turn_ends);
+        self.send_relayed(now);
         at = self.part_ended(TurnPart::Outputs, 1, at);
         self.send_marker_if_awaited();
         self.replica.take_snapshot_if_due();
@@ -321,6 +333,7 @@
         }
         let join_timer = self.group_join.next_timer(self.member_status());
         let mut next = self.replica.node().next_timer().min(join_timer).min(self.founding.next_timer());
+        next = next.min(self.relaying_timer());
         if self.leader.is_some() {
             next = next.min(self.wake_at).min(self.flush_due);
         }
@@ -452,6 +465,7 @@
                 Effect::MembershipChanged => {
                     self.record_membership_change();
                     self.connect_to_members();
+                    self.update_relays(now);
                 }
                 Effect::Removed => self.exit = Some(DriverExit::Removed),
             }
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -77,7 +77,10 @@
     pub fn turn_part(&self) -> TurnPart {
         match self {
             DriverEvent::Frame { body: OneOfbody::request(_), .. } => TurnPart::Requests,
-            DriverEvent::CallFinished { .. } => TurnPart::WorkerCalls,
+            DriverEvent::CallFinished { .. }
+            | DriverEvent::Frame { body: OneOfbody::worker_calls(_) | OneOfbody::relay_report(_), .. } => {
+                TurnPart::WorkerCalls
+            }
             DriverEvent::Instances { .. } => TurnPart::Instances,
             _ => TurnPart::OtherEvents,
         }
@@ -90,7 +93,10 @@
     pub fn lane(&self) -> Lane {
         match self {
             DriverEvent::Frame { body: OneOfbody::consensus(_), .. } => Lane::Consensus,
-            DriverEvent::Frame { body: OneOfbody::request(_), .. }
+            DriverEvent::Frame {
+                body: OneOfbody::request(_) | OneOfbody::worker_calls(_) | OneOfbody::relay_report(_),
+                ..
+            }
             | DriverEvent::Closed { .. }
             | DriverEvent::CallFinished { .. }
             | DriverEvent::InputMarker { .. }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod platform;
 mod process;
 pub mod punctual_timeout;
+pub mod relay;
 pub mod replica;
 mod settings_file;
 mod signals;
--- a/crates/control/src/peer_connections.rs
+++ b/crates/control/src/peer_connections.rs
@@ -74,11 +74,16 @@
 
     /// Sends a message of consensus; it is dropped if the address of the identity is not known.
     pub fn send(&mut self, to: NodeId, message: ConsensusMessage) {
+        self.send_frame(to, OneOfbody::consensus(message));
+    }
+
+    /// Sends a frame; it is dropped if the address of the identity is not known.
+    pub fn send_frame(&mut self, to: NodeId, body: OneOfbody) {
         let Some(address) = self.addresses.get(&to).copied() else {
             log::debug!("the address of core process {to:#x} is not known");
             return;
         };
-        self.open(address).link.push(OneOfbody::consensus(message));
+        self.open(address).link.push(body);
     }
 
     /// Requests membership from the processes at these addresses.
--- a/crates/control/src/worker_calls.rs
+++ b/crates/control/src/worker_calls.rs
@@ -21,7 +21,8 @@
 const EXPECT_INSTANCE: &str = "X-Expect-Instance";
 const JSON: &str = "application/json";
 
-/// A call to a worker, as the leader requests it.
+/// A call to a worker.
+#[derive(Debug, Clone, PartialEq)]
 pub struct WorkerCall {
     /// The leader's number of the call.
     pub call: CallId,
@@ -31,6 +32,19 @@
     pub instance: String,
     /// The request.
     pub request: WorkerRequest,
+    /// From then on no byte of the call may leave, in nanoseconds of this process's steady clock; `None`: any time.
+    pub leave_by: Option<u64>,
+}
+
+impl WorkerCall {
+    /// A call as the leader asks for it: only starts expire.
+    pub fn new(call: CallId, address: String, instance: String, request: WorkerRequest) -> Self {
+        let leave_by = match &request {
+            WorkerRequest::Start { expires_at, .. } => Some(*expires_at),
+            WorkerRequest::Stop { .. } | WorkerRequest::RenewLease { .. } => None,
+        };
+        WorkerCall { call, address, instance, request, leave_by }
+    }
 }
 
 /// The HTTP request of a call.
--- a/crates/control/src/worker_client.rs
+++ b/crates/control/src/worker_client.rs
@@ -83,11 +83,11 @@
         let lane = worker.lane_for(&call.request).clone();
         let id = call.call;
         let (events, generation) = (self.events.clone(), self.generation);
-        let expires_at = start_expiry(&call.request).map(|expiry| self.clock.instant(expiry));
+        let leave_by = call.leave_by.map(|limit| self.clock.instant(limit));
         let phase = Rc::new(Cell::new(CallPhase::Waiting));
         let phase_of_task = phase.clone();
         let task = spawn_local(async move {
-            let outcome = run_call(&lane, &call, expires_at, &phase_of_task).await;
+            let outcome = run_call(&lane, &call, leave_by, &phase_of_task).await;
             let _ = events.send(DriverEvent::CallFinished { generation, call: call.call, outcome }).await;
         });
         self.calls.insert(id, InFlightCall { task: task.abort_handle(), phase });
@@ -213,10 +213,10 @@
 async fn run_call(
     lane: &Rc<Lane>,
     call: &WorkerCall,
-    expires_at: Option<Instant>,
+    leave_by: Option<Instant>,
     phase: &Cell<CallPhase>,
 ) -> CallOutcome {
-    match send_call(lane, call, expires_at, phase).await {
+    match send_call(lane, call, leave_by, phase).await {
         Ok(outcome) => outcome,
         Err(CallError::Expired) => CallOutcome::Withheld,
         Err(CallError::ConnectionLost(reason)) => {
@@ -234,13 +234,12 @@
 async fn send_call(
     lane: &Rc<Lane>,
     call: &WorkerCall,
-    expires_at: Option<Instant>,
+    leave_by: Option<Instant>,
     phase: &Cell<CallPhase>,
 ) -> Result<CallOutcome, CallError> {
     let address = parse_address(&call.address)?;
     let (parts, body) = request_for(call)?.into_parts();
-    // Orders that expire are starts.
-    let connected_by = expires_at.map(|expiry| expiry.min(Instant::now() + MAX_START_WAIT));
+    let connected_by = connection_limit(call, leave_by);
     loop {
         let mut connection = lane.acquire().await;
         let is_reused = connection.is_open();
@@ -252,7 +251,7 @@
             }
             Ok(()) => {
                 phase.set(CallPhase::Sent);
-                connection.call(request, expires_at).await
+                connection.call(request, leave_by).await
             }
             Err(error) => Err(error),
         };
@@ -269,10 +268,13 @@
     }
 }
 
-/// When a start must have left, in nanoseconds of the process's clock; other calls may leave at any time.
-fn start_expiry(request: &WorkerRequest) -> Option<u64> {
-    match request {
-        WorkerRequest::Start { expires_at, .. } => Some(*expires_at),
-        WorkerRequest::Stop { .. } | WorkerRequest::RenewLease { .. } => None,
+/// Until when a call may wait for its connection.
+fn connection_limit(call: &WorkerCall, leave_by: Option<Instant>) -> Option<Instant> {
+    match call.request {
+        WorkerRequest::Start { .. } => {
+            let longest = Instant::now() + MAX_START_WAIT;
+            Some(leave_by.map_or(longest, |limit| limit.min(longest)))
+        }
+        WorkerRequest::Stop { .. } | WorkerRequest::RenewLease { .. } => leave_by,
     }
 }
--- a/crates/control/tests/expired_calls.rs
+++ b/crates/control/tests/expired_calls.rs
@@ -91,7 +91,7 @@
         expires_at,
     };
     let call = CallId { worker: 1, call };
-    WorkerCall { call, address: address.to_string(), instance: "i-1".to_owned(), request }
+    WorkerCall::new(call, address.to_string(), "i-1".to_owned(), request)
 }
 
 async fn outcome(events: &mut mpsc::Receiver<DriverEvent>) -> (u64, CallOutcome) {
--- a/crates/control/tests/own_lateness.rs
+++ b/crates/control/tests/own_lateness.rs
@@ -70,7 +70,7 @@
 fn call(number: u64, address: SocketAddr) -> WorkerCall {
     let request = WorkerRequest::RenewLease { fencing_token: 7, last_seen: 0, deadline_ms: None, wait_ms: 0 };
     let call = CallId { worker: number, call: 1 };
-    WorkerCall { call, address: address.to_string(), instance: "i-1".to_owned(), request }
+    WorkerCall::new(call, address.to_string(), "i-1".to_owned(), request)
 }
 
 #[test]
--- a/crates/control/tests/worker_calls.rs
+++ b/crates/control/tests/worker_calls.rs
@@ -100,7 +100,7 @@
 
 fn call(number: u64, listener: &TcpListener, request: WorkerRequest) -> WorkerCall {
     let address = listener.local_addr().expect("an address").to_string();
-    WorkerCall { call: CallId { worker: 1, call: number }, address, instance: "i-1".to_owned(), request }
+    WorkerCall::new(CallId { worker: 1, call: number }, address, "i-1".to_owned(), request)
 }
 
 async fn outcome(events: &mut mpsc::Receiver<DriverEvent>) -> (u64, CallOutcome) {
--- a/crates/control/tests/worker_connections.rs
+++ b/crates/control/tests/worker_connections.rs
@@ -56,7 +56,7 @@
         };
         let address = self.listener.local_addr().expect("an address").to_string();
         let call = CallId { worker: 1, call: self.next_call };
-        self.client.start(WorkerCall { call, address, instance: "i-1".to_owned(), request });
+        self.client.start(WorkerCall::new(call, address, "i-1".to_owned(), request));
     }
 
     async fn accept(&mut self) -> TcpStream {
--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -6,6 +6,8 @@
 //! writes it anew: only for a message that is new.
 
 use messages::job::{self, mod_Command};
+use messages::peer::mod_RelayedCall::OneOfrequest;
+use messages::peer::mod_RelayedOutcome::OneOfkind as OneOfoutcome;
 use messages::peer::{self, mod_ClientRequest, mod_ConsensusMessage, mod_PeerFrame};
 use messages::{decode, encode, encode_frame};
 use std::fmt::Debug;
@@ -369,9 +371,81 @@
         let message = peer::ConsensusMessage { from: 0x6162_6364_6566_6768, to: 0x7172_7374_7576_7778, kind };
         frames.push((format!("consensus.{name}"), OneOfbody::consensus(message)));
     }
+    frames.extend(relay_frames());
     frames
 }
 
+fn relay_frames() -> Vec<(String, mod_PeerFrame::OneOfbody)> {
+    let id = || Some(peer::RelayedCallId { worker: 1, call: 2 });
+    let task = || Some(job::TaskId { job: 0x6162_6364_6566_6768, time: 1, step: 2, index: 3 });
+    let requests = [
+        OneOfrequest::start(peer::RelayedStart {
+            task: task(),
+            attempt: 4,
+            spec: "spec".to_owned(),
+            checkpoint: "saved".to_owned(),
+            deadline_ms: 5,
+        }),
+        OneOfrequest::stop(peer::RelayedStop { task: task(), attempt: 6 }),
+        OneOfrequest::renew_lease(peer::RelayedLeaseRenewal {
+            last_seen: 7,
+            has_deadline: true,
+            deadline_ms: 8,
+            wait_ms: 9,
+        }),
+    ];
+    let call = |request| peer::RelayedCall {
+        id: id(),
+        address: "10.0.0.1:8080".to_owned(),
+        instance: "i-1".to_owned(),
+        leave_by: 10,
+        fencing_token: 11,
+        request,
+    };
+    let batch = peer::WorkerCallBatch {
+        from: 0x6162_6364_6566_6768,
+        term: 12,
+        session: 13,
+        number: 14,
+        calls: requests.map(call).into(),
+        cancelled: id().into_iter().collect(),
+    };
+    let end = job::WorkerEnd {
+        sequence: 15,
+        task: task(),
+        attempt: 16,
+        kind: job::EndKind::DONE,
+        checkpoint: "saved".to_owned(),
+        counted: true,
+    };
+    let running =
+        peer::RelayedRunning { task: task(), attempt: 17, checkpoint: "saved".to_owned(), percent: 18 };
+    let kinds = [
+        OneOfoutcome::answer(peer::RelayedAnswer { now_ms: 19 }),
+        OneOfoutcome::lists(peer::RelayedLists { now_ms: 20, running: vec![running], finished: vec![end] }),
+        OneOfoutcome::refused(peer::RelayedRefusal {
+            has_clock: true,
+            now_ms: 21,
+            reason: peer::RefusalReason::WRONG_INCARNATION,
+        }),
+        OneOfoutcome::failed(peer::RelayedFailure { kind: peer::FailureKind::WITHHELD }),
+    ];
+    let report = peer::RelayReport {
+        from: 0x7172_7374_7576_7778,
+        term: 22,
+        session: 23,
+        number: 24,
+        received: 25,
+        clock: 26,
+        lost_batches: true,
+        outcomes: kinds.map(|kind| peer::RelayedOutcome { id: id(), kind }).into(),
+    };
+    vec![
+        ("worker_calls".to_owned(), mod_PeerFrame::OneOfbody::worker_calls(batch)),
+        ("relay_report".to_owned(), mod_PeerFrame::OneOfbody::relay_report(report)),
+    ]
+}
+
 #[test]
 fn every_message_has_the_bytes_that_it_always_had() {
     let mut examples = Examples::default();
--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -5,6 +5,7 @@
 mod foundings;
 mod listings;
 mod membership_changes;
+mod relays;
 mod snapshots;
 mod terms_and_leases;
 
@@ -20,6 +21,7 @@
         snapshots::MUTANTS,
         answers::MUTANTS,
         listings::MUTANTS,
+        relays::MUTANTS,
     ]
     .concat()
 }
--- a/crates/mutants/tests/list.rs
+++ b/crates/mutants/tests/list.rs
@@ -39,9 +39,9 @@
 }
 
 #[test]
-fn names_are_used_once_and_all_six_points_have_changes() {
+fn names_are_used_once_and_all_seven_points_have_changes() {
     let names: BTreeSet<&str> = mutants().iter().map(|mutant| mutant.name).collect();
     assert_eq!(names.len(), mutants().len());
     let points: BTreeSet<u8> = mutants().iter().map(|mutant| mutant.point).collect();
-    assert_eq!(points, BTreeSet::from([1, 2, 3, 4, 5, 6]));
+    assert_eq!(points, BTreeSet::from([1, 2, 3, 4, 5, 6, 7]));
 }
