--- a/review/stand-ins/stand_in.rs
+++ b/review/stand-ins/stand_in.rs
@@ -431,6 +431,18 @@
         deployment
     }
 
+    /// The same deployment for calls alone, without its processes.
+    pub fn reader(&self) -> Deployment {
+        Deployment {
+            record: self.record.clone(),
+            folder: self.folder.join("none"),
+            program: self.program.clone(),
+            net: self.net,
+            processes: Vec::new(),
+            workers: Vec::new(),
+        }
+    }
+
     fn address(&self, machine: u8, port: u16) -> SocketAddr {
         format!("127.{}.0.{machine}:{port}", self.net).parse().unwrap()
     }
