Review: signals by the shell's kill, so that no further package is needed

Need: the cases run on a machine with the deploy file's packages alone. Changed: the stand-ins send signals by the shell's own kill.

--- a/review/stand-ins/stand_in.rs
+++ b/review/stand-ins/stand_in.rs
@@ -367,10 +367,10 @@
             let _ = child.wait();
         }
     }
-    /// Sends a signal by the system's `kill` command, to this process alone.
+    /// Sends a signal to this process alone, by the shell's `kill`.
     pub fn signal(&self, signal: &str) {
         if let Some(id) = self.id() {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status();
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {id}")).status();
         }
     }
 }
@@ -404,7 +404,7 @@
             thread::sleep(RUN_LIMIT);
             eprintln!("the case takes too long: it ends");
             for id in STARTED.lock().unwrap().iter() {
-                let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+                let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {id}")).status();
             }
             std::process::exit(2);
         });
