Reject a submission whose ID was cancelled before the job came

Cause: the leader answered the cancel of an unknown ID from the applied state and kept nothing of it. A submission that was on its way found neither a job nor a cancel and was accepted.

Evidence: the record of the case has no start of the four jobs before the edge goes on, and the 410 comes 3 s before that; `cancel, then submit` at one leader without any edge gives an accepted job.

It is answered with 410 once it is committed. The leader rejects submissions that meet a tombstone, or a cancel that is not committed yet, with 503 and the rest of the time in Retry-After. 65,536 tombstones at most; beyond that such cancels get 503, cancels of known jobs are not affected.

Test: scheduler/tests/cancel_tombstones.rs. With the former answer to unknown IDs four of its ten tests fail (late submission, next leader, answer before the commit, bound).

--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -199,9 +199,15 @@
         workers: vec![job::WorkerState { incarnation: Some(incarnation()), noted: 2 }],
         clock_ms: 4,
         format: 1,
+        cancel_tombstones: Vec::new(),
     }
 }
 
+fn tombstones() -> job::QueueTombstones {
+    let tombstone = job::CancelTombstone { id: 0x4142_4344_4546_4748, recorded_at_ms: 1_700_000_000_000 };
+    job::QueueTombstones { prefix_key: "host.example/queue/".to_owned(), tombstones: vec![tombstone] }
+}
+
 fn member() -> peer::Member {
     peer::Member {
         id: 0x3132_3334_3536_3738,
@@ -462,6 +468,10 @@
     }
     examples.add("command_batch", job::CommandBatch { commands: all });
     examples.add("scheduler_snapshot", snapshot());
+    examples.add("queue_tombstones", tombstones());
+    let with_tombstones =
+        job::SchedulerSnapshot { cancel_tombstones: vec![tombstones()], ..job::SchedulerSnapshot::default() };
+    examples.add("scheduler_snapshot_with_tombstones", with_tombstones);
     let written = examples.lines.join("\n") + "\n";
     if std::env::var("GOLDEN").is_ok_and(|what| what == "write") {
         fs::write(golden_file(), &written).expect("the golden file is writable");
--- a/crates/mutants/src/list.rs
+++ b/crates/mutants/src/list.rs
@@ -1,6 +1,7 @@
 //! The wrong changes. The changes of a module break the same point of `docs/control-safety.md`.
 
 mod answers;
+mod cancellations;
 mod configuration_changes;
 mod foundings;
 mod listings;
@@ -20,6 +21,7 @@
         foundings::MUTANTS,
         snapshots::MUTANTS,
         answers::MUTANTS,
+        cancellations::MUTANTS,
         listings::MUTANTS,
         relays::MUTANTS,
     ]
--- a/crates/scheduler/src/leader/client_requests.rs
+++ b/crates/scheduler/src/leader/client_requests.rs
@@ -2,7 +2,7 @@
 
 use configuration::{job_id, Route};
 use messages::job::mod_Command::OneOfkind;
-use messages::job::{CancelJob, SubmitJob};
+use messages::job::SubmitJob;
 use messages::peer::mod_ClientRequest::OneOfcall;
 use messages::peer::{ClientReply, ClientRequest, Outcome, SubmitRequest};
 
@@ -15,7 +15,7 @@
 /// Retry delay for clients while there is no configuration.
 const RETRY_UNAVAILABLE_MS: u32 = 1_000;
 /// Retry delay for clients while too many tasks are open.
-const RETRY_OVERLOADED_MS: u32 = 5_000;
+pub(super) const RETRY_OVERLOADED_MS: u32 = 5_000;
 
 /// Returns a reply that holds only an outcome.
 pub(super) fn reply(outcome: Outcome) -> ClientReply {
@@ -27,7 +27,7 @@
 }
 
 /// Returns the host and path prefix of a route. A job ID is unique within this key.
-fn prefix_key(route: &Route) -> String {
+pub(super) fn prefix_key(route: &Route) -> String {
     let mut key = String::with_capacity(route.host.len() + route.path_prefix.len());
     key.push_str(&route.host);
     key.push_str(&route.path_prefix);
@@ -101,6 +101,9 @@
             tokens.push(token);
             return None;
         }
+        if let Some(reply) = self.cancelled_before(state, &name) {
+            return Some(reply);
+        }
         let Some(job) = request.job else { return Some(invalid("the request carries no job: send one")) };
         let tasks: u64 = job.stages.iter().map(|stage| u64::from(stage.count)).sum();
         if self.open_tasks + self.pending_clients.tasks() + tasks > self.settings.max_open_tasks {
@@ -129,25 +132,6 @@
         None
     }
 
-    fn cancel(&mut self, state: &State, token: u64, route: &Route, id: u64) -> Option<ClientReply> {
-        let name = JobName { id, prefix_key: prefix_key(route) };
-        let known = state.job(id).filter(|job| belongs_to_route(job, route));
-        let in_flight = self.pending_clients.submits.contains_key(&name);
-        match known {
-            Some(job) if job.open_work().is_none() => return Some(reply(Outcome::CANCEL_DONE)),
-            None if !in_flight => return Some(reply(Outcome::NO_SUCH_JOB)),
-            _ => {}
-        }
-        if let Some(tokens) = self.pending_clients.cancels.get_mut(&name) {
-            tokens.push(token);
-            return None;
-        }
-        let command = CancelJob { id, prefix_key: name.prefix_key.clone() };
-        self.batch.command(OneOfkind::cancel_job(command));
-        self.pending_clients.cancels.insert(name, vec![token]);
-        None
-    }
-
     /// Answers all requests that wait for the submission of the job.
     pub(super) fn reply_submits(&mut self, name: &JobName, reply: &ClientReply, out: &mut Vec<Output>) {
         for token in self.pending_clients.take_submits(name) {
@@ -164,7 +148,7 @@
 }
 
 /// Returns whether the job was submitted under the route's host and path prefix.
-fn belongs_to_route(job: &Job, route: &Route) -> bool {
+pub(super) fn belongs_to_route(job: &Job, route: &Route) -> bool {
     job.prefix_key().strip_prefix(route.host.as_str()) == Some(route.path_prefix.as_str())
 }
 
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -2,6 +2,7 @@
 //! process.
 
 mod call_check;
+mod cancel_tombstones;
 mod change;
 mod configuration;
 mod digest;
@@ -13,7 +14,6 @@
 mod starts;
 mod submissions;
 mod task;
-
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -24,6 +24,7 @@
 
 use crate::ids::StepKey;
 
+pub use cancel_tombstones::CANCEL_TOMBSTONE_RETENTION_MS;
 pub use change::{AttemptOutcome, StateChange};
 pub use configuration::AcceptedConfiguration;
 pub use digest::{ConfigurationDigest, ConfigurationKey};
@@ -32,6 +33,7 @@
 pub use task::{ActiveAttempt, Task};
 pub use workers::Worker;
 
+use cancel_tombstones::CancelTombstones;
 use configuration::ConfigurationHistory;
 use workers::Workers;
 
@@ -51,6 +53,7 @@
     ended_jobs: BTreeSet<(u64, u64)>,
     /// For each prefix, the number of open jobs without a committed start.
     pending_by_prefix: HashMap<Arc<str>, u64>,
+    cancel_tombstones: CancelTombstones,
 }
 
 impl State {
@@ -141,13 +144,25 @@
         self.pending_by_prefix.get(prefix_key).copied().unwrap_or(0)
     }
 
+    /// Until when submissions of this ID to the queue are rejected because it was cancelled while there was no
+    /// such job, in ms since 1970; `None` if it was not.
+    pub fn cancelled_until_ms(&self, id: u64, prefix_key: &str) -> Option<u64> {
+        let recorded_at_ms = self.cancel_tombstones.recorded_at_ms(id, prefix_key)?;
+        Some(recorded_at_ms.saturating_add(CANCEL_TOMBSTONE_RETENTION_MS))
+    }
+
+    /// Number of IDs that were cancelled while there was no such job, as far as retained.
+    pub fn cancel_tombstones(&self) -> usize {
+        self.cancel_tombstones.len()
+    }
+
     /// The latest time of day that a leader proposed, in ms since 1970.
     pub fn clock_ms(&self) -> u64 {
         self.clock_ms
     }
 
-    /// Advances the replicated clock and removes jobs whose retention time has passed. A time before the
-    /// current one has no effect on the clock. Jobs that still have attempts that may run are kept.
+    /// Advances the replicated clock and removes jobs and tombstones whose retention time has passed. A time
+    /// before the current one has no effect on the clock. Jobs that still have attempts that may run are kept.
     fn advance_clock(&mut self, now_ms: u64, changes: &mut Vec<StateChange>) {
         self.clock_ms = self.clock_ms.max(now_ms);
         let mut kept = Vec::new();
@@ -164,5 +179,6 @@
             changes.push(StateChange::JobForgotten { job: id });
         }
         self.ended_jobs.extend(kept);
+        self.cancel_tombstones.expire(self.clock_ms);
     }
 }
--- a/crates/scheduler/src/state/snapshot.rs
+++ b/crates/scheduler/src/state/snapshot.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use messages::job::{
-    ActiveAttempt as ActiveAttemptMessage, JobPhase, JobState, SchedulerSnapshot, SubmitJob, TaskState,
+    ActiveAttempt as ActiveAttemptMessage, JobPhase, JobState, QueueTombstones, SchedulerSnapshot, SubmitJob,
+    TaskState,
 };
 
 use super::configuration::ConfigurationHistory;
@@ -35,6 +36,7 @@
             workers: self.workers.snapshot(),
             clock_ms: self.clock_ms,
             format: SNAPSHOT_FORMAT,
+            cancel_tombstones: self.cancel_tombstones.snapshot(),
         }
     }
 
@@ -56,9 +58,19 @@
         for job in &snapshot.jobs {
             state.restore_job(job)?;
         }
+        for queue in &snapshot.cancel_tombstones {
+            state.restore_tombstones(queue);
+        }
         Ok(state)
     }
 
+    fn restore_tombstones(&mut self, queue: &QueueTombstones) {
+        let prefix_key = self.shared_prefix(&queue.prefix_key);
+        for saved in &queue.tombstones {
+            self.cancel_tombstones.record(saved.id, prefix_key.clone(), saved.recorded_at_ms);
+        }
+    }
+
     fn restore_job(&mut self, saved: &JobState) -> Result<(), SnapshotError> {
         let submit = saved.submit.as_ref().ok_or(SnapshotError::InvalidJob(0))?;
         let id = submit.id;
--- a/crates/scheduler/src/state/submissions.rs
+++ b/crates/scheduler/src/state/submissions.rs
@@ -41,11 +41,16 @@
         self.jobs.insert(id, job);
     }
 
-    /// Cancels a job unless it has ended.
+    /// Cancels a job unless it has ended. A cancel that finds no job leaves a tombstone.
+    ///
+    /// Tombstones do not affect how later submissions are applied: the leader does not propose a submission
+    /// that a tombstone forbids, and builds that do not know tombstones apply the same log.
     pub(super) fn cancel_job(&mut self, cancel: &CancelJob, changes: &mut Vec<StateChange>) {
         let prefix_key = cancel.prefix_key.clone();
         let job = self.jobs.get(&cancel.id).filter(|job| *job.prefix_key == *cancel.prefix_key);
         let Some(job) = job else {
+            let queue = self.shared_prefix(&prefix_key);
+            self.cancel_tombstones.record(cancel.id, queue, self.clock_ms);
             changes.push(StateChange::NoSuchJob { job: cancel.id, prefix_key });
             return;
         };
@@ -89,12 +94,21 @@
 
     /// Counts a pending job and returns the shared text of its prefix.
     pub(super) fn add_pending(&mut self, prefix_key: &str) -> Arc<str> {
-        let known = self.pending_by_prefix.get_key_value(prefix_key).map(|(name, _)| name.clone());
-        let name = known.unwrap_or_else(|| Arc::from(prefix_key));
+        let name = self.shared_prefix(prefix_key);
         *self.pending_by_prefix.entry(name.clone()).or_insert(0) += 1;
         name
     }
 
+    /// Returns the shared text of a prefix.
+    pub(super) fn shared_prefix(&mut self, prefix_key: &str) -> Arc<str> {
+        let known = self.pending_by_prefix.get_key_value(prefix_key).map(|(name, _)| name.clone());
+        known.unwrap_or_else(|| {
+            let name: Arc<str> = Arc::from(prefix_key);
+            self.pending_by_prefix.insert(name.clone(), 0);
+            name
+        })
+    }
+
     pub(super) fn subtract_pending(&mut self, prefix_key: &str) {
         if let Some(count) = self.pending_by_prefix.get_mut(prefix_key) {
             *count = count.saturating_sub(1);
--- a/crates/scheduler/tests/cluster/requests.rs
+++ b/crates/scheduler/tests/cluster/requests.rs
@@ -39,8 +39,13 @@
         self.wait_for_reply(token)
     }
 
+    /// Cancels a job and returns the token of the request.
+    pub fn send_cancel(&mut self, prefix: &str, id: u64) -> u64 {
+        self.request(format!("{prefix}{id:016x}"), OneOfcall::cancel(CancelRequest { id }))
+    }
+
     pub fn cancel(&mut self, prefix: &str, id: u64) -> Option<ClientReply> {
-        let token = self.request(format!("{prefix}{id:016x}"), OneOfcall::cancel(CancelRequest { id }));
+        let token = self.send_cancel(prefix, id);
         self.wait_for_reply(token)
     }
 
