--- a/crates/mutants/src/list/cancellations.rs
+++ b/crates/mutants/src/list/cancellations.rs
@@ -36,4 +36,12 @@
             replace: "if is_unknown && !self.may_add_tombstone(state, &name) && id == 0 {",
             test: "-p scheduler --test cancel_tombstones cancellations_of_unknown_jobs_are_bounded",
         },
+    Mutant {
+            name: "oracle-without-cancels-of-unknown-jobs",
+            point: 5,
+            file: "crates/simulation/src/oracle/tasks.rs",
+            find: "Answer::Gone => !submitted_anew,",
+            replace: "Answer::Gone => false && submitted_anew,",
+            test: "-p simulation --test oracle detects_start_of_late_submission_after_cancellation_of_unknown_job",
+        },
 ];
--- a/crates/simulation/src/oracle/tasks.rs
+++ b/crates/simulation/src/oracle/tasks.rs
@@ -235,11 +235,21 @@
     cancels
 }
 
-/// Time at which the cancellation of each job was first acknowledged.
+/// Time at which the cancellation of each job was first acknowledged: by 200, or by 410, which says that there
+/// is no such job. The latter does not bind if the client submitted the job anew afterwards and was not
+/// rejected.
 fn acknowledged_cancels(history: &History) -> HashMap<u64, u64> {
+    let last_submissions = last_submissions(history);
     let mut cancels: HashMap<u64, u64> = HashMap::new();
     for call in history.calls.iter().filter(|call| call.kind == CallKind::Cancel) {
-        if let Some((at, Answer::Done)) = &call.answer {
+        let Some((at, answer)) = &call.answer else { continue };
+        let submitted_anew = last_submissions.get(&call.job).is_some_and(|sent_at| sent_at >= at);
+        let binds = match answer {
+            Answer::Done => true,
+            Answer::Gone => !submitted_anew,
+            _ => false,
+        };
+        if binds {
             let first = cancels.entry(call.job).or_insert(*at);
             *first = (*first).min(*at);
         }
@@ -247,6 +257,17 @@
     cancels
 }
 
+/// Time at which each job's last submission was sent, apart from rejected ones.
+fn last_submissions(history: &History) -> HashMap<u64, u64> {
+    let mut submissions = HashMap::new();
+    let calls = history.calls.iter().filter(|call| call.kind == CallKind::Submit);
+    for call in calls.filter(|call| !matches!(call.answer, Some((_, Answer::Rejected)))) {
+        let last = submissions.entry(call.job).or_insert(call.sent_at);
+        *last = call.sent_at.max(*last);
+    }
+    submissions
+}
+
 /// UNASKED: a task must not start if no client submitted it, with a changed specification, with a checkpoint
 /// of another task, or after its cancellation.
 pub fn unasked(connectivity: &Connectivity<'_>, history: &History, out: &mut Vec<Violation>) {
--- a/crates/simulation/src/script.rs
+++ b/crates/simulation/src/script.rs
@@ -123,6 +123,9 @@
     Cancels,
     /// `give_up`: clients stop waiting early.
     GiveUp,
+    /// `give_up` with cancels: clients stop waiting early, do not submit again and cancel the job. Drawn days
+    /// do not choose it.
+    GiveUpAndCancel,
 }
 
 impl FaultKind {
--- a/crates/simulation/src/world/clients.rs
+++ b/crates/simulation/src/world/clients.rs
@@ -21,6 +21,8 @@
 const MAX_CANCELS: u32 = 10;
 /// Longest pause between two reads of a job's state, in nanoseconds.
 const MAX_READ_PAUSE_NS: u64 = 8_000 * MS;
+/// How long a client that leaves and cancels waits for the answer to its submission, in milliseconds.
+const MS_BEFORE_CANCEL: std::ops::Range<u64> = 200..600;
 /// Size that an edge accounts for each request, in bytes.
 const REQUEST_SIZE_BYTES: usize = 2_000;
 
@@ -32,6 +34,8 @@
     in_flight: HashMap<usize, Vec<usize>>,
     /// Clients give up on submissions before their timeout.
     pub(super) leave_early: bool,
+    /// Clients give up on submissions before their timeout, do not repeat them, and cancel the job.
+    pub(super) leave_and_cancel: bool,
 }
 
 #[derive(Default)]
@@ -41,6 +45,8 @@
     reads: u32,
     accepted: bool,
     ended: bool,
+    /// The client cancels the job once it has stopped waiting for the answer to its submission.
+    cancels_after_leaving: bool,
 }
 
 impl World {
@@ -68,11 +74,18 @@
                 CallKind::Cancel
             }
         };
+        let leaves_and_cancels = self.clients.leave_and_cancel && kind == CallKind::Submit && self.rng.bool();
+        if let Some(state) = self.clients.jobs.get_mut(&job) {
+            state.cancels_after_leaving |= leaves_and_cancels;
+        }
         let plan = &self.history.jobs[&job];
         let (prefix, mut timeout) = (Queue::ALL[plan.queue].prefix.to_owned(), plan.timeout);
         if self.clients.leave_early && kind == CallKind::Submit && self.rng.f64() < 0.4 {
             timeout = ms(self.rng.u64(5..300));
         }
+        if leaves_and_cancels {
+            timeout = ms(self.rng.u64(MS_BEFORE_CANCEL));
+        }
         self.send_call(kind, job, prefix, timeout);
     }
 
@@ -146,8 +159,8 @@
             CallKind::Cancel => OneOfcall::cancel(CancelRequest { id: record.job }),
             CallKind::Count => OneOfcall::count(CountRequest {}),
         };
-        let passed = self.now.saturating_sub(record.sent_at);
-        let timeout_ms = (record.timeout.saturating_sub(passed) / MS) as u32;
+        // An edge counts a client's timeout from the time at which it reads the request.
+        let timeout_ms = (record.timeout / MS) as u32;
         ForwardRequest {
             host: HOST.to_owned(),
             path,
@@ -221,7 +234,7 @@
         let retry_delay = ms(self.rng.u64(80..400));
         let retries_rejected = self.rng.bool();
         let Some(state) = self.clients.jobs.get_mut(&job) else { return };
-        let tries_left = state.submits < MAX_SUBMITS;
+        let tries_left = state.submits < MAX_SUBMITS && state.cancels == 0 && !state.cancels_after_leaving;
         match answer {
             Answer::Done => {
                 let was_accepted = std::mem::replace(&mut state.accepted, true);
@@ -231,6 +244,9 @@
                 }
                 self.queue.push(at, Event::ClientSends { job, intent: Intent::Read });
             }
+            Answer::None if state.cancels_after_leaving => {
+                self.queue.push(self.now, Event::ClientSends { job, intent: Intent::Cancel });
+            }
             Answer::Unsure | Answer::None if tries_left => {
                 self.queue.push(self.now + retry_delay, Event::ClientSends { job, intent: Intent::Submit });
             }
--- a/crates/simulation/src/world/fault_injection/mod.rs
+++ b/crates/simulation/src/world/fault_injection/mod.rs
@@ -42,6 +42,7 @@
             AppliedLate => self.late_share = 0.0,
             AckLost => self.operator.lost_share = 0.0,
             GiveUp => self.clients.leave_early = false,
+            GiveUpAndCancel => self.clients.leave_and_cancel = false,
             DiskSlow(_) => touched.iter().for_each(|machine| self.cores[*machine].disk_factor = 1),
             DiskFull(_) => {
                 touched.iter().for_each(|machine| self.cores[*machine].directory.set_capacity(None));
@@ -85,6 +86,7 @@
             Poison => self.burst(fault, true),
             Cancels => self.cancel_many(fault),
             GiveUp => self.clients.leave_early = true,
+            GiveUpAndCancel => self.clients.leave_and_cancel = true,
             kind if kind.loses_core() => return self.inject_on_core(fault),
             _ => return self.inject_on_workers(fault),
         }
--- a/crates/simulation/tests/oracle.rs
+++ b/crates/simulation/tests/oracle.rs
@@ -165,6 +165,30 @@
     assert_eq!(cancelled(13), []);
 }
 
+/// A day on which the job is submitted at `submitted` and a cancel, sent at 10 s, is answered with 410. The job
+/// runs from 13 s on.
+fn cancelled_as_unknown(submitted: u64, further_submission: Option<Answer>) -> Vec<Rule> {
+    violations_after(move |day| {
+        day.calls.retain(|call| call.kind == CallKind::Submit);
+        day.calls[0].sent_at = submitted;
+        day.calls.push(call(CallKind::Cancel, 10 * SECOND, Answer::Gone));
+        day.calls.extend(further_submission.map(|answer| call(CallKind::Submit, 11 * SECOND, answer)));
+    })
+}
+
+#[test]
+fn detects_start_of_late_submission_after_cancellation_of_unknown_job() {
+    assert_eq!(cancelled_as_unknown(9 * SECOND, None), [Rule::Unasked]);
+    assert_eq!(cancelled_as_unknown(9 * SECOND, Some(Answer::Rejected)), [Rule::Unasked]);
+}
+
+#[test]
+fn allows_start_of_job_submitted_anew_after_cancellation_of_unknown_job() {
+    assert_eq!(cancelled_as_unknown(12 * SECOND, None), []);
+    assert_eq!(cancelled_as_unknown(9 * SECOND, Some(Answer::Done)), []);
+    assert_eq!(cancelled_as_unknown(9 * SECOND, Some(Answer::None)), []);
+}
+
 #[test]
 fn detects_run_continuing_after_cancellation() {
     let violated = violations_after(|day| {
