Edges: do not forward the first request of a client that has already left

Cause: the runtime assumes that an accepted socket is readable and reads it before the operating system has reported its state. The read succeeds, the end of the connection behind it is not known yet, and the request is forwarded in the same poll. On connections whose state was reported before, the server reads the end before it forwards, and always did.

Evidence: of the four tests of departed_clients.rs the one with a new connection fails without this change, the three with an earlier report pass; a trace of the reads shows `Ready 160 bytes`, then the forwarding, then the report of the end.

Change: the assumed readiness of an accepted socket is cleared, so that its first read waits for the report, which tells of bytes and end together. No further system call; a request that is there when its connection is accepted is read one turn of the loop later, others save a read that finds nothing.

--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
@@ -26,11 +27,25 @@
     socket.listen(BACKLOG)
 }
 
+/// Clears the readiness that the runtime assumes of an accepted socket. Must be called before the runtime polls
+/// for events, or it would clear a reported readiness.
+fn clear_assumed_readiness(stream: &TcpStream) {
+    let nothing_read = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+    // Always fails with `WouldBlock`, which is what clears the readiness.
+    let _ = stream.try_io(Interest::READABLE, nothing_read);
+}
+
 /// Waits for the next connection; retries after a failure.
+///
+/// The first read of the returned stream waits until the operating system has reported its state, which tells
+/// whether the peer has closed the connection behind the bytes that it sent.
 pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok((stream, _)) => {
+                clear_assumed_readiness(&stream);
+                return stream;
+            }
             Err(error) => {
                 log::debug!("cannot accept a connection ({error}), retrying");
                 sleep(ACCEPT_RETRY_DELAY).await;
