Edges: answer waiting requests whose time passed during a freeze, instead of sending them

What callers saw: a submission that waited for a leader at an edge could be sent after its client's time was over, if the edge process stood still meanwhile and a frame of the leader was handled before the timer.

Cause: only the timer answers requests whose time is over; the handling of frames sends whatever waits.

Evidence: request_whose_time_passed_during_a_freeze_is_answered_and_not_sent fails before (the submission is sent 3 s after it came, with a timeout of 3 s), and passes now. Requests that still have time are sent as before, also those that have waited for a leader longer than usual.

--- a/crates/data-plane/src/upstream/requests.rs
+++ b/crates/data-plane/src/upstream/requests.rs
@@ -342,6 +342,14 @@
         Some((token, entry))
     }
 
+    /// Removes and returns the requests that wait for a leader and have to be answered by now.
+    pub fn take_expired_waiting(&mut self, now: u64) -> Vec<(u64, Entry)> {
+        let is_expired =
+            |token: &u64| self.entries.get(token).is_some_and(|entry| entry.answer_deadline <= now);
+        let expired: Vec<u64> = self.waiting.iter().copied().filter(is_expired).collect();
+        expired.into_iter().filter_map(|token| Some((token, self.remove(token)?))).collect()
+    }
+
     /// Removes and returns the request with the earliest due time.
     pub fn take_first(&mut self) -> Option<(u64, Entry)> {
         self.take_due(u64::MAX)
--- a/crates/data-plane/src/upstream/state.rs
+++ b/crates/data-plane/src/upstream/state.rs
@@ -239,7 +239,8 @@
         self.send_waiting(now, out);
     }
 
-    /// Sends the requests that wait for a leader if the leader is reachable and responsive.
+    /// Sends the requests that wait for a leader if the leader is reachable and responsive. Requests
+    /// whose time has passed are answered instead: after a freeze, an event may be handled before the timer.
     fn send_waiting(&mut self, now: u64, out: &mut Vec<UpstreamOutput>) {
         if !self.requests.any_waiting() || now < self.leader.backoff_until() {
             return;
@@ -249,12 +250,18 @@
         else {
             return;
         };
+        for (token, entry) in self.requests.take_expired_waiting(now) {
+            out.push(UpstreamOutput::Answer { token, reply: entry.answer_without_reply() });
+        }
         let mut bytes = Vec::new();
         let mut sent = 0;
         while let Some(entry) = self.requests.send_next(connection) {
             encode_frame(entry.frame(now), &mut bytes);
             sent += 1;
         }
+        if sent == 0 {
+            return;
+        }
         if let Some(open) = self.leader_link() {
             (0..sent).for_each(|_| open.sent(now));
         }
--- a/crates/data-plane/tests/upstream.rs
+++ b/crates/data-plane/tests/upstream.rs
@@ -122,6 +122,24 @@
     assert_eq!(simulated.outcome(token), Some(Outcome::UNAVAILABLE));
 }
 
+/// Guards against a submission that is sent although its time is over: the process was frozen while the
+/// request waited, and a pong of the leader is handled before the timer.
+#[test]
+fn request_whose_time_passed_during_a_freeze_is_answered_and_not_sent() {
+    let mut simulated = Simulated::with_leader(&SEEDS, 1, 1);
+    let connection = simulated.connection_to(1).unwrap();
+    simulated.count(20 * CLIENT_TIMEOUT_MS);
+    simulated.advance(700 * MS);
+    let (late, patient) = (simulated.submit(CLIENT_TIMEOUT_MS), simulated.submit(20 * CLIENT_TIMEOUT_MS));
+    assert!(!simulated.sends.contains_key(&late) && !simulated.sends.contains_key(&patient));
+    simulated.now += u64::from(CLIENT_TIMEOUT_MS) * MS;
+    simulated.pong(connection);
+    assert!(!simulated.sends.contains_key(&late));
+    assert_eq!(simulated.outcome(late), Some(Outcome::UNAVAILABLE));
+    assert_eq!(simulated.outcome(patient), None);
+    assert_eq!(simulated.sends[&patient], [connection]);
+}
+
 #[test]
 fn repeated_not_leader_replies_delay_no_answer() {
     let mut simulated = Simulated::with_leader(&SEEDS, 1, 1);
