Gateway in service: a test of requests whose clients left while the process was stopped

The gateway holds already: it decides a turn after it has read the request and asks the socket for its end meanwhile. The test passes without a change of the product.

--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -308,6 +308,26 @@
     }
 }
 
+/// Guards against a request that is read late: it was sent on a new connection while the process was stopped,
+/// and its client has left since.
+#[test]
+fn does_not_forward_request_of_client_that_disconnected_while_the_process_was_stopped() {
+    let backend = Backend::good();
+    let discovery = Discovery::new(list(1, true, &[("s-1", backend.address, "Ready")]));
+    let gateway = Gateway::start(&discovery);
+    while gateway.client().ask(READY).status() != 200 {}
+    gateway.signal("-STOP");
+    let (mut leaves, mut stays) = (gateway.client(), gateway.client());
+    leaves.send(&ask("quote").text());
+    drop(leaves);
+    let expected = ask("book-slot");
+    stays.send(&expected.text());
+    gateway.signal("-CONT");
+    assert_eq!(stays.answer().status(), 200);
+    assert_eq!(backend.next().header("request-id"), Some(expected.id.as_str()));
+    assert!(backend.untouched(), "forwarded after its client disconnected");
+}
+
 /// The connection ends with a reset while the request waits for a server.
 #[test]
 fn does_not_forward_request_after_client_reset() {
