Soak: clients that leave and cancel, and processes paused through a series of faults

Change: three clients submit, leave after 50 to 500 ms without an answer and cancel at other edges, half of the time at the edge that is paused. A fault of a series pauses an edge, sometimes a core machine too, until the series ends; other faults go on meanwhile. At the end each of up to 60 cancelled jobs must be unknown or cancelled, and one that was answered with "no such job" must not be accepted. Seeds that are multiples of 25 have 150 edges.

--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -1,6 +1,7 @@
 //! The clients and the operator, each on its own thread, and the record of their calls.
 
 use crate::http::{call_operator_api, Answer, Connection, Failure};
+use crate::soak_run::ATTEMPT_TIMEOUT;
 use fastrand::Rng;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, MutexGuard};
@@ -14,6 +15,12 @@
 const STATUS_PATH: &str = "/v1/admin/status";
 const ACCEPTED: u16 = 200;
 const UNKNOWN_JOB: u16 = 410;
+/// The answer to a submission that was not taken.
+const UNAVAILABLE: u16 = 503;
+/// Shortest and longest time that a client which leaves and cancels waits for its submission's answer.
+const PATIENCE_MS: std::ops::Range<u64> = 50..500;
+/// Longest time for which a client repeats a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(20);
 /// An answer with this status or a higher one does not tell whether a change took effect.
 const FIRST_UNCLEAR_STATUS: u16 = 500;
 /// A job of two tasks. It stays pending because there are no workers.
@@ -30,6 +37,11 @@
     pub cut: u64,
     /// Jobs that were accepted.
     pub accepted: Vec<String>,
+    /// Jobs whose cancellation was acknowledged after their client had left without an answer to the
+    /// submission, and whether the acknowledgement said that there is no such job.
+    pub cancelled: Vec<(String, bool)>,
+    /// The edge that is paused, if any.
+    pub paused_edge: Option<SocketAddr>,
     /// Version of the newest acknowledged configuration.
     pub version: u64,
     /// Number of acknowledged configuration changes.
@@ -54,7 +66,7 @@
     }
 
     /// Changes the record and wakes the threads that wait for a change.
-    fn update(&self, change: impl FnOnce(&mut CallRecord)) {
+    pub fn update(&self, change: impl FnOnce(&mut CallRecord)) {
         change(&mut self.calls());
         self.changed.notify_all();
     }
@@ -104,6 +116,7 @@
 enum ClientCall {
     Submit(String),
     Read(String),
+    Cancel(String),
 }
 
 impl ClientCall {
@@ -120,6 +133,7 @@
         match self {
             ClientCall::Submit(job) => connection.call("POST", &format!("{PREFIX}{job}"), &head, JOB),
             ClientCall::Read(job) => connection.call("GET", &format!("{PREFIX}{job}"), &head, ""),
+            ClientCall::Cancel(job) => connection.call("DELETE", &format!("{PREFIX}{job}"), &head, ""),
         }
     }
 }
@@ -153,6 +167,76 @@
     }
 }
 
+/// Submits jobs until the run is finished. Leaves if the answer does not arrive soon, and cancels the job at
+/// other edges. Prefers the edge that is paused.
+pub fn run_departing_client(record: &SharedRecord, edges: &[SocketAddr], mut rng: Rng) {
+    while !record.is_finished() {
+        let paused_edge = record.calls().paused_edge;
+        let edge = paused_edge.filter(|_| rng.bool()).unwrap_or(edges[rng.usize(0..edges.len())]);
+        let job = format!("{:016x}", rng.u64(..));
+        let patience = Duration::from_millis(rng.u64(PATIENCE_MS));
+        let Ok(mut connection) = Connection::open_with_timeout(edge, patience) else { continue };
+        let submission = ClientCall::Submit(job.clone());
+        match submission.send(&mut connection) {
+            Ok(answer) => record.update(|calls| calls.record_answer(&answer, &submission)),
+            Err(Failure::Timeout) => {
+                drop(connection);
+                cancel_elsewhere(record, edges, edge, job, &mut rng);
+            }
+            Err(failure) => record.update(|calls| calls.record_failure(&failure, edge)),
+        }
+    }
+}
+
+/// Cancels a job at other edges than `edge` until the cancellation is acknowledged.
+fn cancel_elsewhere(
+    record: &SharedRecord,
+    edges: &[SocketAddr],
+    edge: SocketAddr,
+    job: String,
+    rng: &mut Rng,
+) {
+    let deadline = Instant::now() + CANCEL_TIMEOUT;
+    let call = ClientCall::Cancel(job.clone());
+    while Instant::now() < deadline && !record.is_finished() {
+        let other = edges[rng.usize(0..edges.len())];
+        if other == edge {
+            continue;
+        }
+        let Ok(mut connection) = Connection::open_with_timeout(other, ATTEMPT_TIMEOUT) else { continue };
+        let Ok(answer) = call.send(&mut connection) else { continue };
+        if matches!(answer.status, ACCEPTED | UNKNOWN_JOB) {
+            record.update(|calls| calls.cancelled.push((job, answer.status == UNKNOWN_JOB)));
+            return;
+        }
+    }
+}
+
+/// Checks a job whose cancellation was acknowledged: it must be unknown or cancelled, and a submission after
+/// "no such job" must not be accepted. `None` without a clear answer.
+pub fn check_cancelled_job(edge: SocketAddr, job: &str, was_unknown: bool) -> Option<Result<(), String>> {
+    let ask = |call: ClientCall| {
+        let mut connection = Connection::open_with_timeout(edge, ATTEMPT_TIMEOUT).ok()?;
+        call.send(&mut connection).ok()
+    };
+    let shown = ask(ClientCall::Read(job.to_owned()))?;
+    let is_cancelled = shown.status == UNKNOWN_JOB || shown.body.contains("cancelled");
+    if shown.status != ACCEPTED && shown.status != UNKNOWN_JOB {
+        return None;
+    }
+    if !is_cancelled {
+        return Some(Err(format!("job {job} was cancelled and is shown as {}", shown.body)));
+    }
+    if !was_unknown || shown.status != UNKNOWN_JOB {
+        return Some(Ok(()));
+    }
+    match ask(ClientCall::Submit(job.to_owned()))?.status {
+        ACCEPTED => Some(Err(format!("job {job} is accepted after its cancellation as an unknown job"))),
+        UNAVAILABLE => Some(Ok(())),
+        _ => None,
+    }
+}
+
 fn configuration(version: u64) -> String {
     format!(
         r#"{{"Version":{version},"Routes":[{{"Name":"r","Host":"{HOST}","PathPrefix":"{PREFIX}","RouteType":"non_idempotent","TimeoutMs":{},"TargetLatencyMs":1000,"Priority":1,"Backend":"s","MaxRetries":3,"Stretch":2.2}}],"Backends":[{{"Name":"s","HealthCheck":"/healthz","MaxConnections":64,"Protocol":"h1","Tls":false,"Guards":true}}]}}"#,
--- a/crates/node/tests/soak/http.rs
+++ b/crates/node/tests/soak/http.rs
@@ -38,8 +38,13 @@
 
 impl Connection {
     pub fn open(address: SocketAddr) -> Result<Self, Failure> {
-        let stream = TcpStream::connect_timeout(&address, IO_TIMEOUT).map_err(|_| Failure::NotConnected)?;
-        stream.set_read_timeout(Some(IO_TIMEOUT)).map_err(|_| Failure::NotConnected)?;
+        Connection::open_with_timeout(address, IO_TIMEOUT)
+    }
+
+    /// Opens a connection; `timeout` limits the opening and the wait for the next bytes of an answer.
+    pub fn open_with_timeout(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
+        let stream = TcpStream::connect_timeout(&address, timeout).map_err(|_| Failure::NotConnected)?;
+        stream.set_read_timeout(Some(timeout)).map_err(|_| Failure::NotConnected)?;
         Ok(Connection { address, stream })
     }
 
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! changes, while clients keep using their open connections.
 //!
 //! Checks that no process ends by itself, that the system serves after each series, that nothing acknowledged
-//! is lost, and that a process that receives SIGTERM ends with success within the grace period.
+//! is lost, that no job is accepted after its cancellation was acknowledged, and that a process that receives
+//! SIGTERM ends with success within the grace period.
 //!
 //! `SOAK_SEEDS=1-50 cargo test -p sprucehatch-node --test soak -- --nocapture` runs other seeds than the
 //! default ones.
--- a/crates/node/tests/soak/soak_run.rs
+++ b/crates/node/tests/soak/soak_run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak test: series of faults, after each of which the system has to serve again.
 
-use crate::clients::{knows_job, read_member_status, read_version, run_client, run_operator};
+use crate::clients::{check_cancelled_job, knows_job, read_member_status, read_version};
+use crate::clients::{run_client, run_departing_client, run_operator};
 use crate::clients::{CallRecord, MemberStatus, SharedRecord};
 use crate::process::{Process, SignalName};
 use crate::site::{Role, Site, MEMORY_LIMIT_MB};
@@ -13,10 +14,20 @@
 /// Number of faults in a series, which follow one another without a pause.
 const FAULTS_PER_SERIES: std::ops::RangeInclusive<usize> = 3..=9;
 const CLIENTS: usize = 6;
+/// Clients that leave without an answer and cancel their jobs.
+const DEPARTING_CLIENTS: usize = 3;
+/// Number of cancellations to wait for while an edge is paused, and the longest wait for them.
+const CANCELS_DURING_A_PAUSE: usize = 2;
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Maximum number of cancelled jobs that are checked at the end.
+const CANCELLED_JOBS_TO_CHECK: usize = 60;
 /// Every seed that is a multiple of this gets a large run, with as many processes as a small machine can run.
 const LARGE_RUN_INTERVAL: u64 = 5;
+/// Every seed that is a multiple of this gets a run with as many processes as the addresses allow.
+const LARGEST_RUN_INTERVAL: u64 = 25;
 const EDGES: usize = 4;
 const EDGES_OF_A_LARGE_RUN: usize = 40;
+const EDGES_OF_THE_LARGEST_RUN: usize = 150;
 /// Timeout for the system to serve again after a series.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Number of successful answers after which the system counts as serving.
@@ -24,7 +35,7 @@
 /// Share of a core that a process may use while clients are served without faults.
 const MAX_PROCESSOR_SHARE: f64 = 0.9;
 /// Timeout of one attempt to ask an edge for a job.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+pub const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which a client detects that its edge was killed.
 const KILL_DETECTION_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of accepted jobs that are checked at the end.
@@ -36,15 +47,21 @@
     site: Site,
     /// Whether disks were lost at the first start.
     has_lost_disks: bool,
+    /// Machines whose processes are paused until the end of the series.
+    paused: Vec<usize>,
 }
 
 /// Runs a seed; panics with a description of the faults found.
 pub fn run_seed(seed: u64) {
     let mut rng = Rng::with_seed(seed);
     let cores = if rng.bool() { 3 } else { 5 };
-    let is_large = seed % LARGE_RUN_INTERVAL == 0;
-    let edges = if is_large { EDGES_OF_A_LARGE_RUN } else { EDGES };
-    let mut run = SoakRun { seed, site: Site::new(seed, cores, edges), rng, has_lost_disks: false };
+    let edges = match seed {
+        seed if seed % LARGEST_RUN_INTERVAL == 0 => EDGES_OF_THE_LARGEST_RUN,
+        seed if seed % LARGE_RUN_INTERVAL == 0 => EDGES_OF_A_LARGE_RUN,
+        _ => EDGES,
+    };
+    let mut run =
+        SoakRun { seed, site: Site::new(seed, cores, edges), rng, has_lost_disks: false, paused: Vec::new() };
     let record = SharedRecord::default();
     let (controls, client_addresses) = (run.site.controls(), run.site.client_addresses());
     let began = Instant::now();
@@ -54,6 +71,10 @@
             let (rng, client_addresses, record) = (run.rng.fork(), &client_addresses, &record);
             scope.spawn(move || run_client(record, client_addresses, rng));
         }
+        for _ in 0..DEPARTING_CLIENTS {
+            let (rng, client_addresses, record) = (run.rng.fork(), &client_addresses, &record);
+            scope.spawn(move || run_departing_client(record, client_addresses, rng));
+        }
         let (rng, operator, record) = (run.rng.fork(), &controls, &record);
         scope.spawn(move || run_operator(record, operator, rng));
         let outcome = run.run(record);
@@ -65,11 +86,13 @@
     run.check_state(&calls).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     run.stop_all().unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     println!(
-        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {:.1} s",
+        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {} cancelled after leaving, {} of them unknown, {:.1} s",
         calls.served,
         calls.refused,
         calls.cut,
         calls.changes,
+        calls.cancelled.len(),
+        calls.cancelled.iter().filter(|(_, was_unknown)| *was_unknown).count(),
         began.elapsed().as_secs_f64(),
     );
 }
@@ -100,8 +123,9 @@
         for _ in 0..SERIES {
             let faults = self.rng.usize(FAULTS_PER_SERIES);
             for _ in 0..faults {
-                self.inject_fault()?;
+                self.inject_fault(record)?;
             }
+            self.end_pauses(record);
             self.wait_for_service(record)?;
         }
         if self.has_lost_disks {
@@ -141,7 +165,7 @@
     }
 
     /// Injects one random fault, at a core machine or at an edge.
-    fn inject_fault(&mut self) -> Result<(), String> {
+    fn inject_fault(&mut self, record: &SharedRecord) -> Result<(), String> {
         self.check_exits()?;
         let cores = self.site.cores;
         let machine = if self.rng.bool() {
@@ -149,7 +173,7 @@
         } else {
             self.rng.usize(cores..self.site.machines.len())
         };
-        match self.rng.u8(0..10) {
+        match self.rng.u8(0..12) {
             0 | 1 => self.site.kill(machine),
             2 => {
                 self.site.kill(machine);
@@ -168,11 +192,36 @@
                 self.site.signal(machine, SignalName::Continue);
             }
             8 => (0..cores).for_each(|core| self.site.kill(core)),
+            9 | 10 => self.pause_edge_while_clients_leave(record),
             _ => self.site.start_all(),
         }
         Ok(())
     }
 
+    /// Pauses an edge, and sometimes a core machine too, until the end of the series. Waits until clients that
+    /// have left have cancelled their jobs elsewhere.
+    fn pause_edge_while_clients_leave(&mut self, record: &SharedRecord) {
+        if self.rng.u8(0..4) == 0 {
+            let core = self.rng.usize(0..self.site.cores);
+            self.site.signal(core, SignalName::Pause);
+            self.paused.push(core);
+        }
+        let number = self.rng.usize(self.site.cores..self.site.machines.len());
+        self.site.signal(number, SignalName::Pause);
+        self.paused.push(number);
+        let address = self.site.client_addresses()[number - self.site.cores];
+        let wanted = record.calls().cancelled.len() + CANCELS_DURING_A_PAUSE;
+        record.update(|calls| calls.paused_edge = Some(address));
+        record.wait_until(LONGEST_PAUSE, |calls| calls.cancelled.len() >= wanted);
+    }
+
+    fn end_pauses(&mut self, record: &SharedRecord) {
+        record.update(|calls| calls.paused_edge = None);
+        for machine in std::mem::take(&mut self.paused) {
+            self.site.signal(machine, SignalName::Continue);
+        }
+    }
+
     /// Restarts ended processes until clients are served and a configuration change is acknowledged.
     fn wait_for_service(&mut self, record: &SharedRecord) -> Result<(), String> {
         let deadline = Instant::now() + SERVICE_TIMEOUT;
@@ -245,10 +294,30 @@
                 None => return Err(format!("no edge answers a read of job {job}\n{}", self.logs())),
             }
         }
+        self.check_cancelled_jobs(calls)?;
         self.check_truncated_answers(calls)?;
         self.check_exits()
     }
 
+    /// Checks that no job has been accepted after its cancellation was acknowledged.
+    fn check_cancelled_jobs(&mut self, calls: &CallRecord) -> Result<(), String> {
+        let client_addresses = self.site.client_addresses();
+        let mut jobs = calls.cancelled.clone();
+        self.rng.shuffle(&mut jobs);
+        for (number, (job, was_unknown)) in jobs.iter().take(CANCELLED_JOBS_TO_CHECK).enumerate() {
+            let edge = client_addresses[number % client_addresses.len()];
+            let deadline = Instant::now() + SERVICE_TIMEOUT;
+            let mut checked = None;
+            while checked.is_none() && Instant::now() < deadline {
+                self.check_exits()?;
+                self.site.start_all();
+                checked = check_cancelled_job(edge, job, *was_unknown);
+            }
+            checked.unwrap_or_else(|| Err(format!("no edge answers about the cancelled job {job}")))?;
+        }
+        Ok(())
+    }
+
     /// Asks an edge whether it knows a job. Restarts edges that end in the meantime because of an earlier
     /// SIGTERM.
     fn ask_for_job(&mut self, edge: SocketAddr, job: &str) -> Result<Option<bool>, String> {
