Split the commands of a turn into log entries that other members accept

Cause: all commands of a turn became one log entry, whatever its size; the other members refuse a frame above 8 MiB and close the connection, each time, and all later entries wait behind this one.

Change: log_records::batch_payloads, used by the control role and the simulation, splits a turn in order into payloads of 1 MiB at most, or one command.

--- a/crates/control/src/driver/leadership.rs
+++ b/crates/control/src/driver/leadership.rs
@@ -106,7 +106,7 @@
     /// Executes an output of the leader.
     pub(super) fn execute(&mut self, now: u64, output: Output) {
         match output {
-            Output::Propose { batch } => self.propose(now, &batch),
+            Output::Propose { batch } => self.propose(now, batch),
             Output::Reply { token, reply } => {
                 let has_lease = self.replica.has_lease(self.clock.now());
                 self.clients.answer(token, client_reply_under_lease(reply, has_lease));
--- a/crates/control/src/driver/mod.rs
+++ b/crates/control/src/driver/mod.rs
@@ -483,10 +483,12 @@
         }
     }
 
-    /// Proposes a batch to the replicated log.
-    pub(crate) fn propose(&mut self, now: u64, batch: &messages::job::CommandBatch) {
-        self.metrics.proposed(now);
-        self.replica.propose(now, batch, &mut self.effects);
+    /// Proposes a batch to the replicated log, as one entry or, if it is large, as several.
+    pub(crate) fn propose(&mut self, now: u64, batch: messages::job::CommandBatch) {
+        for payload in log_records::batch_payloads(batch) {
+            self.metrics.proposed(now);
+            self.replica.propose(now, payload, &mut self.effects);
+        }
     }
 
     /// Connects to the current members and the seeds; to all contacts while this process is not a member.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -133,9 +133,9 @@
         std::mem::take(&mut self.messages)
     }
 
-    /// Proposes a batch of commands.
-    pub fn propose(&mut self, now: u64, batch: &CommandBatch, effects: &mut VecDeque<Effect>) {
-        self.handle(now, Event::Propose { payload: encode(batch) }, effects);
+    /// Proposes the payload of an entry.
+    pub fn propose(&mut self, now: u64, payload: Vec<u8>, effects: &mut VecDeque<Effect>) {
+        self.handle(now, Event::Propose { payload }, effects);
     }
 
     /// Records that a snapshot of this process is durable, so that consensus can compact its log.
--- a/crates/log-records/src/lib.rs
+++ b/crates/log-records/src/lib.rs
@@ -7,10 +7,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod batch_payloads;
 mod log_write;
 mod merge;
 mod records;
 
+pub use batch_payloads::{batch_payloads, MAX_BATCH_PAYLOAD_BYTES};
 pub use log_write::{LogChange, LogWrite};
 pub use merge::{merge_batch, MAX_MERGED_ENTRIES};
 pub use records::{
--- a/crates/messages/src/framing.rs
+++ b/crates/messages/src/framing.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Returns the number of bytes of a message without a length field.
+pub fn encoded_len<M: MessageWrite>(message: &M) -> usize {
+    message.get_size()
+}
+
 /// Encodes one message without a length field.
 pub fn encode<M: MessageWrite>(message: &M) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(message.get_size());
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -26,6 +26,6 @@
 mod nested;
 
 pub use framing::{
-    decode, encode, encode_frame, FrameError, FrameReader, FRAME_HEADER_BYTES, MAX_FRAME_BYTES,
+    decode, encode, encode_frame, encoded_len, FrameError, FrameReader, FRAME_HEADER_BYTES, MAX_FRAME_BYTES,
 };
 pub use generated::{job, peer};
--- a/crates/mutants/src/list/snapshots.rs
+++ b/crates/mutants/src/list/snapshots.rs
@@ -87,4 +87,12 @@
             replace: "        self.try_repair();",
             test: "-p storage --test faults",
         },
+        Mutant {
+            name: "all-commands-of-a-turn-in-one-entry",
+            point: 4,
+            file: "crates/log-records/src/batch_payloads.rs",
+            find: "if payload.len() <= MAX_BATCH_PAYLOAD_BYTES || batch.commands.len() < 2 {",
+            replace: "if payload.len() <= usize::MAX || batch.commands.len() < 2 {",
+            test: "-p log-records --test batch_payloads large_jobs_of_one_turn_are_spread_over_several_entries",
+        },
 ];
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -71,7 +71,9 @@
     pub(super) fn execute(&mut self, output: Output) {
         match output {
             Output::Propose { batch } => {
-                self.node_event(consensus::Event::Propose { payload: messages::encode(&batch) });
+                for payload in log_records::batch_payloads(batch) {
+                    self.node_event(consensus::Event::Propose { payload });
+                }
             }
             Output::Reply { token, reply } => {
                 self.answer_client(token, client_reply_under_lease(reply, self.has_lease()));
