Put the retention times of the state into a module of their own

The module of tombstones took the retention time of ended jobs from its parent, which imports it: a circle of files, which acyclic_crates_have_no_import_cycles refuses. No behaviour changes.

--- a/crates/scheduler/src/state/cancel_tombstones.rs
+++ b/crates/scheduler/src/state/cancel_tombstones.rs
@@ -9,9 +9,7 @@
 
 use messages::job::{CancelTombstone, QueueTombstones};
 
-/// How long a tombstone is retained, by the replicated clock, in milliseconds. Equals the retention time of
-/// ended jobs: a late submission meets either the record of its cancelled job or a tombstone.
-pub const CANCEL_TOMBSTONE_RETENTION_MS: u64 = super::ENDED_JOB_RETENTION_MS;
+use super::retention::CANCEL_TOMBSTONE_RETENTION_MS;
 
 /// A cancel of one ID in one queue.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod ends;
 mod error;
 mod job;
+mod retention;
 mod snapshot;
 mod starts;
 mod submissions;
@@ -24,12 +25,12 @@
 
 use crate::ids::StepKey;
 
-pub use cancel_tombstones::CANCEL_TOMBSTONE_RETENTION_MS;
 pub use change::{AttemptOutcome, StateChange};
 pub use configuration::AcceptedConfiguration;
 pub use digest::{ConfigurationDigest, ConfigurationKey};
 pub use error::{SnapshotError, UncommittedCall};
 pub use job::{Job, JobRepeat, Work};
+pub use retention::{CANCEL_TOMBSTONE_RETENTION_MS, ENDED_JOB_RETENTION_MS};
 pub use task::{ActiveAttempt, Task};
 pub use workers::Worker;
 
@@ -37,10 +38,6 @@
 use configuration::ConfigurationHistory;
 use workers::Workers;
 
-/// How long an ended job is retained, by the replicated clock. This is over twice the documented `status_s`
-/// (120 s), to allow for clock jumps and for clients that ask at the end of a day.
-pub const ENDED_JOB_RETENTION_MS: u64 = 300_000;
-
 /// Configuration, jobs and workers after the commands applied so far.
 #[derive(Debug, Default, Clone)]
 pub struct State {
