--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -141,7 +141,7 @@
     Ok(Response { status, head, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
-/// Serves HTTP on `address`, a thread a connection, until the process ends.
+/// Serves HTTP, a thread a connection, until the process ends. Status 0: the connection ends without an answer.
 fn serve(
     listener: TcpListener,
     handle: impl Fn(&str, &str, &str) -> (u16, String) + Send + Sync + 'static,
@@ -157,6 +157,9 @@
                 while let Ok(Some((head, body))) = read_message(&mut stream, &mut rest) {
                     let path = head.split(' ').nth(1).unwrap_or("").to_owned();
                     let (status, answer) = handle(&path, &head, &String::from_utf8_lossy(&body));
+                    if status == 0 {
+                        return;
+                    }
                     let answer = format!(
                         "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
                         answer.len()
@@ -239,6 +242,10 @@
     state: Mutex<WorkerState>,
     ended: Condvar,
     history: Arc<Mutex<History>>,
+    /// While it is set, the worker is cut off: it receives and answers nothing, and runs on.
+    pub cut: AtomicBool,
+    /// The checkpoint that each run has, empty for none.
+    checkpoint: String,
 }
 
 impl Worker {
@@ -287,6 +294,12 @@
     }
 
     fn handle(&self, path: &str, head: &str, body: &str) -> (u16, String) {
+        if self.cut.load(Ordering::SeqCst) {
+            while self.cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            return (0, String::new());
+        }
         if path == "/healthz" {
             return (200, "{}".into());
         }
@@ -369,12 +382,13 @@
                 length => (run.began.elapsed().as_millis() as u64 * 100 / length.max(1)).min(99),
             };
             let comma = if at > 0 { "," } else { "" };
-            answer.push_str(&format!("{comma}[\"{task}\",{attempt},\"\",{percent}]"));
+            answer.push_str(&format!("{comma}[\"{task}\",{attempt},\"{}\",{percent}]", self.checkpoint));
         }
         answer.push_str("],\"Finished\":[");
         for (at, (number, task, attempt, how)) in state.ended.iter().take(500).enumerate() {
             let comma = if at > 0 { "," } else { "" };
-            answer.push_str(&format!("{comma}[{number},\"{task}\",{attempt},\"{how}\",\"\"]"));
+            let saved = if *how == "done" { "" } else { self.checkpoint.as_str() };
+            answer.push_str(&format!("{comma}[{number},\"{task}\",{attempt},\"{how}\",\"{saved}\"]"));
         }
         answer.push_str("]}");
         answer
@@ -397,11 +411,21 @@
     pub worker_mem_mb: u64,
     pub guards: bool,
     pub log: &'static str,
+    /// Length of the checkpoint of each run.
+    pub checkpoint_bytes: usize,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { edges: 3, workers: 8, worker_cpu: 32_000, worker_mem_mb: 65_536, guards: false, log: "info" }
+        Options {
+            edges: 3,
+            workers: 8,
+            worker_cpu: 32_000,
+            worker_mem_mb: 65_536,
+            guards: false,
+            log: "info",
+            checkpoint_bytes: 0,
+        }
     }
 }
 
@@ -461,6 +485,8 @@
                 }),
                 ended: Condvar::new(),
                 history: history.clone(),
+                cut: AtomicBool::new(false),
+                checkpoint: "c".repeat(options.checkpoint_bytes),
             });
             let of_thread = worker.clone();
             serve(listener, move |path, head, body| of_thread.handle(path, head, body));
