Review: a queue's count leaves out jobs of which no task has begun

Added: case 7, with servers of a second kind that refuse starts in the stand-ins. A job counts as begun from the commit of the intent to start a task, also when the server then refuses the start.

--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -244,6 +244,8 @@
     history: Arc<Mutex<History>>,
     /// While it is set, the worker is cut off: it receives and answers nothing, and runs on.
     pub cut: AtomicBool,
+    /// While it is set, the worker refuses each start with 503, as an unhealthy one does; its health check is good.
+    pub refuses: AtomicBool,
     /// The checkpoint that each run has, empty for none.
     checkpoint: String,
 }
@@ -314,6 +316,9 @@
         }
         state.fence = fence;
         match path {
+            "/v1/run-start" if self.refuses.load(Ordering::SeqCst) => {
+                (503, format!("{{\"NowMs\":{}}}", self.now_ms()))
+            }
             "/v1/run-start" => self.start(&mut state, body),
             "/v1/run-stop" => {
                 let key = (text(body, "TaskId").unwrap_or_default(), number(body, "Attempt").unwrap_or(0));
@@ -413,6 +418,8 @@
     pub log: &'static str,
     /// Length of the checkpoint of each run.
     pub checkpoint_bytes: usize,
+    /// Number of workers of kind "b", the last ones; the others are of kind "a".
+    pub workers_b: usize,
 }
 
 impl Default for Options {
@@ -425,6 +432,7 @@
             guards: false,
             log: "info",
             checkpoint_bytes: 0,
+            workers_b: 0,
         }
     }
 }
@@ -486,6 +494,7 @@
                 ended: Condvar::new(),
                 history: history.clone(),
                 cut: AtomicBool::new(false),
+                refuses: AtomicBool::new(false),
                 checkpoint: "c".repeat(options.checkpoint_bytes),
             });
             let of_thread = worker.clone();
@@ -503,8 +512,14 @@
             .enumerate()
             .map(|(at, worker)| {
                 format!(
-                    "{{\"Id\":\"{}\",\"Backend\":\"svc\",\"Address\":\"{}\",\"Zone\":\"z{}\",\"Version\":\"v1\",\"Capacity\":8,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Available\":{{\"Cpu\":{},\"MemMb\":{},\"Gpu\":0}},\"Labels\":[\"a\",\"{}\"]}}",
-                    worker.instance, worker.address, at % 3 + 1, options.worker_cpu, options.worker_mem_mb, worker.rack
+                    "{{\"Id\":\"{}\",\"Backend\":\"svc\",\"Address\":\"{}\",\"Zone\":\"z{}\",\"Version\":\"v1\",\"Capacity\":8,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Available\":{{\"Cpu\":{},\"MemMb\":{},\"Gpu\":0}},\"Labels\":[\"{}\",\"{}\"]}}",
+                    worker.instance,
+                    worker.address,
+                    at % 3 + 1,
+                    options.worker_cpu,
+                    options.worker_mem_mb,
+                    if at + options.workers_b < options.workers { "a" } else { "b" },
+                    worker.rack
                 )
             })
             .collect();
