--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -10,6 +10,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -437,6 +438,15 @@
     }
 }
 
+extern "C" {
+    fn prctl(option: i32, value: u64, third: u64, fourth: u64, fifth: u64) -> i32;
+}
+/// `PR_SET_PDEATHSIG`: the kernel signals the calling process when its parent ends.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+/// A case ends after this time at the latest.
+const LONGEST: Duration = Duration::from_secs(118);
+
 pub struct Process {
     pub name: String,
     pub child: Child,
@@ -573,7 +583,16 @@
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings)?;
         let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        // No process is left over, however this one ends.
+        // SAFETY: the closure makes one system call and touches no memory of the parent.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command
             .args([role, "--log", self.options.log])
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
@@ -892,6 +911,12 @@
             std::process::exit(2);
         }
     };
+    let of_thread = record.clone();
+    thread::spawn(move || {
+        thread::sleep(LONGEST);
+        of_thread.line("result: the case took too long");
+        std::process::exit(2);
+    });
     record.line(if with_trouble() { "with the disruption" } else { "TROUBLE=0: without the disruption" });
     let code = match case(&root, &record) {
         Ok(true) => {
