--- a/review/4/main.rs
+++ b/review/4/main.rs
@@ -10,11 +10,11 @@
 
 const QUEUE: &str = "/rolls/";
 const CLIENTS: u64 = 8;
-/// 40 jobs a second in all; the site has about 52.
-const PAUSE: Duration = Duration::from_millis(200);
-const TRAFFIC: Duration = Duration::from_secs(30);
-/// One job of 20 can never be done: a share of 0.05.
-const HOPELESS_OF: u64 = 20;
+/// About 49 jobs a second in all; the site has about 52.
+const PAUSE: Duration = Duration::from_millis(160);
+const TRAFFIC: Duration = Duration::from_secs(45);
+/// One job of 34 can never be done: a share of 0.029.
+const HOPELESS_OF: u64 = 34;
 const TASKS: usize = 2;
 const CPU: u64 = 500;
 const WORKERS: usize = 8;
@@ -78,9 +78,13 @@
             return Err(std::io::Error::other(text));
         }
         let ended = Instant::now();
-        let jobs: Vec<Job> = clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
+        let jobs: Vec<Job> =
+            clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
         let hopeless = jobs.iter().filter(|job| job.is_hopeless).count();
-        record.line(&format!("{} jobs were accepted, {hopeless} of them ask for a label that no server has", jobs.len()));
+        record.line(&format!(
+            "{} jobs were accepted, {hopeless} of them ask for a label that no server has",
+            jobs.len()
+        ));
         record.line(&format!(
             "at most {most_used} of {} thousandths of a core were in use at a time",
             WORKERS as u64 * WORKER_CPU
@@ -101,8 +105,16 @@
         }
         let longest = starved.iter().map(|(_, waited)| *waited).fold(0.0, f64::max);
         for (job, waited) in starved.iter().take(10) {
-            let started = if first_start.contains_key(&job.prefix) { "until its first start" } else { "and never started" };
-            record.line(&format!("{}: nothing ran for {waited:.1} s {started}; shown as {}", job.path, state_of(fronts[0], &job.path, 3_000)));
+            let started = if first_start.contains_key(&job.prefix) {
+                "until its first start"
+            } else {
+                "and never started"
+            };
+            record.line(&format!(
+                "{}: nothing ran for {waited:.1} s {started}; shown as {}",
+                job.path,
+                state_of(fronts[0], &job.path, 3_000)
+            ));
         }
         let never = starved.iter().filter(|(job, _)| !first_start.contains_key(&job.prefix)).count();
         record.line(&format!(
--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -65,7 +65,10 @@
             return Err(std::io::Error::other("no leader answers the operator"));
         };
         let started = cluster.history.lock().unwrap().starts.len();
-        record.line(&format!("the core process that acts is core-{}; {started} tasks were started", leader + 1));
+        record.line(&format!(
+            "the core process that acts is core-{}; {started} tasks were started",
+            leader + 1
+        ));
         let name = format!("core-{}", leader + 1);
         if with_trouble() {
             cluster.kill(&name);
@@ -116,7 +119,9 @@
         let mut longest = vec![Duration::ZERO; jobs.len()];
         let (mut next, mut now) = (0, killed_at);
         while now < ends_at {
-            while let Some((at, job, is_start, is_done)) = events.get(next).copied().filter(|event| event.0 <= now) {
+            while let Some((at, job, is_start, is_done)) =
+                events.get(next).copied().filter(|event| event.0 <= now)
+            {
                 let _ = at;
                 if is_start {
                     running[job] += 1;
--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -143,10 +143,7 @@
 }
 
 /// Serves HTTP, a thread a connection, until the process ends. Status 0: the connection ends without an answer.
-fn serve(
-    listener: TcpListener,
-    handle: impl Fn(&str, &str, &str) -> (u16, String) + Send + Sync + 'static,
-) {
+fn serve(listener: TcpListener, handle: impl Fn(&str, &str, &str) -> (u16, String) + Send + Sync + 'static) {
     let handle = Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming() {
@@ -267,7 +264,8 @@
             .running
             .iter()
             .filter_map(|(key, run)| {
-                let done = run.length_ms != u64::MAX && run.began.elapsed().as_millis() as u64 >= run.length_ms;
+                let done =
+                    run.length_ms != u64::MAX && run.began.elapsed().as_millis() as u64 >= run.length_ms;
                 (done || lapsed).then(|| (key.clone(), if done { "done" } else { "lapsed" }))
             })
             .collect();
@@ -335,7 +333,8 @@
                 }
                 let seen = number(body, "LastSeen").unwrap_or(0);
                 state.ended.retain(|end| end.0 > seen);
-                let until = Instant::now() + Duration::from_millis(number(body, "WaitMs").unwrap_or(0).min(2_000));
+                let until =
+                    Instant::now() + Duration::from_millis(number(body, "WaitMs").unwrap_or(0).min(2_000));
                 loop {
                     self.advance(&mut state);
                     let now = Instant::now();
@@ -477,8 +476,10 @@
         if !program.is_file() {
             return fail(format!("{} is missing: run the build of deploy/system.toml", program.display()));
         }
-        let seed = std::process::id() as u64 ^ (Instant::now().elapsed().as_nanos() as u64)
-            ^ std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().subsec_nanos() as u64;
+        let seed = std::process::id() as u64
+            ^ (Instant::now().elapsed().as_nanos() as u64)
+            ^ std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().subsec_nanos()
+                as u64;
         let network = [1 + (seed % 250) as u8, 1 + (seed / 250 % 250) as u8];
         let folder = std::env::temp_dir().join(format!("sprucehatch-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -537,7 +538,11 @@
         let listener = TcpListener::bind(format!("{}:0", ip(250)))?;
         let platform = listener.local_addr()?;
         serve(listener, move |path, _, _| {
-            if path.starts_with("/instances") { (200, list.clone()) } else { (404, "{}".into()) }
+            if path.starts_with("/instances") {
+                (200, list.clone())
+            } else {
+                (404, "{}".into())
+            }
         });
         Ok(Cluster {
             program,
@@ -582,7 +587,8 @@
     fn spawn(&mut self, name: &str, role: &str, settings: &str) -> io::Result<()> {
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings)?;
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
+        let log =
+            fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
         let mut command = Command::new(&self.program);
         // No process is left over, however this one ends.
         // SAFETY: the closure makes one system call and touches no memory of the parent.
@@ -769,7 +775,9 @@
         for machine in 1..=3 {
             let log = fs::read_to_string(self.folder.join(format!("core-{machine}.log"))).unwrap_or_default();
             lines.extend(
-                log.lines().filter(|line| line.contains(pattern)).map(|line| format!("core-{machine}: {line}")),
+                log.lines()
+                    .filter(|line| line.contains(pattern))
+                    .map(|line| format!("core-{machine}: {line}")),
             );
         }
         lines
@@ -798,7 +806,13 @@
 // --------------------------------------------------------------------------------------------- clients
 
 /// One try of a client at one edge.
-pub fn client(front: SocketAddr, method: &str, path: &str, body: &str, deadline_ms: u64) -> io::Result<Response> {
+pub fn client(
+    front: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    deadline_ms: u64,
+) -> io::Result<Response> {
     let headers = [("Host", HOST.to_owned()), ("X-Deadline-Ms", deadline_ms.to_string())];
     http(front, method, path, &headers, body, Duration::from_millis(deadline_ms))
 }
@@ -815,7 +829,9 @@
 ) -> Option<Response> {
     for at in 0..tries {
         match client(fronts[at % fronts.len()], method, path, body, deadline_ms) {
-            Ok(answer) if answer.status == 429 || answer.status == 503 => thread::sleep(Duration::from_secs(1)),
+            Ok(answer) if answer.status == 429 || answer.status == 503 => {
+                thread::sleep(Duration::from_secs(1))
+            }
             Ok(answer) if answer.status == 502 || answer.status == 504 => {}
             Ok(answer) => return Some(answer),
             Err(_) => thread::sleep(Duration::from_millis(100)),
@@ -827,7 +843,9 @@
 /// The state of a job as one edge tells it.
 pub fn state_of(front: SocketAddr, path: &str, deadline_ms: u64) -> String {
     match client(front, "GET", path, "", deadline_ms) {
-        Ok(answer) if answer.status == 200 => text(&answer.body, "State").unwrap_or_else(|| "unreadable".into()),
+        Ok(answer) if answer.status == 200 => {
+            text(&answer.body, "State").unwrap_or_else(|| "unreadable".into())
+        }
         Ok(answer) => format!("status {}", answer.status),
         Err(error) => format!("no answer ({:?})", error.kind()),
     }
