Gateway test: the client of the reload test uses its connection after each reload

Cause: the test opened a connection, had 48 configurations read and only then sent the connection's first request. The gateway closes a connection without a request after 2.6 s, as its own rule asks. A busy disk delays each rewrite of the file, so that the 48 reloads may take longer.

Change: the connection is used once before the first reload and again after every one. From the first request on the gateway's limit is 30 s between two requests, and a single reload fails the test after 20 s by itself. The check is stricter: the running gateway must serve after each of the 48 reloads, not only after the last.

--- a/crates/gateway/tests/configuration.rs
+++ b/crates/gateway/tests/configuration.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
 use sprucehatch_gateway::{config, Config, Host};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fs;
 use std::time::Duration;
 
@@ -125,7 +125,12 @@
     discovery.wait_for_calls(2);
     let valid = gateway.configuration();
     let (good, bad) = (Cell::new(0), Cell::new(0));
-    let mut client = gateway.client();
+    // The gateway closes connections that stay unused, so this one is used at once and after each reload.
+    let client = RefCell::new(gateway.client());
+    let assert_client_is_served = |after: &str| {
+        assert_eq!(client.borrow_mut().ask(&ask("quote").text()).status(), 200, "after {after}");
+    };
+    assert_client_is_served("the start");
     // The gateway's file has the platform's JSON form, for which the same checks report invalid values; its
     // name ends in .json.
     let at = format!("\"{}\"", discovery.address);
@@ -143,6 +148,7 @@
         assert_ne!(changed, valid, "{from}");
         gateway.reconfigure(&changed);
         gateway.wait_for_log_line("the old one stands");
+        assert_client_is_served(to);
     }
     let toml = Gateway::with(&discovery, Setup { toml: Some(TOML.to_string()), ..Setup::default() });
     run(40, |text| {
@@ -151,9 +157,10 @@
         count.set(count.get() + 1);
         toml.reconfigure(&text.replace("DISCOVERY", &discovery.address.to_string()));
         toml.wait_for_log_line(if passes { "configuration read again" } else { "the old one stands" });
+        assert_client_is_served(&text);
     });
     assert!(good.get() > 5 && bad.get() > 5, "{good:?} applied, {bad:?} rejected");
-    assert_eq!(client.ask(&ask("quote").text()).status(), 200);
+    assert_client_is_served("all reloads");
     assert_eq!(toml.client().ask(&ask("quote").text()).status(), 200);
 }
 
