Queues: steps that can't start are parked and hide none behind them

Cause: a scan for the next step looks at the first 32 steps of a queue. Steps without capacity, and steps that need more than is free in all workers, kept their place there.

Change: `mqos::Queues` can park an item: no scan visits it, it keeps its position and its plan's deficits. The leader parks each step without capacity. When capacity is freed, the first blocked step of each demand that fits comes back, and the next one when that has no task left, so that the cost doesn't grow with the steps that wait. Steps that no known worker could carry are set aside until one comes: they no longer keep the head of a plan from reservations, pauses and preemption. A step that nothing can be preempted for gives way to others for 100 ms.

`reports_load_and_work_of_the_leader` expected 0 blocked steps while a task waited for a full worker; the count is documented as steps that found no capacity, and is 1 now.

--- a/crates/mqos/src/lib.rs
+++ b/crates/mqos/src/lib.rs
@@ -28,4 +28,4 @@
 mod queues;
 
 pub use deficits::DeficitRoundRobin;
-pub use queues::{PlanOptions, Queues, Released};
+pub use queues::{Candidate, PlanOptions, Queues, Released};
--- a/crates/mqos/src/queues.rs
+++ b/crates/mqos/src/queues.rs
@@ -34,6 +34,19 @@
     pub need: [f64; R],
 }
 
+/// A waiting item that a scan has reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<'a, K, const R: usize> {
+    /// The plan under which the item is queued.
+    pub plan: usize,
+    /// The caller's key of the item.
+    pub key: &'a K,
+    /// What the item needs of each resource, as a share of the total.
+    pub need: &'a [f64; R],
+    /// Whether the availability covers the need. Otherwise the item cannot be released in this call.
+    pub is_covered: bool,
+}
+
 /// A waiting item.
 #[derive(Clone, Copy, Debug)]
 struct Waiting<K, const R: usize> {
@@ -47,6 +60,7 @@
     resource: usize,
     plan: usize,
     position: i64,
+    is_parked: bool,
 }
 
 /// The items of one plan whose dominant resource is the same, by position.
@@ -70,6 +84,8 @@
 pub struct Queues<K: Copy + Ord, const R: usize> {
     /// For each resource, one queue per plan.
     queues: [Vec<Queue<K, R>>; R],
+    /// For each resource and plan, the items that are parked, at their positions in the queue.
+    parked: [Vec<Queue<K, R>>; R],
     deficits: DeficitRoundRobin<R>,
     /// What each plan gains of every resource per round.
     quanta: Vec<f64>,
@@ -90,6 +106,7 @@
         const { assert!(R > 0, "mQoS needs a resource") };
         Queues {
             queues: std::array::from_fn(|_| vec![Queue::new(); plans.len()]),
+            parked: std::array::from_fn(|_| vec![Queue::new(); plans.len()]),
             deficits: DeficitRoundRobin::new(plans.len()),
             quanta: quanta(plans),
             index: BTreeMap::new(),
@@ -125,7 +142,9 @@
     /// [`Queues::push_front`].
     pub fn push_at(&mut self, plan: usize, key: K, need: [f64; R], position: i64) -> bool {
         let resource = dominant(&need.map(non_negative));
-        let is_occupied = self.queues[resource].get(plan).is_some_and(|queue| queue.contains_key(&position));
+        let has =
+            |queues: &[Queue<K, R>]| queues.get(plan).is_some_and(|queue| queue.contains_key(&position));
+        let is_occupied = has(&self.queues[resource]) || has(&self.parked[resource]);
         !is_occupied && self.insert(plan, key, need, position)
     }
 
@@ -137,7 +156,7 @@
         let resource = dominant(&need);
         let waiting = Waiting { key, need };
         self.queues[resource][plan].insert(position, waiting);
-        self.index.insert(key, QueueEntry { resource, plan, position });
+        self.index.insert(key, QueueEntry { resource, plan, position, is_parked: false });
         self.plan_lengths[plan] += 1;
         true
     }
@@ -149,8 +168,32 @@
         true
     }
 
+    /// Keeps an item out of all scans until [`Queues::unpark`] is called. It keeps its position, and its plan
+    /// counts as waiting. Returns whether the item was waiting and not parked.
+    pub fn park(&mut self, key: &K) -> bool {
+        self.set_parked(key, true)
+    }
+
+    /// Returns a parked item to its position in its queue. Returns whether the item was parked.
+    pub fn unpark(&mut self, key: &K) -> bool {
+        self.set_parked(key, false)
+    }
+
+    fn set_parked(&mut self, key: &K, is_parked: bool) -> bool {
+        let Some(entry) = self.index.get_mut(key).filter(|entry| entry.is_parked != is_parked) else {
+            return false;
+        };
+        let QueueEntry { resource, plan, position, .. } = *entry;
+        entry.is_parked = is_parked;
+        let (queue, parked) = (&mut self.queues[resource][plan], &mut self.parked[resource][plan]);
+        let (from, to) = if is_parked { (queue, parked) } else { (parked, queue) };
+        to.extend(from.remove(&position).map(|waiting| (position, waiting)));
+        true
+    }
+
     fn take(&mut self, entry: QueueEntry) -> Option<Waiting<K, R>> {
-        let queue = &mut self.queues[entry.resource][entry.plan];
+        let queues = if entry.is_parked { &mut self.parked } else { &mut self.queues };
+        let queue = &mut queues[entry.resource][entry.plan];
         let waiting = queue.remove(&entry.position)?;
         self.index.remove(&waiting.key);
         self.plan_lengths[entry.plan] -= 1;
@@ -180,6 +223,23 @@
     ) -> Option<Released<K, R>>
     where
         F: FnMut(usize, &K, &[f64; R]) -> bool,
+    {
+        self.next_candidate(availability, depth, |candidate| {
+            candidate.is_covered && accept(candidate.plan, candidate.key, candidate.need)
+        })
+    }
+
+    /// Like [`Queues::next_where`], but calls `accept` also for items that the availability does not cover, which
+    /// are never released. A caller that parks what it does not accept finds the items behind them in its next
+    /// call.
+    pub fn next_candidate<F>(
+        &mut self,
+        availability: &[f64; R],
+        depth: usize,
+        mut accept: F,
+    ) -> Option<Released<K, R>>
+    where
+        F: FnMut(Candidate<'_, K, R>) -> bool,
     {
         let entry = match self.find_candidate(availability, depth, &mut accept) {
             ScanResult::Item(entry) => entry,
@@ -212,7 +272,7 @@
     /// The main scheduler: runs the sub-schedulers in order of availability until one finds an item.
     fn find_candidate<F>(&mut self, availability: &[f64; R], depth: usize, accept: &mut F) -> ScanResult
     where
-        F: FnMut(usize, &K, &[f64; R]) -> bool,
+        F: FnMut(Candidate<'_, K, R>) -> bool,
     {
         let mut least_rounds = f64::INFINITY;
         for resource in self.resource_order(availability) {
@@ -249,18 +309,25 @@
         accept: &mut F,
     ) -> ScanResult
     where
-        F: FnMut(usize, &K, &[f64; R]) -> bool,
+        F: FnMut(Candidate<'_, K, R>) -> bool,
     {
         let plans = self.plan_lengths.len();
         let mut least_rounds = f64::INFINITY;
         for _ in 0..plans {
             let plan = self.deficits.plan(resource);
             for (position, waiting) in self.queues[resource][plan].iter().take(depth) {
-                if !fits(&waiting.need, availability) || !accept(plan, &waiting.key, &waiting.need) {
+                let is_covered = fits(&waiting.need, availability);
+                let candidate = Candidate { plan, key: &waiting.key, need: &waiting.need, is_covered };
+                if !accept(candidate) || !is_covered {
                     continue;
                 }
                 if self.deficits.covers(plan, &waiting.need) {
-                    return ScanResult::Item(QueueEntry { resource, plan, position: *position });
+                    return ScanResult::Item(QueueEntry {
+                        resource,
+                        plan,
+                        position: *position,
+                        is_parked: false,
+                    });
                 }
                 let counters = self.deficits.counters(plan);
                 least_rounds =
@@ -277,14 +344,15 @@
     }
 
     /// Lets all pointers wrap `rounds` times at once: plans with waiting items gain their quanta. The needs
-    /// of the first `depth` items of each queue limit what a counter may hold.
+    /// of the first `depth` items of each queue, and of as many parked ones, limit what a counter may hold.
     fn wrap(&mut self, rounds: f64, depth: usize) {
         for plan in 0..self.plan_lengths.len() {
             if self.plan_lengths[plan] == 0 {
                 continue;
             }
             let mut largest = [0.0; R];
-            for waiting in self.queues.iter().flat_map(|queues| queues[plan].values().take(depth)) {
+            let queues = self.queues.iter().chain(&self.parked);
+            for waiting in queues.flat_map(|queues| queues[plan].values().take(depth)) {
                 for (largest, need) in largest.iter_mut().zip(&waiting.need) {
                     *largest = need.max(*largest);
                 }
--- a/crates/mqos/tests/queues.rs
+++ b/crates/mqos/tests/queues.rs
@@ -374,3 +374,51 @@
     let free = [CPU, MEMORY, GPU].map(|resource| if resource == GPU { 0.8 } else { 0.1 });
     assert_eq!(keys(&mut queues, &free), [1]);
 }
+
+/// Items that cannot be released hid all items behind them once they were as many as the depth of a scan.
+#[test]
+fn parked_items_hide_nothing_and_keep_their_positions() {
+    let mut queues = queues(&[1.0]);
+    (0..50).for_each(|key| assert!(queues.push(0, key, [0.1, 0.0, 0.0])));
+    (0..40).for_each(|key| assert!(queues.park(&key)));
+    assert!(!queues.park(&0), "it is parked already");
+    let at_depth_1 = |queues: &mut Queues<u64, 3>| queues.next(&ALL_AVAILABLE).map(|released| released.key);
+    assert_eq!(at_depth_1(&mut queues), Some(40));
+    assert!(queues.unpark(&7));
+    assert!(!queues.unpark(&7));
+    assert_eq!(at_depth_1(&mut queues), Some(7));
+    assert!(queues.remove(&8));
+    assert_eq!((queues.len(), queues.plan_len(0)), (47, 47));
+    (0..40).filter(|key| *key != 7 && *key != 8).for_each(|key| assert!(queues.unpark(&key)));
+    assert_eq!(keys(&mut queues, &ALL_AVAILABLE)[..7], [0, 1, 2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn plan_with_parked_items_keeps_its_deficits() {
+    let mut queues = queues(&[1.0, 1.0]);
+    queues.push(0, 0, [0.1, 0.0, 0.0]);
+    queues.push(0, 1, [0.1, 0.0, 0.0]);
+    queues.park(&1);
+    assert_eq!(queues.next(&ALL_AVAILABLE).map(|released| released.key), Some(0));
+    let before = queues.deficits(0);
+    assert_ne!(before, Some([0.0; 3]));
+    assert_eq!(queues.next(&ALL_AVAILABLE), None);
+    assert_eq!(queues.deficits(0), before);
+    assert!(!queues.push_at(0, 2, [0.1, 0.0, 0.0], 1), "the parked item has this position");
+}
+
+#[test]
+fn scan_reaches_items_that_the_availability_does_not_cover() {
+    let mut queues = queues(&[1.0]);
+    queues.push(0, 0, [0.6, 0.0, 0.0]);
+    queues.push(0, 1, [0.1, 0.0, 0.0]);
+    let mut reached = Vec::new();
+    let released = queues.next_candidate(&[0.5, 0.5, 0.5], 1, |candidate| {
+        reached.push((*candidate.key, candidate.is_covered));
+        true
+    });
+    assert_eq!(released, None, "the depth is one");
+    assert_eq!(reached[0], (0, false));
+    queues.park(&0);
+    assert_eq!(queues.next(&[0.5, 0.5, 0.5]).map(|released| released.key), Some(1));
+}
--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -12,7 +12,7 @@
 use super::demand::demand_of;
 use super::event_loop::Leader;
 use super::placement_choice::{choose, PlacementContext};
-use super::service::{Choice, NextStep};
+use super::service::{Choice, NextStep, ScanLimits};
 use super::timers::Timer;
 use super::turn_budget::TurnBudget;
 
@@ -74,10 +74,12 @@
         while !budget.is_spent() {
             let Self { services, attempts, failed_on, settings, now, work, .. } = self;
             let context = PlacementContext::new(state, attempts, failed_on, settings, *now);
-            let next = services[position].next_step(examined_limit, |fleet, candidate| {
+            let mut limits = ScanLimits { workers_examined: examined_limit, steps: budget.steps() };
+            let next = services[position].next_step(&mut limits, |fleet, candidate| {
                 work.steps_examined += 1;
                 choose(&context, fleet, candidate)
             });
+            budget.spend_steps(budget.steps() - limits.steps);
             match next {
                 NextStep::Step(released, choice) => {
                     budget.spend_starts(choice.start_count());
--- a/crates/scheduler/src/leader/preemption.rs
+++ b/crates/scheduler/src/leader/preemption.rs
@@ -19,6 +19,8 @@
 const PREEMPTING_TASKS_PER_STEP: usize = 8;
 /// Minimum time between two searches for attempts to preempt.
 const PREEMPTION_INTERVAL_NS: u64 = 20 * NANOS_PER_MS;
+/// How long other steps have precedence after nothing was found to preempt for a step.
+const PREEMPTION_PAUSE_NS: u64 = 100 * NANOS_PER_MS;
 /// How long a step waits for attempts to end by themselves before others are preempted for it.
 const VOLUNTARY_RELEASE_WAIT_NS: u64 = 50 * NANOS_PER_MS;
 /// How long a step waits for the capacity of preempted attempts, in addition to `stop_ms`.
@@ -27,7 +29,7 @@
 impl Leader {
     /// Starts tasks for which attempts were preempted before other tasks take the freed capacity.
     pub(super) fn start_urgent(&mut self, state: &State, position: usize) {
-        for step in self.services[position].urgent_steps(PREEMPTING_STEPS_PER_TURN) {
+        for step in self.services[position].urgent_steps(PREEMPTING_STEPS_PER_TURN, self.now) {
             let awaits_preempted_capacity = |service: &Service, now: u64| {
                 service.ready(step).is_some_and(|ready| ready.preempted_until > now)
             };
@@ -45,7 +47,7 @@
 
     /// Stops attempts of lower priorities for tasks of the highest priority that found no capacity.
     pub(super) fn preempt_for_urgent(&mut self, state: &State, position: usize) {
-        let urgent = self.services[position].urgent_steps(PREEMPTING_STEPS_PER_TURN);
+        let urgent = self.services[position].urgent_steps(PREEMPTING_STEPS_PER_TURN, self.now);
         if urgent.is_empty() || !self.uses(Mechanism::Preemption) {
             return;
         }
@@ -96,6 +98,9 @@
         let stopped: Vec<AttemptKey> =
             preemptions.into_iter().flat_map(|preemption| preemption.attempts).collect();
         if stopped.is_empty() {
+            if let Some(ready) = self.services[position].ready_mut(step) {
+                ready.no_preemption_until = self.now + PREEMPTION_PAUSE_NS;
+            }
             return;
         }
         victims.retain(|victim| !stopped.contains(&victim.attempt));
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -1,12 +1,14 @@
 //! Handling of freed capacity: which blocked steps may be placed again.
 //!
-//! Workers with freed capacity are collected, so that one turn needs only one pass over the blocked steps.
+//! Workers with freed capacity are collected, so that one turn needs only one pass over the classes of blocked
+//! steps.
 
 use mqos::{PlanOptions, Queues};
 
 use crate::ids::StepKey;
 use crate::placement::{Resources, WorkerKey};
 
+use super::blocking::DemandClass;
 use super::steps::WEIGHTS;
 use super::Service;
 
@@ -20,35 +22,89 @@
     /// Records that a worker was added or may take starts again.
     pub(in crate::leader) fn worker_usable(&mut self, worker: WorkerKey) {
         self.capacity_freed(worker);
-        self.workers_became_usable = true;
+        self.usable_since.push(worker);
     }
 
     /// Updates the queues with the changes since the last admission pass.
     pub(in crate::leader) fn prepare_pass(&mut self, now: u64) {
         self.needs_admission = false;
-        self.update_shares();
+        let usable_since = std::mem::take(&mut self.usable_since);
+        if !usable_since.is_empty() {
+            self.update_shares();
+            self.reconsider_steps_without_worker(&usable_since);
+        }
         self.unblock_steps(now);
         self.update_plan_heads(now);
     }
 
-    /// Unblocks the steps that fit on a worker with freed capacity, and the steps whose wait for better
-    /// capacity is over.
+    /// Blocks a step: no worker has capacity, or it is worth waiting for better capacity until `retry_at`.
+    pub(super) fn block(&mut self, step: StepKey, retry_at: Option<u64>) {
+        let Some(ready) = self.ready.get(&step) else { return };
+        let (class, order) = (ready.class.clone(), ready.order);
+        self.queues.park(&step);
+        if let Some(at) = retry_at {
+            self.blocked.add_retry(step, at);
+            // The next step of the class may have reasons not to wait.
+            return self.unblock_next(&class);
+        }
+        if self.fleet.could_ever_carry(class.need(), class.constraint()) {
+            return self.blocked.add_without_capacity(step, &class, order);
+        }
+        self.blocked.add_without_worker(step, &class, order);
+        self.remove_from_heads(step);
+    }
+
+    /// Lets a blocked step be placed again.
+    fn unblock(&mut self, step: StepKey) {
+        let Some(ready) = self.ready.get(&step) else { return };
+        if self.blocked.remove(&step, &ready.class, ready.order) {
+            self.queues.unpark(&step);
+            self.add_to_heads(step);
+        }
+    }
+
+    /// Unblocks the first step of a class that found no capacity.
+    pub(super) fn unblock_next(&mut self, class: &DemandClass) {
+        if let Some(step) = self.blocked.first_of(class) {
+            self.unblock(step);
+        }
+    }
+
+    /// Unblocks, of each class that fits on a worker with freed capacity, the first step; and the steps whose wait
+    /// for better capacity is over or that fit there.
     fn unblock_steps(&mut self, now: u64) {
         let mut workers = std::mem::take(&mut self.freed_on);
         workers.sort_unstable();
         workers.dedup();
-        let free: Vec<Resources> = workers.iter().filter_map(|key| self.fleet.free_on(*key)).collect();
-        let max_free = free.iter().fold(Resources::ZERO, |max_free, free| max_free.max(*free));
-        let fits = |need: Resources| need.fits_in(max_free) && free.iter().any(|free| need.fits_in(*free));
-        let wait_is_over = |retry_at: Option<u64>| retry_at.is_some_and(|at| at <= now);
-        self.blocked.retain(|_, blocked| !wait_is_over(blocked.retry_at) && !fits(blocked.need));
+        let free = workers.iter().filter_map(|key| self.fleet.free_on(*key));
+        let max_free = free.fold(Resources::ZERO, |max_free, free| max_free.max(free));
+        let has_room = |class: &DemandClass| {
+            let (need, constraint) = (class.need(), class.constraint());
+            need.fits_in(max_free) && workers.iter().any(|key| self.fleet.has_room(*key, need, constraint))
+        };
+        let mut unblocked = self.blocked.first_of_each(has_room);
+        let step_fits = |step: &StepKey| self.ready.get(step).is_some_and(|ready| has_room(&ready.class));
+        unblocked.extend(self.blocked.due_retries(now, step_fits));
+        unblocked.into_iter().for_each(|step| self.unblock(step));
         workers.clear();
         self.freed_on = workers;
     }
 
+    /// Handles workers that became usable: steps that no worker could carry before are blocked for want of capacity
+    /// only, if one of these workers could carry them.
+    fn reconsider_steps_without_worker(&mut self, workers: &[WorkerKey]) {
+        let Self { blocked, fleet, .. } = self;
+        let could_carry = |class: &DemandClass| {
+            workers.iter().any(|key| fleet.could_carry(*key, class.need(), class.constraint()))
+        };
+        for step in blocked.worker_found(could_carry) {
+            self.add_to_heads(step);
+        }
+    }
+
     /// Returns the earliest time at which a wait for better capacity ends.
     pub(in crate::leader) fn next_retry_at(&self) -> Option<u64> {
-        self.blocked.values().filter_map(|blocked| blocked.retry_at).min()
+        self.blocked.next_retry_at()
     }
 
     /// Returns how often the shares of all waiting steps were computed since the last call.
@@ -56,15 +112,15 @@
         std::mem::take(&mut self.share_updates)
     }
 
-    /// Recomputes the shares of all queue entries if workers that became usable changed the total capacity by
-    /// over a tenth.
+    /// Recomputes the shares of all queue entries if the total capacity changed by over a tenth.
     fn update_shares(&mut self) {
         let total = self.fleet.total();
-        let became_usable = std::mem::take(&mut self.workers_became_usable);
-        if !became_usable || !differs_by_over_a_tenth(total, self.shares_total) {
+        if !differs_by_over_a_tenth(total, self.shares_total) {
             return;
         }
-        self.blocked.clear();
+        for step in self.blocked.take_all() {
+            self.add_to_heads(step);
+        }
         self.shares_total = total;
         self.share_updates += 1;
         self.queues = Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight }));
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -4,6 +4,7 @@
 //! represents its next task. After each start the entry returns to the step's position until no task is left,
 //! which keeps older jobs first.
 
+mod blocking;
 mod capacity;
 mod plan_heads;
 mod report;
@@ -21,9 +22,11 @@
 use super::mechanisms::{Mechanism, Mechanisms};
 use super::start_delay::StartDelay;
 
+pub(super) use scan::ScanLimits;
 pub(super) use steps::{plan_of, Candidate, Choice, EnqueueRequest, NextStep, QueueEnd, StepKind};
 
-use steps::{BlockedStep, PlanHead, ReadyStep, WEIGHTS};
+use blocking::{BlockedSteps, DemandClass};
+use steps::{PlanHead, ReadyStep, WEIGHTS};
 
 /// Workers and waiting steps of one service.
 #[derive(Debug)]
@@ -36,15 +39,16 @@
     queues: Queues<StepKey, RESOURCE_COUNT>,
     /// Steps with tasks that wait for a start.
     ready: BTreeMap<StepKey, ReadyStep>,
-    /// Steps that found no capacity, and for which no capacity that fits has been freed since.
-    blocked: BTreeMap<StepKey, BlockedStep>,
+    /// Steps that found no capacity, and for which no capacity that fits has been freed since. They are parked in
+    /// their queues.
+    blocked: BlockedSteps,
     /// Workers on which capacity was freed since blocked steps were last checked.
     freed_on: Vec<WorkerKey>,
-    /// Whether workers became usable since the shares of the queue entries were last checked.
-    workers_became_usable: bool,
-    /// All waiting steps by plan and order.
+    /// Workers that became usable since the shares of the queue entries and the blocked steps were last checked.
+    usable_since: Vec<WorkerKey>,
+    /// All waiting steps that some worker could carry, by plan and order.
     by_plan_and_order: BTreeMap<(usize, i64), StepKey>,
-    /// Waiting steps of the first plan other than gangs, by order. Attempts may be preempted for them.
+    /// Those of them that are of the first plan and no gangs, by order. Attempts may be preempted for them.
     urgent: BTreeMap<i64, StepKey>,
     /// The first step of each plan.
     plan_heads: [Option<PlanHead>; WEIGHTS.len()],
@@ -78,9 +82,9 @@
             fair: mechanisms.uses(Mechanism::FairQueues),
             queues: Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight })),
             ready: BTreeMap::new(),
-            blocked: BTreeMap::new(),
+            blocked: BlockedSteps::default(),
             freed_on: Vec::new(),
-            workers_became_usable: false,
+            usable_since: Vec::new(),
             by_plan_and_order: BTreeMap::new(),
             urgent: BTreeMap::new(),
             plan_heads: [None; WEIGHTS.len()],
@@ -109,21 +113,20 @@
         }
         let order = self.next_order(waiting.end);
         let members = if waiting.gang { waiting.tasks.len() as u64 } else { 1 };
+        let own_class = (waiting.gang || waiting.limits_tasks_per_worker).then_some(waiting.step);
         let ready = ReadyStep {
+            class: DemandClass::new(waiting.plan, waiting.task_need, waiting.constraint, own_class),
             plan: waiting.plan,
             need: waiting.task_need.times(members),
-            task_need: waiting.task_need,
             tasks: waiting.tasks,
             gang: waiting.gang,
             preempted_until: 0,
+            no_preemption_until: 0,
             since: waiting.since,
             order,
         };
-        self.by_plan_and_order.insert((ready.plan, order), waiting.step);
-        if ready.is_urgent() {
-            self.urgent.insert(order, waiting.step);
-        }
         self.ready.insert(waiting.step, ready);
+        self.add_to_heads(waiting.step);
         self.push_to_queue(waiting.step);
     }
 
@@ -165,14 +168,30 @@
 
     /// Removes a step.
     pub(super) fn remove_step(&mut self, step: StepKey) {
-        if let Some(ready) = self.ready.remove(&step) {
-            self.by_plan_and_order.remove(&(ready.plan, ready.order));
-            if ready.is_urgent() {
-                self.urgent.remove(&ready.order);
-            }
-        }
-        self.blocked.remove(&step);
         self.queues.remove(&step);
+        self.remove_from_heads(step);
+        let Some(ready) = self.ready.remove(&step) else { return };
+        if !self.blocked.remove(&step, &ready.class, ready.order) {
+            self.unblock_next(&ready.class);
+        }
+    }
+
+    /// Adds a waiting step to the heads of plans and to the steps for which attempts may be preempted.
+    fn add_to_heads(&mut self, step: StepKey) {
+        let Some(ready) = self.ready.get(&step) else { return };
+        self.by_plan_and_order.insert((ready.plan, ready.order), step);
+        if ready.is_urgent() {
+            self.urgent.insert(ready.order, step);
+        }
+    }
+
+    /// Reverts `add_to_heads`.
+    fn remove_from_heads(&mut self, step: StepKey) {
+        let Some(ready) = self.ready.get(&step) else { return };
+        self.by_plan_and_order.remove(&(ready.plan, ready.order));
+        if ready.is_urgent() {
+            self.urgent.remove(&ready.order);
+        }
     }
 
     /// Removes all steps of a job.
--- a/crates/scheduler/src/leader/service/plan_heads.rs
+++ b/crates/scheduler/src/leader/service/plan_heads.rs
@@ -39,8 +39,11 @@
         }
     }
 
-    /// Returns up to `limit` waiting steps of the first plan other than gangs, in queue order.
-    pub(in crate::leader) fn urgent_steps(&self, limit: usize) -> Vec<StepKey> {
-        self.urgent.values().take(limit).copied().collect()
+    /// Returns up to `limit` waiting steps of the first plan other than gangs, in queue order. Steps for which no
+    /// attempts were found to preempt are left out for a while.
+    pub(in crate::leader) fn urgent_steps(&self, limit: usize, now: u64) -> Vec<StepKey> {
+        let may_preempt =
+            |step: &&StepKey| self.ready.get(step).is_some_and(|ready| ready.no_preemption_until <= now);
+        self.urgent.values().filter(may_preempt).take(limit).copied().collect()
     }
 }
--- a/crates/scheduler/src/leader/service/report.rs
+++ b/crates/scheduler/src/leader/service/report.rs
@@ -76,8 +76,7 @@
     /// together.
     fn lacks_capacity(&self, step: StepKey) -> bool {
         let free = self.fleet.free();
-        self.blocked.contains_key(&step)
-            || self.ready.get(&step).is_some_and(|ready| !ready.need.fits_in(free))
+        self.blocked.contains(&step) || self.ready.get(&step).is_some_and(|ready| !ready.need.fits_in(free))
     }
 
     fn first_step_report(&self, plan: usize, step: StepKey, now: u64) -> FirstStep {
--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -1,5 +1,7 @@
 //! Scan of the queues: takes out the next step that can start, and returns it to its queue.
 
+use std::collections::BTreeMap;
+
 use mqos::Released;
 
 use crate::ids::StepKey;
@@ -8,24 +10,66 @@
 use super::steps::{Candidate, Choice, NextStep};
 use super::Service;
 
-/// Maximum number of waiting steps of a queue that are scanned for one that has capacity.
+/// Maximum number of steps of a queue that one scan examines. Those without capacity are blocked, so that the next
+/// scan reaches the steps behind them.
 const SCAN_DEPTH: usize = 32;
 
+/// Limits on the cost of a search for the next step.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::leader) struct ScanLimits {
+    /// Once the fleet has examined so many workers, no search for a further step begins.
+    pub(in crate::leader) workers_examined: u64,
+    /// Number of steps that may still be examined.
+    pub(in crate::leader) steps: u64,
+}
+
+/// The result of a scan of at most `SCAN_DEPTH` steps of each queue.
+struct Scan {
+    released: Option<(Released<StepKey, RESOURCE_COUNT>, Choice)>,
+    /// The steps without capacity, and until when each of them waits for better capacity.
+    blocked: BTreeMap<StepKey, Option<u64>>,
+    limit_reached: bool,
+}
+
 impl Service {
     /// Takes the next step out of its queue and returns it with the workers that `choose` selected. Steps
-    /// without capacity keep their position. Once the fleet has examined `examined_limit` workers, no search
-    /// for a further step begins.
+    /// without capacity keep their position and are blocked.
     pub(in crate::leader) fn next_step(
         &mut self,
-        examined_limit: u64,
+        limits: &mut ScanLimits,
         mut choose: impl FnMut(&Fleet, Candidate) -> Choice,
     ) -> NextStep {
+        loop {
+            let scan = self.scan(limits, &mut choose);
+            let has_blocked = !scan.blocked.is_empty();
+            for (step, retry_at) in scan.blocked {
+                self.block(step, retry_at);
+            }
+            if let Some((released, choice)) = scan.released {
+                return NextStep::Step(released, choice);
+            }
+            if scan.limit_reached {
+                return NextStep::LimitReached;
+            }
+            if !has_blocked {
+                return NextStep::None;
+            }
+        }
+    }
+
+    fn scan(
+        &mut self,
+        limits: &mut ScanLimits,
+        choose: &mut impl FnMut(&Fleet, Candidate) -> Choice,
+    ) -> Scan {
         let availability = self.fleet.free().shares_of(self.fleet.total());
-        let Self { queues, blocked, ready, fleet, .. } = self;
+        let Self { queues, ready, fleet, .. } = self;
+        let mut blocked: BTreeMap<StepKey, Option<u64>> = BTreeMap::new();
         // The first step with capacity of each queue. The queues may ask for the same step again.
         let mut chosen: Vec<(StepKey, Choice)> = Vec::new();
         let mut limit_reached = false;
-        let released = queues.next_where(&availability, SCAN_DEPTH, |_, step, _| {
+        let released = queues.next_candidate(&availability, SCAN_DEPTH, |candidate| {
+            let step = candidate.key;
             if blocked.contains_key(step) {
                 return false;
             }
@@ -34,10 +78,15 @@
             }
             let Some(waiting) = ready.get(step) else { return false };
             let Some(first) = waiting.tasks.first() else { return false };
-            if fleet.examined_count() >= examined_limit {
+            if !candidate.is_covered {
+                blocked.insert(*step, None);
+                return false;
+            }
+            if limits.steps == 0 || fleet.examined_count() >= limits.workers_examined {
                 limit_reached = true;
                 return false;
             }
+            limits.steps -= 1;
             let (task, since) = (step.task(*first), waiting.since);
             let choice = choose(fleet, Candidate { task, since, waiting_tasks: waiting.tasks.len() as u64 });
             let retry_at = match choice {
@@ -48,14 +97,14 @@
                     return true;
                 }
             };
-            blocked.insert(*step, waiting.blocked(retry_at));
+            blocked.insert(*step, retry_at);
             false
         });
-        let Some(released) = released else {
-            return if limit_reached { NextStep::LimitReached } else { NextStep::None };
-        };
-        let choice = chosen.into_iter().find(|(step, _)| *step == released.key);
-        NextStep::Step(released, choice.map_or(Choice::NoCapacity, |(_, choice)| choice))
+        let released = released.map(|released| {
+            let choice = chosen.into_iter().find(|(step, _)| *step == released.key);
+            (released, choice.map_or(Choice::NoCapacity, |(_, choice)| choice))
+        });
+        Scan { released, blocked, limit_reached }
     }
 
     /// Returns a released step to its position after the start of some of its tasks, so that its next task
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -4,6 +4,7 @@
 
 use mqos::Released;
 
+use super::blocking::DemandClass;
 use crate::ids::{StepKey, TaskKey};
 use crate::placement::{Resources, WorkerKey, RESOURCE_COUNT};
 
@@ -21,28 +22,21 @@
     pub(in crate::leader) plan: usize,
     /// Resources of one queue entry: a task, or a whole gang.
     pub(in crate::leader) need: Resources,
-    /// Resources of one task or one gang member.
-    pub(super) task_need: Resources,
+    /// The steps that find capacity or fail together with this one.
+    pub(super) class: DemandClass,
     /// The indices of the waiting tasks. For a gang, always all members.
     pub(in crate::leader) tasks: BTreeSet<u32>,
     pub(in crate::leader) gang: bool,
     /// No further attempts are preempted for the step until this time.
     pub(in crate::leader) preempted_until: u64,
+    /// No attempts are searched that could be preempted for the step until this time, because none were found.
+    pub(in crate::leader) no_preemption_until: u64,
     /// When the step began to wait.
     pub(in crate::leader) since: u64,
     /// Position among the steps of its service.
     pub(super) order: i64,
 }
 
-/// A step that found no capacity.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct BlockedStep {
-    /// Resources of one task or one gang member.
-    pub(super) need: Resources,
-    /// When the step is placed again even if no capacity is freed.
-    pub(super) retry_at: Option<u64>,
-}
-
 /// The placement decision on the next step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(in crate::leader) enum Choice {
@@ -65,7 +59,7 @@
     Step(Released<StepKey, RESOURCE_COUNT>, Choice),
     /// No step can start now: each scanned step is blocked or has no capacity.
     None,
-    /// The scan examined as many workers as allowed before it found a step.
+    /// The scan examined as many workers or steps as allowed before it found a step.
     LimitReached,
 }
 
@@ -112,7 +106,11 @@
     pub(in crate::leader) plan: usize,
     /// Resources of one task or one gang member.
     pub(in crate::leader) task_need: Resources,
+    /// The label that the worker must have; empty if there is none.
+    pub(in crate::leader) constraint: String,
     pub(in crate::leader) gang: bool,
+    /// Whether the step limits the number of its tasks on one worker.
+    pub(in crate::leader) limits_tasks_per_worker: bool,
     pub(in crate::leader) tasks: BTreeSet<u32>,
     pub(in crate::leader) end: QueueEnd,
     /// When the tasks began to wait.
@@ -135,9 +133,4 @@
     pub(super) fn is_urgent(&self) -> bool {
         self.plan == 0 && !self.gang
     }
-
-    /// Returns the record of this step as a step that found no capacity.
-    pub(super) fn blocked(&self, retry_at: Option<u64>) -> BlockedStep {
-        BlockedStep { need: self.task_need, retry_at }
-    }
 }
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -4,7 +4,7 @@
 use super::free_capacity::SortedSlots;
 use super::matching::{Demand, Matcher, MAX_QUALITY, OFF_RACK_FACTOR, SIMILAR_QUALITY_RATIO};
 use super::resources::{Resources, RESOURCE_COUNT};
-use super::slot::{Slot, WorkerKey};
+use super::slot::{Slot, Symbol, WorkerKey};
 use std::cmp::Reverse;
 
 /// Weight of the capacity left over in each resource other than the dominant one of the task, relative to
@@ -219,6 +219,34 @@
         demand.anti_affinity != Some(0) && candidates.any(possible)
     }
 
+    /// Whether some worker has the label and could carry a task with this need if nothing were reserved. Workers
+    /// that may not take starts at the moment are considered too.
+    pub fn could_ever_carry(&self, need: Resources, constraint: Option<&str>) -> bool {
+        let Some(label) = self.required_label(constraint) else { return false };
+        let mut candidates = self.examine(|block| need.fits_in(block.largest));
+        candidates.any(|slot| slot.has_label(label) && need.fits_in(slot.capacity))
+    }
+
+    /// Whether a worker has the label and could carry a task with this need if nothing were reserved.
+    pub fn could_carry(&self, key: WorkerKey, need: Resources, constraint: Option<&str>) -> bool {
+        let Some(label) = self.required_label(constraint) else { return false };
+        self.slot(key).is_some_and(|slot| slot.has_label(label) && need.fits_in(slot.capacity))
+    }
+
+    /// Whether a worker has the label and free capacity for a task with this need.
+    pub fn has_room(&self, key: WorkerKey, need: Resources, constraint: Option<&str>) -> bool {
+        let Some(label) = self.required_label(constraint) else { return false };
+        self.slot(key).is_some_and(|slot| slot.has_label(label) && need.fits_in(slot.free()))
+    }
+
+    /// Resolves a label: `Some(None)` if no label is required, `None` if no worker has ever had the label.
+    fn required_label(&self, constraint: Option<&str>) -> Option<Option<Symbol>> {
+        match constraint {
+            Some(label) => self.labels.find(label).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// The capacity left over if the task is placed on the worker, as shares of the largest worker's
     /// capacity: the share of the task's dominant resource, plus a fraction of the shares of the other
     /// resources, plus a penalty if free GPUs stay unused.
--- a/crates/scheduler/src/placement/slot.rs
+++ b/crates/scheduler/src/placement/slot.rs
@@ -66,6 +66,11 @@
         self.usable || self.ejected
     }
 
+    /// Whether the worker has a label, if one is required.
+    pub(super) fn has_label(&self, required: Option<Symbol>) -> bool {
+        required.is_none_or(|label| self.labels.contains(&label))
+    }
+
     /// Number of tasks of `step` that have a reservation on the worker.
     pub(super) fn tasks_of(&self, step: &StepKey) -> u32 {
         self.steps.iter().find(|count| count.step == *step).map_or(0, |count| count.tasks)
--- a/crates/scheduler/tests/leader_reports.rs
+++ b/crates/scheduler/tests/leader_reports.rs
@@ -77,7 +77,8 @@
     let leader = cluster.leader.as_mut().expect("a leader");
     let load = leader.load_report(now);
     assert_eq!((load.workers, load.usable_workers, load.unreachable_workers), (1, 1, 0));
-    assert_eq!((load.waiting_steps, load.blocked_steps, load.attempts, load.open_tasks), (1, 0, 2, 3));
+    // The third task finds the worker full.
+    assert_eq!((load.waiting_steps, load.blocked_steps, load.attempts, load.open_tasks), (1, 1, 2, 3));
     let work = leader.take_work();
     assert!(work.steps_examined >= 2 && work.workers_examined >= 2, "{work:?}");
     assert!(work.inputs > 0 && work.admission_passes > 0 && work.sessions_polled > 0, "{work:?}");
