Starts that are committed and not confirmed are bounded for each worker

Cause: starts were committed as long as capacity was free, and sent four at a time. The next leader takes each start that was never sent for one in doubt: a list, a stop and another list. Each poll of a session went over all attempts of its worker several times, so that this cost 9 ms of processor time a start. Urgent starts queued behind the others.

Change: a worker with 32 starts to confirm gets no further single task until 16 are left; placement passes over it, so that tasks wait in their queue in mQoS's order and not in a session. Gangs are still placed as a whole.

--- a/crates/scheduler/src/leader/attempt_progress.rs
+++ b/crates/scheduler/src/leader/attempt_progress.rs
@@ -18,6 +18,7 @@
         let now = self.now;
         if let Some(delay) = self.attempts.confirm_start(&key, now) {
             self.start_pace.record_confirmation(now, delay);
+            self.start_settled(&key);
         }
         if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.progress_at = now;
--- a/crates/scheduler/src/leader/attempts.rs
+++ b/crates/scheduler/src/leader/attempts.rs
@@ -65,7 +65,7 @@
 
 impl Attempt {
     /// Returns whether this leader chose the worker and no response has confirmed the start yet.
-    fn awaits_confirmation(&self) -> bool {
+    pub(super) fn awaits_confirmation(&self) -> bool {
         self.started_at.is_none() && !self.adopted
     }
 
--- a/crates/scheduler/src/leader/occupancy.rs
+++ b/crates/scheduler/src/leader/occupancy.rs
@@ -54,13 +54,32 @@
             checkpointed_at: None,
             stopping: false,
         };
+        if attempt.awaits_confirmation() {
+            self.services[service].fleet.start_pending(worker);
+        }
+        if let Some(entry) = self.workers.get_mut(&worker) {
+            entry.needs.include(&attempt, &self.settings, self.now);
+        }
         self.attempts.insert(key, attempt);
         self.update_placement(worker);
         self.arm_attempt_examination();
     }
 
+    /// Handles a start that was confirmed or will not take place. Once few starts on its worker are left to confirm,
+    /// steps that found no worker to start on are placed again.
+    pub(super) fn start_settled(&mut self, key: &AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let service = &mut self.services[attempt.service];
+        if service.fleet.start_settled(attempt.worker) {
+            service.capacity_freed(attempt.worker);
+        }
+    }
+
     /// Releases the capacity of a finished attempt.
     pub(super) fn release(&mut self, key: &AttemptKey) {
+        if self.attempts.get(key).is_some_and(Attempt::awaits_confirmation) {
+            self.start_settled(key);
+        }
         let Some(attempt) = self.attempts.remove(key) else { return };
         let service = &mut self.services[attempt.service];
         service.fleet.release(attempt.worker, key.task.step_key(), attempt.need);
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -77,7 +77,7 @@
         workers.sort_unstable();
         workers.dedup();
         let free = workers.iter().filter_map(|key| self.fleet.free_on(*key));
-        let max_free = free.fold(Resources::ZERO, |max_free, free| max_free.max(free));
+        let max_free = free.fold(Resources::ZERO, Resources::max);
         let has_room = |class: &DemandClass| {
             let (need, constraint) = (class.need(), class.constraint());
             need.fits_in(max_free) && workers.iter().any(|key| self.fleet.has_room(*key, need, constraint))
--- a/crates/scheduler/src/leader/worker_entry.rs
+++ b/crates/scheduler/src/leader/worker_entry.rs
@@ -9,6 +9,7 @@
 use crate::worker::WorkerSession;
 
 use super::outlier_detector::OutlierDetector;
+use super::worker_lease_need::AttemptNeeds;
 
 /// Attributes of an incarnation in the platform's instance list. Times are in nanoseconds of the monotonic
 /// clock.
@@ -54,6 +55,8 @@
     pub(super) incarnation_logged: bool,
     /// Attempts that occupy the worker.
     pub(super) assigned: Vec<AttemptKey>,
+    /// What these attempts need of the session.
+    pub(super) needs: AttemptNeeds,
     /// Ends that the worker reported and that are not proposed yet.
     pub(super) pending_ends: Vec<WorkerEnd>,
     /// Whether the session is in the poll queue.
@@ -96,6 +99,7 @@
             outlier_detector: OutlierDetector::default(),
             incarnation_logged: false,
             assigned: Vec::new(),
+            needs: AttemptNeeds::default(),
             pending_ends: Vec::new(),
             poll_scheduled: false,
             reported: None,
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -15,7 +15,6 @@
 use super::timers::Timer;
 use super::worker_entry::WorkerEntry;
 use super::worker_events::WorkerEvent;
-use super::worker_lease_need::{needed_wait_ms, needed_worker_lease_ms};
 
 /// How long an earlier leader may still have sent lease renewals after this leader started. A firewall that
 /// refuses connections can make the earlier leader look dead while it continues until its lease expires.
@@ -145,14 +144,11 @@
         self.work.sessions_polled += 1;
         let mut outputs = std::mem::take(&mut self.session_outputs);
         if !self.fenced {
-            let worker_lease_ms =
-                needed_worker_lease_ms(&self.attempts, &entry.assigned, &self.settings, self.now);
-            entry.session.set_long_poll_wait(needed_wait_ms(
-                &self.attempts,
-                &entry.assigned,
-                &self.settings,
-                wait_ms,
-            ));
+            let WorkerEntry { needs, assigned, .. } = entry;
+            needs.update(&self.attempts, assigned, &self.settings, self.now);
+            let long_poll_wait_ms = needs.long_poll_wait_ms(assigned.len(), &self.settings, wait_ms);
+            let worker_lease_ms = needs.worker_lease_ms(&self.settings);
+            entry.session.set_long_poll_wait(long_poll_wait_ms);
             entry.session.set_worker_lease(worker_lease_ms);
             entry.session.set_leader_lease(self.lease_until);
             entry.session.set_response_clock(self.lateness.response_clock);
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -9,6 +9,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
+/// Number of starts that one worker may have to confirm. This is enough to keep all order calls to the worker busy
+/// during a commit, and bounds what the next leader finds in doubt.
+const MAX_PENDING_STARTS: u32 = 32;
+/// Number of starts that a worker which had reached the maximum has to confirm before it takes further ones.
+const RESUMING_PENDING_STARTS: u32 = MAX_PENDING_STARTS / 2;
+
 /// Upper bound of a worker's capacity. Larger values are clamped, so that sums over a fleet stay exact.
 const MAX_CAPACITY: Resources = Resources { cpu: 1 << 40, mem_mb: 1 << 40, gpu: 1 << 40 };
 
@@ -115,6 +121,8 @@
                     rack,
                     labels,
                     steps,
+                    pending_starts: 0,
+                    awaits_confirmations: false,
                 });
                 self.largest = self.largest.max(capacity);
             }
@@ -172,6 +180,29 @@
         true
     }
 
+    /// Records that a start on a worker was decided. Once `MAX_PENDING_STARTS` are not confirmed, the worker takes no
+    /// single task; gangs are placed as a whole and do not have this limit.
+    pub fn start_pending(&mut self, key: WorkerKey) {
+        let Some(position) = self.position_by_key.get(&key).copied() else { return };
+        let slot = &mut self.slots[position];
+        slot.pending_starts += 1;
+        slot.awaits_confirmations |= slot.pending_starts >= MAX_PENDING_STARTS;
+    }
+
+    /// Records that a start on a worker is confirmed, or will not take place. Returns whether the worker takes
+    /// further tasks from now on.
+    pub fn start_settled(&mut self, key: WorkerKey) -> bool {
+        let Some(position) = self.position_by_key.get(&key).copied() else { return false };
+        let slot = &mut self.slots[position];
+        slot.pending_starts = slot.pending_starts.saturating_sub(1);
+        if !slot.awaits_confirmations || slot.pending_starts > RESUMING_PENDING_STARTS {
+            return false;
+        }
+        slot.awaits_confirmations = false;
+        self.failed_searches.get_mut().clear();
+        true
+    }
+
     /// Total capacity of all workers that may take starts, including ejected ones.
     pub fn total(&self) -> Resources {
         self.total
--- a/crates/scheduler/src/placement/slot.rs
+++ b/crates/scheduler/src/placement/slot.rs
@@ -53,6 +53,10 @@
     pub(super) rack: Option<Symbol>,
     pub(super) labels: Vec<Symbol>,
     pub(super) steps: Vec<StepCount>,
+    /// Number of starts that the worker has not confirmed.
+    pub(super) pending_starts: u32,
+    /// Whether the worker takes no further single task until it has confirmed some starts.
+    pub(super) awaits_confirmations: bool,
 }
 
 impl Slot {
--- a/crates/scheduler/src/worker/attempts.rs
+++ b/crates/scheduler/src/worker/attempts.rs
@@ -95,6 +95,11 @@
         (self.unwanted || absent) && !self.is_queued()
     }
 
+    /// Whether the attempt needs a stop, now or later, or a status query.
+    pub(super) fn needs_call(&self) -> bool {
+        self.needs_stop() || self.status_query_needed().is_some()
+    }
+
     /// When the next stop has to be sent, in nanoseconds of the steady clock; `None` if no stop is due by
     /// time alone.
     pub(super) fn stop_due(&self) -> Option<u64> {
--- a/crates/scheduler/src/worker/lease_renewals.rs
+++ b/crates/scheduler/src/worker/lease_renewals.rs
@@ -7,7 +7,6 @@
 
 use crate::time::NANOS_PER_MS;
 
-use super::attempts::Attempt;
 use super::calls::{CallKind, InFlightCall};
 use super::response_clock::ResponseTime;
 use super::session::{SessionStatus, WorkerSession};
@@ -148,6 +147,6 @@
 
     /// Number of the first call whose lists settle all that is uncertain; `None` if nothing is.
     fn status_query_needed(&self) -> Option<u64> {
-        self.attempts.values().filter_map(Attempt::status_query_needed).max()
+        self.attempts.needing_calls().filter_map(|(_, attempt)| attempt.status_query_needed()).max()
     }
 }
--- a/crates/scheduler/src/worker/lists.rs
+++ b/crates/scheduler/src/worker/lists.rs
@@ -1,7 +1,5 @@
 //! Handling of the two lists in the answer to a lease renewal: running attempts and ends.
 
-use std::collections::btree_map::Entry;
-
 use messages::job::{EndKind, Resolution, WorkerEnd};
 
 use crate::ids::{AttemptKey, TaskKey};
@@ -46,18 +44,17 @@
 
     fn handle_running(&mut self, entry: RunningEntry, is_newest: bool, now: u64) {
         let conclusive_from = self.calls.next_id();
-        let attempt = match self.attempts.entry(entry.key) {
-            Entry::Occupied(occupied) => occupied.into_mut(),
-            Entry::Vacant(vacant) => {
-                if is_newest {
-                    vacant.insert(Attempt::orphan(conclusive_from));
-                }
-                return;
+        let Some(attempt) = self.attempts.get_listed(&entry.key) else {
+            if is_newest {
+                self.attempts.insert_new(entry.key, Attempt::orphan(conclusive_from));
             }
+            return;
         };
+        let mut repeats_stop = false;
         if let StopProgress::Answered { repeat_at, .. } = attempt.stop {
             if repeat_at <= now {
                 attempt.stop = StopProgress::Idle;
+                repeats_stop = true;
             }
         }
         if !matches!(attempt.phase, AttemptPhase::Running { .. }) {
@@ -69,6 +66,9 @@
             attempt.checkpoint.clone_from(&entry.checkpoint);
             attempt.percent = entry.percent;
         }
+        if repeats_stop {
+            self.attempts.mark_changed(entry.key);
+        }
         self.report_started(entry.key);
         if reports_progress {
             let RunningEntry { key, checkpoint, percent } = entry;
@@ -106,16 +106,16 @@
     /// Records which attempts the lists of a call lack, and resolves stopped ones among them.
     fn record_absent(&mut self, call: u64, listed: &[AttemptKey]) {
         let mut gone = Vec::new();
-        for (key, attempt) in &mut self.attempts {
+        self.attempts.change_each(|key, attempt| {
             if attempt.is_queued() || listed.binary_search(key).is_ok() {
-                continue;
+                return false;
             }
             if matches!(
                 attempt.stop,
                 StopProgress::Answered { conclusive_from, .. } if conclusive_from <= call
             ) {
                 gone.push(*key);
-                continue;
+                return false;
             }
             match attempt.phase {
                 AttemptPhase::Running { conclusive_from }
@@ -123,10 +123,11 @@
                     if conclusive_from <= call =>
                 {
                     attempt.phase = AttemptPhase::Uncertain { conclusive_from, absent: true };
+                    true
                 }
-                _ => {}
+                _ => false,
             }
-        }
+        });
         for key in gone {
             self.resolve(key, Resolution::NEVER_RAN);
         }
--- a/crates/scheduler/src/worker/mod.rs
+++ b/crates/scheduler/src/worker/mod.rs
@@ -8,6 +8,7 @@
 //! Two leases must be distinguished. The worker's lease is the permission for everything that runs on the
 //! worker; calls named lease renewals extend it. The leader's lease is the permission to send such calls.
 
+mod attempt_table;
 mod attempts;
 mod backoff;
 mod call_outcomes;
--- a/crates/scheduler/src/worker/orders.rs
+++ b/crates/scheduler/src/worker/orders.rs
@@ -20,9 +20,9 @@
     /// Sends the stops that are due.
     pub(super) fn send_stops(&mut self, now: u64) {
         while self.has_order_slot() {
-            let mut attempts = self.attempts.iter();
-            let due = attempts.find(|(_, attempt)| attempt.stop_due().is_some_and(|at| at <= now));
-            let Some((&key, _)) = due else {
+            let is_due = |attempt: &Attempt| attempt.stop_due().is_some_and(|at| at <= now);
+            let due = self.attempts.needing_calls().find(|(_, attempt)| is_due(attempt));
+            let Some(key) = due.map(|(key, _)| *key) else {
                 return;
             };
             let call = self.calls.open(CallKind::Stop(key), self.send_time(now), 0, self.answer_timeout());
@@ -39,7 +39,7 @@
         if !self.has_order_slot() {
             return None;
         }
-        self.attempts.values().filter_map(Attempt::stop_due).min()
+        self.attempts.needing_calls().filter_map(|(_, attempt)| attempt.stop_due()).min()
     }
 
     /// Sends the starts that are due, in the order of the queue.
--- a/crates/scheduler/src/worker/resolution.rs
+++ b/crates/scheduler/src/worker/resolution.rs
@@ -10,7 +10,7 @@
 impl WorkerSession {
     /// Reports once that an attempt runs.
     pub(super) fn report_started(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(&key) else {
+        let Some(attempt) = self.attempts.get_listed(&key) else {
             return;
         };
         if !attempt.start_reported && !attempt.orphan {
@@ -49,7 +49,7 @@
     /// When the worker's lease has certainly expired, in nanoseconds of the steady clock; `None` if no
     /// attempt may run under it.
     pub(super) fn lease_expiry_due(&self) -> Option<u64> {
-        let may_run = self.attempts.values().any(|attempt| !attempt.is_queued());
+        let may_run = self.attempts.iter().any(|(_, attempt)| !attempt.is_queued());
         may_run.then(|| self.worker_lease.certainly_expired_at(&self.clock))
     }
 }
--- a/crates/scheduler/src/worker/session.rs
+++ b/crates/scheduler/src/worker/session.rs
@@ -1,6 +1,6 @@
 //! State of a session, and the operations that its caller uses.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use messages::job;
 use messages::job::Resolution;
@@ -8,6 +8,7 @@
 use crate::ids::AttemptKey;
 use crate::time::NANOS_PER_MS;
 
+use super::attempt_table::AttemptTable;
 use super::attempts::Attempt;
 use super::calls::{InFlightCalls, SendTime};
 use super::clock::ClockEstimate;
@@ -44,7 +45,7 @@
     pub(super) round_trip: RoundTripEstimate,
     pub(super) calls: InFlightCalls,
     pub(super) lease_renewals: LeaseRenewalSchedule,
-    pub(super) attempts: BTreeMap<AttemptKey, Attempt>,
+    pub(super) attempts: AttemptTable,
     /// Attempts whose start has not been sent, in the order in which the starts are to be sent.
     pub(super) start_queue: VecDeque<AttemptKey>,
     /// Attempts whose start is held until the leader releases it.
@@ -86,7 +87,7 @@
             round_trip: RoundTripEstimate::default(),
             calls: InFlightCalls::new(),
             lease_renewals: LeaseRenewalSchedule::new(options.lease_renewal_bursts),
-            attempts: BTreeMap::new(),
+            attempts: AttemptTable::default(),
             start_queue: VecDeque::new(),
             held_starts: BTreeSet::new(),
             ends: EndWatermarks::new(acknowledged),
@@ -148,7 +149,7 @@
         if self.attempts.contains_key(&key) {
             return false;
         }
-        self.attempts.insert(key, Attempt::queued(order));
+        self.attempts.insert_new(key, Attempt::queued(order));
         true
     }
 
@@ -160,7 +161,7 @@
             self.report_resolved(key, Resolution::INCARNATION_ENDED, String::new());
             return;
         }
-        self.attempts.entry(key).or_insert_with(Attempt::adopted);
+        self.attempts.insert_new(key, Attempt::adopted());
     }
 
     /// Number of attempts that the session tracks.
@@ -243,7 +244,7 @@
         self.cancel_calls();
         self.start_queue.clear();
         self.held_starts.clear();
-        for (key, attempt) in std::mem::take(&mut self.attempts) {
+        for (key, attempt) in self.attempts.take() {
             if !attempt.orphan {
                 self.report_resolved(key, Resolution::INCARNATION_ENDED, attempt.checkpoint);
             }
@@ -254,6 +255,7 @@
     /// Appends the reports and calls that are due at `now` to `out`, in their order.
     pub fn poll(&mut self, now: u64, out: &mut Vec<SessionOutput>) {
         if self.status == SessionStatus::Active {
+            self.attempts.prune();
             self.expire_calls(now);
             self.resolve_expired(now);
             self.check_health(now);
