--- a/crates/demo/src/error.rs
+++ b/crates/demo/src/error.rs
@@ -22,6 +22,10 @@
             display("a stand-in cannot listen on loopback ({error}): \
                 see whether addresses 127.x.y.z may be used here")
         }
+        /// The thread of the simulated servers ended before they were started.
+        StandInsEnded {
+            display("the stand-ins ended before they were started: see what their thread reported")
+        }
         /// A child process cannot be started.
         Start(program: PathBuf, error: io::Error) {
             display("{} cannot be started ({error}): see that it may be run", program.display())
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -13,10 +13,13 @@
 mod report;
 mod scenario;
 mod server;
+mod stand_ins;
 mod worker;
 
+pub use environment::SERVICE;
 pub use error::DemoError;
 pub use report::Report;
+pub use stand_ins::StandIns;
 
 use std::path::Path;
 use std::time::Duration;
--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -2,19 +2,24 @@
 
 use crate::http::{call_operator_api, Answer, Connection, Failure};
 use crate::soak_run::ATTEMPT_TIMEOUT;
+use demo::SERVICE;
 use fastrand::Rng;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// `Host` of the clients' requests.
-const HOST: &str = "soak.example";
-/// Path prefix of the only queue.
+pub const HOST: &str = "soak.example";
+/// Path prefix of the queue of a service without workers.
 const PREFIX: &str = "/jobs/";
+/// Path prefix of the queue of the service with workers that has the first priority.
+pub const URGENT_PREFIX: &str = "/urgent/";
+/// Path prefix of the queue of the service with workers that has the last priority.
+pub const BULK_PREFIX: &str = "/bulk/";
 /// Path of a core process's own status.
 const STATUS_PATH: &str = "/v1/admin/status";
-const ACCEPTED: u16 = 200;
-const UNKNOWN_JOB: u16 = 410;
+pub const ACCEPTED: u16 = 200;
+pub const UNKNOWN_JOB: u16 = 410;
 /// The answer to a submission that was not taken.
 const UNAVAILABLE: u16 = 503;
 /// Shortest and longest time that a client which leaves and cancels waits for its submission's answer.
@@ -23,7 +28,7 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(20);
 /// An answer with this status or a higher one does not tell whether a change took effect.
 const FIRST_UNCLEAR_STATUS: u16 = 500;
-/// A job of two tasks. It stays pending because there are no workers.
+/// A job of two tasks. It stays pending because its service has no workers.
 const JOB: &str = r#"{"Spec":"soak","Stages":[{"Count":2,"Cpu":250,"MemMb":64,"EstRuntimeMs":200}]}"#;
 
 /// The results of all calls of the clients and the operator.
@@ -40,6 +45,14 @@
     /// Jobs whose cancellation was acknowledged after their client had left without an answer to the
     /// submission, and whether the acknowledgement said that there is no such job.
     pub cancelled: Vec<(String, bool)>,
+    /// Urgent jobs that were accepted beside the loads.
+    pub urgent: Vec<String>,
+    /// Number of times that all loads were in place.
+    pub load_rounds: u64,
+    /// Whether the loads are to be taken away.
+    pub ends_loads: bool,
+    /// Whether no load is in place.
+    pub has_no_load: bool,
     /// The edge that is paused, if any.
     pub paused_edge: Option<SocketAddr>,
     /// Version of the newest acknowledged configuration.
@@ -82,7 +95,7 @@
         self.update(|calls| calls.is_finished = true);
     }
 
-    fn is_finished(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         self.calls().is_finished
     }
 }
@@ -238,10 +251,21 @@
 }
 
 fn configuration(version: u64) -> String {
-    format!(
-        r#"{{"Version":{version},"Routes":[{{"Name":"r","Host":"{HOST}","PathPrefix":"{PREFIX}","RouteType":"non_idempotent","TimeoutMs":{},"TargetLatencyMs":1000,"Priority":1,"Backend":"s","MaxRetries":3,"Stretch":2.2}}],"Backends":[{{"Name":"s","HealthCheck":"/healthz","MaxConnections":64,"Protocol":"h1","Tls":false,"Guards":true}}]}}"#,
-        3_000 + version % 7,
-    )
+    let routes = [(PREFIX, 1, "s"), (URGENT_PREFIX, 0, SERVICE), (BULK_PREFIX, 2, SERVICE)];
+    let timeout_ms = 3_000 + version % 7;
+    let route = |(prefix, priority, service): (&str, u32, &str)| {
+        format!(
+            r#"{{"Name":"r{priority}","Host":"{HOST}","PathPrefix":"{prefix}","RouteType":"non_idempotent","TimeoutMs":{timeout_ms},"TargetLatencyMs":1000,"Priority":{priority},"Backend":"{service}","MaxRetries":3,"Stretch":2.2}}"#
+        )
+    };
+    let service = |name| {
+        format!(
+            r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxConnections":64,"Protocol":"h1","Tls":false,"Guards":true}}"#
+        )
+    };
+    let routes = routes.map(route).join(",");
+    let services = ["s", SERVICE].map(service).join(",");
+    format!(r#"{{"Version":{version},"Routes":[{routes}],"Backends":[{services}]}}"#)
 }
 
 /// Changes the configuration repeatedly until the run is finished; retries each change until it is
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -1,5 +1,5 @@
 //! Soak test: real processes under overlapping series of signals, restarts, lost disks and configuration
-//! changes, while clients keep using their open connections.
+//! changes, while clients keep using their open connections and loads that once stopped the service come and go.
 //!
 //! Checks that no process ends by itself, that the system serves after each series, that nothing acknowledged
 //! is lost, that no job is accepted after its cancellation was acknowledged, and that a process that receives
@@ -10,6 +10,7 @@
 
 mod clients;
 mod http;
+mod loads;
 mod process;
 mod site;
 mod soak_run;
--- a/crates/node/tests/soak/site.rs
+++ b/crates/node/tests/soak/site.rs
@@ -1,6 +1,7 @@
 //! The machines of a soak run: addresses, settings, disks and processes.
 
 use crate::process::{Process, SignalName};
+use demo::StandIns;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -12,6 +13,8 @@
 const FIRST_PEER_PORT: u16 = 7_660;
 const LAST_PEER_PORT: u16 = 7_675;
 const SEEDS: usize = 3;
+/// Number of workers of the only service that has any.
+const WORKERS: usize = 4;
 /// The last byte of the first edge's address.
 const FIRST_EDGE: usize = 101;
 /// Memory limit of a process, in MB.
@@ -44,6 +47,7 @@
     pub cores: usize,
     /// Number of the first core machine that is a seed.
     first_seed: usize,
+    stand_ins: StandIns,
 }
 
 impl Site {
@@ -62,7 +66,8 @@
         let core = |number: usize| machine(Role::Control, number + 1, format!("core-{number}"));
         let edge = |number: usize| machine(Role::DataPlane, FIRST_EDGE + number, format!("edge-{number}"));
         let machines = (0..cores).map(core).chain((0..edges).map(edge)).collect();
-        Site { folder, machines, cores, first_seed: 0 }
+        let stand_ins = StandIns::start(WORKERS).expect("a platform and workers");
+        Site { folder, machines, cores, first_seed: 0, stand_ins }
     }
 
     /// Number of disks that may be lost at the same time.
@@ -166,10 +171,11 @@
         let text = format!(
             r#"{{"NodeId":"{name}","Ip":"{ip}","Zone":"z","ListenAddrs":{{{listen}}},"PortRange":[{FIRST_PEER_PORT},{LAST_PEER_PORT}],
             "SeedNodes":[{}],"Bootstrap":{},"CountsForQuorum":true,"DataDir":{disk:?},"Discovery":"cloud_api",
-            "FaultTolerance":{{"Machines":{}}},"Bounds":{{"GraceS":6}},"Limits":{{"MemoryMb":{MEMORY_LIMIT_MB}}}}}"#,
+            "FaultTolerance":{{"Machines":{}}},"CloudApi":{{"Address":"{}","RatePerS":30}},"Bounds":{{"GraceS":6}},"Limits":{{"MemoryMb":{MEMORY_LIMIT_MB}}}}}"#,
             seeds.join(","),
             !has_started,
             self.tolerated_losses(),
+            self.stand_ins.platform(),
         );
         // Replaced atomically, as a platform does.
         let path = self.file(machine, "json");
--- a/crates/node/tests/soak/soak_run.rs
+++ b/crates/node/tests/soak/soak_run.rs
@@ -3,6 +3,7 @@
 use crate::clients::{check_cancelled_job, knows_job, read_member_status, read_version};
 use crate::clients::{run_client, run_departing_client, run_operator};
 use crate::clients::{CallRecord, MemberStatus, SharedRecord};
+use crate::loads::{is_completed, run_load_client};
 use crate::process::{Process, SignalName};
 use crate::site::{Role, Site, MEMORY_LIMIT_MB};
 use fastrand::Rng;
@@ -75,6 +76,8 @@
             let (rng, client_addresses, record) = (run.rng.fork(), &client_addresses, &record);
             scope.spawn(move || run_departing_client(record, client_addresses, rng));
         }
+        let (rng, load_addresses, loads) = (run.rng.fork(), &client_addresses, &record);
+        scope.spawn(move || run_load_client(loads, load_addresses, rng));
         let (rng, operator, record) = (run.rng.fork(), &controls, &record);
         scope.spawn(move || run_operator(record, operator, rng));
         let outcome = run.run(record);
@@ -86,13 +89,15 @@
     run.check_state(&calls).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     run.stop_all().unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     println!(
-        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {} cancelled after leaving, {} of them unknown, {:.1} s",
+        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {} cancelled after leaving, {} of them unknown, {} rounds of loads, {} urgent jobs beside them, {:.1} s",
         calls.served,
         calls.refused,
         calls.cut,
         calls.changes,
         calls.cancelled.len(),
         calls.cancelled.iter().filter(|(_, was_unknown)| *was_unknown).count(),
+        calls.load_rounds,
+        calls.urgent.len(),
         began.elapsed().as_secs_f64(),
     );
 }
@@ -133,9 +138,24 @@
         }
         self.lose_disks();
         self.wait_for_service(record)?;
+        self.end_loads(record)?;
         self.check_resource_use(record)
     }
 
+    /// Has the loads taken away, and waits until they are.
+    fn end_loads(&mut self, record: &SharedRecord) -> Result<(), String> {
+        record.update(|calls| calls.ends_loads = true);
+        let deadline = Instant::now() + SERVICE_TIMEOUT;
+        while !record.wait_until(Duration::from_millis(100), |calls| calls.has_no_load) {
+            self.check_exits()?;
+            self.site.start_all();
+            if Instant::now() > deadline {
+                return Err(format!("the loads cannot be cancelled\n{}", self.logs()));
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until each core machine is a voter under the identity on its disk and knows all members. A
     /// machine that has lost its disk counts as lost until then.
     fn wait_for_all_voters(&mut self) -> Result<(), String> {
@@ -294,11 +314,31 @@
                 None => return Err(format!("no edge answers a read of job {job}\n{}", self.logs())),
             }
         }
+        self.check_urgent_jobs(calls)?;
         self.check_cancelled_jobs(calls)?;
         self.check_truncated_answers(calls)?;
         self.check_exits()
     }
 
+    /// Checks that jobs which were accepted beside the loads are completed.
+    fn check_urgent_jobs(&mut self, calls: &CallRecord) -> Result<(), String> {
+        let client_addresses = self.site.client_addresses();
+        let mut jobs = calls.urgent.clone();
+        self.rng.shuffle(&mut jobs);
+        for (number, job) in jobs.iter().take(JOBS_TO_CHECK).enumerate() {
+            let edge = client_addresses[number % client_addresses.len()];
+            let deadline = Instant::now() + SERVICE_TIMEOUT;
+            while is_completed(edge, job) != Some(true) {
+                self.check_exits()?;
+                self.site.start_all();
+                if Instant::now() > deadline {
+                    return Err(format!("{job} was accepted and is not completed\n{}", self.logs()));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that no job has been accepted after its cancellation was acknowledged.
     fn check_cancelled_jobs(&mut self, calls: &CallRecord) -> Result<(), String> {
         let client_addresses = self.site.client_addresses();
