--- a/crates/demo/src/stand_ins.rs
+++ b/crates/demo/src/stand_ins.rs
@@ -26,7 +26,7 @@
         let (started, start) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
         let thread = std::thread::spawn(move || run(workers, &started, stopped));
-        let platform = start.recv().unwrap_or_else(|_| Err(DemoError::StandInsEnded))?;
+        let platform = start.recv().unwrap_or(Err(DemoError::StandInsEnded))?;
         Ok(StandIns { platform, stop: Some(stop), thread: Some(thread) })
     }
 
