Ends and resolved attempts with long checkpoints are split into several commands

Cause: all ends that a worker lists are one command, and so are all resolved attempts of a turn. A batch is split between its commands, never within one. Other members reject a frame over 8 MB and close the connection, and the worker lists the same ends to each next leader.

Change: the leader makes commands of at most 512 KB, the ends of a worker in the order of their numbers.

Test: `long_ends`, red on the former code.

--- a/crates/scheduler/src/leader/attempt_progress.rs
+++ b/crates/scheduler/src/leader/attempt_progress.rs
@@ -1,7 +1,7 @@
 //! Handling of the session outputs on attempts: starts, progress, ends, and attempts that are proven not to
 //! run.
 
-use messages::job::{AttemptResolved, RecordEnds, Resolution, WorkerEnd};
+use messages::job::{AttemptResolved, Resolution, WorkerEnd};
 
 use crate::ids::AttemptKey;
 use crate::placement::WorkerKey;
@@ -88,7 +88,7 @@
                 self.batch.incarnation(entry.incarnation());
             }
             let ends = std::mem::take(&mut entry.pending_ends);
-            self.batch.ends(RecordEnds { instance: entry.instance.to_string(), ends });
+            self.batch.ends(&entry.instance, ends);
         }
     }
 }
--- a/crates/scheduler/src/leader/batch.rs
+++ b/crates/scheduler/src/leader/batch.rs
@@ -1,11 +1,14 @@
 //! Commands that are collected until the next flush and then proposed together.
 
+use messages::encoded_len;
 use messages::job::mod_Command::OneOfkind;
 use messages::job::{
     AdvanceClock, AttemptResolved, AttemptStart, Command, CommandBatch, ForgetWorkers, RecordEnds,
-    ResolveAttempts, StartAttempts, WorkerIncarnation,
+    ResolveAttempts, StartAttempts, WorkerEnd, WorkerIncarnation,
 };
 
+use super::command_size::split_by_size;
+
 /// Commands of the next proposal.
 #[derive(Debug, Default)]
 pub(super) struct Batch {
@@ -24,9 +27,11 @@
         self.commands.push(Command { kind });
     }
 
-    /// Adds ends that a worker reported.
-    pub(super) fn ends(&mut self, ends: RecordEnds) {
-        self.ends.push(ends);
+    /// Adds ends that a worker reported, in the order of their sequence numbers.
+    pub(super) fn ends(&mut self, instance: &str, ends: Vec<WorkerEnd>) {
+        for ends in split_by_size(ends, encoded_len) {
+            self.ends.push(RecordEnds { instance: instance.to_owned(), ends });
+        }
     }
 
     /// Adds an attempt that is proven not to run.
@@ -72,8 +77,7 @@
             kinds.push(OneOfkind::start_attempts(StartAttempts { starts: Vec::new(), incarnations }));
         }
         kinds.extend(self.ends.drain(..).map(OneOfkind::record_ends));
-        if !self.resolved.is_empty() {
-            let resolved = std::mem::take(&mut self.resolved);
+        for resolved in split_by_size(std::mem::take(&mut self.resolved), encoded_len) {
             kinds.push(OneOfkind::resolve_attempts(ResolveAttempts { resolved }));
         }
         let mut commands: Vec<Command> = kinds.into_iter().map(|kind| Command { kind }).collect();
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -16,6 +16,7 @@
 mod capacity_reservation;
 mod client_requests;
 mod clock;
+mod command_size;
 mod committed_changes;
 mod configuration_changes;
 mod demand;
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -92,6 +92,8 @@
     pub calls: u64,
     /// Percentage of calls that are lost or arrive late. Half this percentage of the answers is lost, too.
     pub call_loss_percent: u8,
+    /// Length of the longest command that was proposed.
+    pub largest_command_bytes: usize,
     /// Whether the leader holds its lease.
     pub has_lease: bool,
     /// Number of gang members that ended because not all members started in time.
@@ -178,6 +180,7 @@
             immediate_violations: Vec::new(),
             calls: 0,
             call_loss_percent: 0,
+            largest_command_bytes: 0,
             has_lease: true,
             gang_timeouts: 0,
             loses_answers: false,
@@ -263,7 +266,11 @@
     fn handle_output(&mut self, output: Output) {
         let (now, term) = (self.now, self.term);
         match output {
-            Output::Propose { batch } => self.schedule(now + COMMIT_DELAY_NS, Event::Commit { term, batch }),
+            Output::Propose { batch } => {
+                let longest = batch.commands.iter().map(messages::encoded_len).max().unwrap_or(0);
+                self.largest_command_bytes = self.largest_command_bytes.max(longest);
+                self.schedule(now + COMMIT_DELAY_NS, Event::Commit { term, batch });
+            }
             Output::Reply { token, reply } => {
                 assert!(self.replies.insert(token, reply).is_none(), "token {token} was answered twice");
             }
