A step with tasks on a worker that has many starts to confirm waits for that worker

Change: while a worker with tasks of the step could take the next one but for the starts that it has to confirm, the step waits for it, at most 200 ms from the time at which the worker reached the bound, so that a silent worker keeps nothing. Other steps pass over it as before.

--- a/crates/scheduler/src/leader/occupancy.rs
+++ b/crates/scheduler/src/leader/occupancy.rs
@@ -55,7 +55,7 @@
             stopping: false,
         };
         if attempt.awaits_confirmation() {
-            self.services[service].fleet.start_pending(worker);
+            self.services[service].fleet.start_pending(worker, self.now);
         }
         if let Some(entry) = self.workers.get_mut(&worker) {
             entry.needs.include(&attempt, &self.settings, self.now);
--- a/crates/scheduler/src/leader/placement_choice.rs
+++ b/crates/scheduler/src/leader/placement_choice.rs
@@ -19,6 +19,11 @@
 /// Maximum wait of a task for capacity near its data. A job may have nothing running for at most 3 s while
 /// there is capacity.
 const MAX_DATA_WAIT_NS: u64 = 2_000 * NANOS_PER_MS;
+/// How long a step with tasks on a worker that has many starts to confirm waits for that worker before its next task
+/// starts elsewhere. A worker that answers confirms them in less time.
+const MAX_PACKING_WAIT_NS: u64 = 200 * NANOS_PER_MS;
+/// Time between two checks of such a step, if no start is confirmed in between.
+const PACKING_RETRY_INTERVAL_NS: u64 = 20 * NANOS_PER_MS;
 /// How long a step waits for another worker before it accepts an ejected one.
 const EJECTED_WORKER_WAIT_NS: u64 = 1_000 * NANOS_PER_MS;
 /// Time between two checks of ejected workers for a step.
@@ -37,6 +42,9 @@
     let avoid = failed_on.get(&task).map_or(&[][..], Vec::as_slice);
     let tasks_to_pack = if context.mechanisms.uses(Mechanism::Packing) { waiting_tasks } else { 0 };
     let demand = Demand { tasks_to_pack, ..demand_of(step, stage, avoid) };
+    if fleet.packs_on_busy_worker(&demand, context.now.saturating_sub(MAX_PACKING_WAIT_NS)) {
+        return Choice::RetryAt(context.now + PACKING_RETRY_INTERVAL_NS);
+    }
     if demand.affinity.is_some_and(|rack| fleet.knows_rack(rack)) {
         if let Some(worker) = fleet.place_in_affinity_rack(&demand) {
             return Choice::Task(worker);
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -83,6 +83,17 @@
         candidates.any(|slot| slot.ejected && matcher.fits_when_empty(slot))
     }
 
+    /// Whether a worker has tasks of the step and could take the task but for the starts that it has to confirm, and
+    /// has had to confirm that many since `since` at the earliest. Such a step is packed if it waits for the worker.
+    pub fn packs_on_busy_worker(&self, demand: &Demand, since: u64) -> bool {
+        let Some(matcher) = Matcher::new(self, demand).filter(|_| demand.tasks_to_pack > 0) else {
+            return false;
+        };
+        let is_busy = |slot: &Slot| slot.awaits_confirmations_since.is_some_and(|at| at >= since);
+        let mut slots = self.step_slots(&demand.step);
+        slots.any(|slot| is_busy(slot) && matcher.fits_apart_from_pending_starts(slot))
+    }
+
     fn place_matching(&self, matcher: &Matcher) -> Option<WorkerKey> {
         let min_quality = SIMILAR_QUALITY_RATIO * self.best_quality(matcher)?;
         let is_candidate = |slot: &Slot| matcher.quality(slot) >= min_quality && matcher.fits_now(slot);
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -122,7 +122,7 @@
                     labels,
                     steps,
                     pending_starts: 0,
-                    awaits_confirmations: false,
+                    awaits_confirmations_since: None,
                 });
                 self.largest = self.largest.max(capacity);
             }
@@ -181,12 +181,15 @@
     }
 
     /// Records that a start on a worker was decided. Once `MAX_PENDING_STARTS` are not confirmed, the worker takes no
-    /// single task; gangs are placed as a whole and do not have this limit.
-    pub fn start_pending(&mut self, key: WorkerKey) {
+    /// single task; gangs are placed as a whole and do not have this limit. `now` is compared with that of
+    /// [`Fleet::packs_on_busy_worker`] only.
+    pub fn start_pending(&mut self, key: WorkerKey, now: u64) {
         let Some(position) = self.position_by_key.get(&key).copied() else { return };
         let slot = &mut self.slots[position];
         slot.pending_starts += 1;
-        slot.awaits_confirmations |= slot.pending_starts >= MAX_PENDING_STARTS;
+        if slot.pending_starts >= MAX_PENDING_STARTS {
+            slot.awaits_confirmations_since.get_or_insert(now);
+        }
     }
 
     /// Records that a start on a worker is confirmed, or will not take place. Returns whether the worker takes
@@ -195,10 +198,10 @@
         let Some(position) = self.position_by_key.get(&key).copied() else { return false };
         let slot = &mut self.slots[position];
         slot.pending_starts = slot.pending_starts.saturating_sub(1);
-        if !slot.awaits_confirmations || slot.pending_starts > RESUMING_PENDING_STARTS {
+        if slot.awaits_confirmations_since.is_none() || slot.pending_starts > RESUMING_PENDING_STARTS {
             return false;
         }
-        slot.awaits_confirmations = false;
+        slot.awaits_confirmations_since = None;
         self.failed_searches.get_mut().clear();
         true
     }
--- a/crates/scheduler/src/placement/matching.rs
+++ b/crates/scheduler/src/placement/matching.rs
@@ -122,8 +122,12 @@
 
     /// Whether the worker can take the task now.
     pub(super) fn fits_now(&self, slot: &Slot) -> bool {
-        let may_start = self.may_start(slot) && !slot.awaits_confirmations;
-        let has_capacity = may_start && self.demand.need.fits_in(slot.free());
+        slot.awaits_confirmations_since.is_none() && self.fits_apart_from_pending_starts(slot)
+    }
+
+    /// Whether the worker could take the task now if it had no starts to confirm.
+    pub(super) fn fits_apart_from_pending_starts(&self, slot: &Slot) -> bool {
+        let has_capacity = self.may_start(slot) && self.demand.need.fits_in(slot.free());
         has_capacity && self.satisfies_constraints(slot) && self.anti_affinity_headroom(slot) > 0
     }
 
--- a/crates/scheduler/src/placement/slot.rs
+++ b/crates/scheduler/src/placement/slot.rs
@@ -55,8 +55,9 @@
     pub(super) steps: Vec<StepCount>,
     /// Number of starts that the worker has not confirmed.
     pub(super) pending_starts: u32,
-    /// Whether the worker takes no further single task until it has confirmed some starts.
-    pub(super) awaits_confirmations: bool,
+    /// Since when the worker takes no further single task, in the caller's time; `None` if it takes some. It does
+    /// again once it has confirmed some starts.
+    pub(super) awaits_confirmations_since: Option<u64>,
 }
 
 impl Slot {
