--- a/crates/scheduler/src/leader/worker_lease_need.rs
+++ b/crates/scheduler/src/leader/worker_lease_need.rs
@@ -40,21 +40,23 @@
 }
 
 impl AttemptNeeds {
-    /// Computes the needs of a worker's attempts, unless there are many and their needs were computed lately.
+    /// Computes the needs of a worker's attempts, unless there are many and their needs were computed lately. Returns
+    /// the number of attempts that it went over.
     pub(super) fn update(
         &mut self,
         attempts: &Attempts,
         assigned: &[AttemptKey],
         settings: &LeaderSettings,
         now: u64,
-    ) {
+    ) -> u64 {
         if assigned.len() > FEW_ATTEMPTS && now < self.valid_until {
-            return;
+            return 0;
         }
         *self = AttemptNeeds { valid_until: now + NEEDS_LIFETIME_NS, ..AttemptNeeds::default() };
         for attempt in assigned.iter().filter_map(|key| attempts.get(key)) {
             self.include(attempt, settings, now);
         }
+        assigned.len() as u64
     }
 
     /// Includes the needs of a new attempt.
--- a/crates/scheduler/src/leader/worker_sessions.rs
+++ b/crates/scheduler/src/leader/worker_sessions.rs
@@ -145,7 +145,7 @@
         let mut outputs = std::mem::take(&mut self.session_outputs);
         if !self.fenced {
             let WorkerEntry { needs, assigned, .. } = entry;
-            needs.update(&self.attempts, assigned, &self.settings, self.now);
+            self.work.attempts_polled += needs.update(&self.attempts, assigned, &self.settings, self.now);
             let long_poll_wait_ms = needs.long_poll_wait_ms(assigned.len(), &self.settings, wait_ms);
             let worker_lease_ms = needs.worker_lease_ms(&self.settings);
             entry.session.set_long_poll_wait(long_poll_wait_ms);
--- a/crates/simulation/src/processor.rs
+++ b/crates/simulation/src/processor.rs
@@ -35,6 +35,8 @@
     pub const SNAPSHOT_BYTE: u64 = 3;
     /// Taking over a job from the state as a new leader.
     pub const RECOVERED_JOB: u64 = 3_000;
+    /// Going over one attempt of a worker in a poll.
+    pub const ATTEMPT_POLLED: u64 = 100;
     /// Adding a task to the waiting tasks of a service.
     pub const QUEUED_TASK: u64 = 60;
     /// Polling a worker's session.
@@ -115,6 +117,7 @@
     pub fn add_leader_work(&mut self, done: &LeaderWork) {
         let total = &mut self.leader;
         total.inputs += done.inputs;
+        total.attempts_polled += done.attempts_polled;
         total.tasks_queued += done.tasks_queued;
         total.admission_passes += done.admission_passes;
         total.steps_examined += done.steps_examined;
@@ -141,6 +144,7 @@
             (work.cancelled_calls, cost_ns::CANCELLED_CALL),
             (work.snapshot_bytes, cost_ns::SNAPSHOT_BYTE),
             (work.recovered_jobs, cost_ns::RECOVERED_JOB),
+            (work.leader.attempts_polled, cost_ns::ATTEMPT_POLLED),
             (work.leader.tasks_queued, cost_ns::QUEUED_TASK),
             (work.leader.sessions_polled, cost_ns::SESSION_POLL),
             (work.leader.admission_passes, cost_ns::ADMISSION_PASS),
--- a/crates/simulation/tests/large_jobs.rs
+++ b/crates/simulation/tests/large_jobs.rs
@@ -85,9 +85,10 @@
     let stage = Stage { count: 9_900, cpu: 4, mem_mb: 1, est_runtime_ms: 1_000, ..Stage::default() };
     let body = JobSpec { spec: "text".to_owned(), stages: vec![stage], ..JobSpec::default() };
     let at = Site::small().traffic_start + SECOND;
-    let added_jobs = [0, 1].map(|queue| AddedJob { at, queue, body: body.clone() });
-    let site = site(added_jobs.to_vec());
-    let killed_at = at + SECOND;
+    let added_jobs = [0, 0, 1].map(|queue| AddedJob { at, queue, body: body.clone() });
+    let mut site = site(added_jobs.to_vec());
+    site.services[0].workers = 4;
+    let killed_at = at + 2 * SECOND;
     let kill = FaultKind::CoreKill(Target::Leader);
     let kill = InjectedFault { at: killed_at, lasts: SECOND, kind: kill, pick: 1 };
     let history = World::new(site.clone(), Script { faults: vec![kill], ..Script::calm(3) }).play();
