Simulation: the few attempts that an ordinary poll goes over are part of its cost

Change: only attempts beyond 64, of which a poll now goes over all at most every 50 ms, are counted.

--- a/crates/scheduler/src/leader/work.rs
+++ b/crates/scheduler/src/leader/work.rs
@@ -16,7 +16,7 @@
     pub workers_examined: u64,
     /// Polls of worker sessions.
     pub sessions_polled: u64,
-    /// Attempts over which polls went to find what their worker's session needs.
+    /// Attempts over which polls went to find what their worker's session needs, beyond the few of an ordinary worker.
     pub attempts_polled: u64,
     /// How often the shares of all waiting steps of a service were computed.
     pub share_updates: u64,
--- a/crates/scheduler/src/leader/worker_lease_need.rs
+++ b/crates/scheduler/src/leader/worker_lease_need.rs
@@ -41,7 +41,7 @@
 
 impl AttemptNeeds {
     /// Computes the needs of a worker's attempts, unless there are many and their needs were computed lately. Returns
-    /// the number of attempts that it went over.
+    /// the number of attempts beyond `FEW_ATTEMPTS` that it went over.
     pub(super) fn update(
         &mut self,
         attempts: &Attempts,
@@ -56,7 +56,7 @@
         for attempt in assigned.iter().filter_map(|key| attempts.get(key)) {
             self.include(attempt, settings, now);
         }
-        assigned.len() as u64
+        assigned.len().saturating_sub(FEW_ATTEMPTS) as u64
     }
 
     /// Includes the needs of a new attempt.
--- a/crates/simulation/src/processor.rs
+++ b/crates/simulation/src/processor.rs
@@ -35,7 +35,7 @@
     pub const SNAPSHOT_BYTE: u64 = 3;
     /// Taking over a job from the state as a new leader.
     pub const RECOVERED_JOB: u64 = 3_000;
-    /// Going over one attempt of a worker in a poll.
+    /// Going over one attempt of a worker in a poll, beyond the few that are part of the poll's cost.
     pub const ATTEMPT_POLLED: u64 = 100;
     /// Adding a task to the waiting tasks of a service.
     pub const QUEUED_TASK: u64 = 60;
