--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -22,8 +22,9 @@
 use super::mechanisms::{Mechanism, Mechanisms};
 use super::start_delay::StartDelay;
 
-pub(super) use scan::ScanLimits;
-pub(super) use steps::{plan_of, Candidate, Choice, EnqueueRequest, NextStep, QueueEnd, StepKind};
+pub(super) use steps::{
+    plan_of, Candidate, Choice, EnqueueRequest, NextStep, QueueEnd, ScanLimits, StepKind,
+};
 
 use blocking::{BlockedSteps, DemandClass};
 use steps::{PlanHead, ReadyStep, WEIGHTS};
--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -7,22 +7,13 @@
 use crate::ids::StepKey;
 use crate::placement::{Fleet, RESOURCE_COUNT};
 
-use super::steps::{Candidate, Choice, NextStep};
+use super::steps::{Candidate, Choice, NextStep, ScanLimits};
 use super::Service;
 
 /// Maximum number of steps of a queue that one scan examines. Those without capacity are blocked, so that the next
 /// scan reaches the steps behind them.
 const SCAN_DEPTH: usize = 32;
 
-/// Limits on the cost of a search for the next step.
-#[derive(Debug, Clone, Copy)]
-pub(in crate::leader) struct ScanLimits {
-    /// Once the fleet has examined so many workers, no search for a further step begins.
-    pub(in crate::leader) workers_examined: u64,
-    /// Number of steps that may still be examined.
-    pub(in crate::leader) steps: u64,
-}
-
 /// The result of a scan of at most `SCAN_DEPTH` steps of each queue.
 struct Scan {
     released: Option<(Released<StepKey, RESOURCE_COUNT>, Choice)>,
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -63,6 +63,15 @@
     LimitReached,
 }
 
+/// Limits on the cost of a search for the next step.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::leader) struct ScanLimits {
+    /// Once the fleet has examined so many workers, no search for a further step begins.
+    pub(in crate::leader) workers_examined: u64,
+    /// Number of steps that may still be examined.
+    pub(in crate::leader) steps: u64,
+}
+
 /// The end at which a step enters its queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::leader) enum QueueEnd {
