--- a/review/harness-3/scenarios.rs
+++ b/review/harness-3/scenarios.rs
@@ -11,6 +11,8 @@
         "paused" => paused(trouble),
         "prefix" => prefix(trouble),
         "probe" => probe(),
+        "chaos" => chaos(),
+        "memory" => memory(trouble),
         _ => None,
     }
 }
@@ -176,3 +178,230 @@
     }
     Some(Ok(String::new()))
 }
+
+/// What a client thread of `memory` has had accepted.
+type Accepted = Arc<Mutex<Vec<String>>>;
+
+/// Many jobs for a later time, as many users hand them in at once. Each core process may use 384 MB, as its settings say;
+/// one that uses more is killed and started again, as the machine does.
+fn memory(trouble: bool) -> Verdict {
+    const LIMIT_KB: u64 = 384 * 1024;
+    const USUAL_PER_S: u64 = 173;
+    const BURST_PER_S: u64 = 450;
+    const LOAD_MS: u64 = 76_000;
+    const THREADS: u64 = 8;
+    let mut deployment = Deployment::start(&[(16_000, "a", "r1"), (16_000, "a", "r1")], "")?;
+    if !deployment.put_configuration(0, &configuration(1, &[("/roll/", 1)])) || !deployment.warm_up("/roll/") {
+        return None;
+    }
+    let accepted: Accepted = Accepted::default();
+    let first = deployment.next_id + 1_000;
+    let until = now_ms() + LOAD_MS;
+    let rate = if trouble { BURST_PER_S } else { USUAL_PER_S };
+    for thread in 0..THREADS {
+        let (accepted, front) = (accepted.clone(), deployment.fronts[thread as usize % deployment.fronts.len()]);
+        thread::spawn(move || hand_in_later_jobs(front, first + thread, THREADS, rate, until, &accepted));
+    }
+    // `finish_s` after the end of the traffic some of the jobs are asked for, each for 10 s at both gateways.
+    let (answers, fronts) = (Arc::new(Mutex::new(Vec::new())), deployment.fronts.clone());
+    let (asked, asking) = (accepted.clone(), answers.clone());
+    thread::spawn(move || {
+        while now_ms() < until + 14_000 {
+            sleep_ms(50);
+        }
+        let asked = asked.lock().unwrap().clone();
+        for id in asked.iter().step_by((asked.len() / 8).max(1)).take(8) {
+            let (asking, fronts, id) = (asking.clone(), fronts.clone(), id.clone());
+            thread::spawn(move || {
+                let reply = ask_for(&fronts, &id, 10_000);
+                note(&format!("client: GET /roll/{id} -> {reply}"));
+                asking.lock().unwrap().push(reply);
+            });
+        }
+    });
+    let (mut kills, mut noted) = (vec![0u32; 3], 0);
+    while now_ms() < until + 28_000 {
+        let used: Vec<u64> = (0..3).map(|core| resident_kb(deployment.children[core].id())).collect();
+        for core in 0..3 {
+            if used[core] > LIMIT_KB {
+                kills[core] += 1;
+                note(&format!("core-{core} uses {} kB, over its 384 MB: killed and started again", used[core]));
+                deployment.kill_and_start_again(core);
+            }
+        }
+        if now_ms() >= noted + 5_000 {
+            noted = now_ms();
+            let disk: Vec<u64> = (0..3).map(|core| deployment.data_mb(core)).collect();
+            note(&format!("{} jobs accepted, resident kB {used:?}, data MB {disk:?}", accepted.lock().unwrap().len()));
+        }
+        sleep_ms(50);
+    }
+    let answers = answers.lock().unwrap().clone();
+    let known = answers.iter().filter(|reply| reply.starts_with("200")).count();
+    let text = format!(
+        "{} jobs accepted; processes ended for memory by core machine {kills:?}; of 8 jobs that were asked for {known} got a state",
+        accepted.lock().unwrap().len()
+    );
+    let faults = kills.iter().filter(|kills| **kills >= 3).count();
+    let mut broken = Vec::new();
+    if faults >= 2 {
+        broken.push("Fault");
+    }
+    if known < 8 {
+        broken.push("LOST");
+    }
+    Some(if broken.is_empty() { Ok(text) } else { Err(format!("{}: {text}", broken.join(", "))) })
+}
+
+/// Asks for a job until it gets a state or `for_ms` has passed.
+fn ask_for(fronts: &[SocketAddr], id: &str, for_ms: u64) -> String {
+    let until = now_ms() + for_ms;
+    let mut last = "no answer".to_owned();
+    for turn in 0.. {
+        let left = until.saturating_sub(now_ms());
+        if left == 0 {
+            break;
+        }
+        let front = fronts[turn % fronts.len()];
+        let reply = call(front, "GET", &format!("/roll/{id}"), "X-Deadline-Ms: 3000\r\n", "", left.min(3_000));
+        if let Some((status, _, body)) = reply {
+            last = format!("{status} {body}");
+            if !matches!(status, 502..=504) {
+                break;
+            }
+        }
+        sleep_ms(100);
+    }
+    last
+}
+
+fn hand_in_later_jobs(front: SocketAddr, first: u64, step: u64, rate: u64, until: u64, accepted: &Accepted) {
+    let spec: String = "roll of the day; ".chars().cycle().take(4_000).collect();
+    let started = now_ms();
+    let mut connection: Option<(TcpStream, BufReader<TcpStream>)> = None;
+    let mut sent = 0u64;
+    while now_ms() < until {
+        if sent * 1_000 * step > (now_ms() - started) * rate {
+            sleep_ms(2);
+            continue;
+        }
+        let id = format!("{:016x}", first + sent * step);
+        sent += 1;
+        let steps = r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":1000}"#;
+        let body = job(&spec, steps, &format!(",\"Repeat\":1,\"IntervalMs\":1000,\"StartAtMs\":{}", wall_ms() + 3_600_000));
+        let text = format!("POST /roll/{id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\nX-Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if connection.is_none() {
+            connection = TcpStream::connect(front).ok().and_then(|stream| {
+                stream.set_nodelay(true).ok()?;
+                stream.set_read_timeout(Some(Duration::from_millis(4_000))).ok()?;
+                Some((stream.try_clone().ok()?, BufReader::new(stream)))
+            });
+        }
+        let Some((writer, reader)) = &mut connection else { continue };
+        let answered = writer.write_all(text.as_bytes()).ok().and_then(|()| read_message(reader).ok().flatten());
+        match answered {
+            Some(message) if message.head.split(' ').nth(1) == Some("200") => accepted.lock().unwrap().push(id),
+            Some(_) => {}
+            None => connection = None,
+        }
+    }
+}
+
+fn resident_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
+
+/// Not a case: a search. Processes are killed, stopped and continued one at a time, orders come late, while clients hand in and
+/// cancel jobs. Reports tasks that ran twice, and accepted jobs that did not end.
+fn chaos() -> Verdict {
+    let seed = std::env::var("SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1u64);
+    RANDOM.store(seed.wrapping_mul(0x1234_5678_9abc_def1), Ordering::Relaxed);
+    *JUDGE.lock().unwrap() = Some(Judge::default());
+    let mut plan: Vec<WorkerPlan> = vec![(16_000, "a", "r1"); 4];
+    plan.extend([(16_000, "b", "r2"); 4]);
+    let mut deployment = Deployment::start(&plan, "")?;
+    if !deployment.put_configuration(0, &configuration(1, &[("/lookup/", 0), ("/roll/", 1), ("/recon/", 2)])) || !deployment.warm_up("/lookup/") {
+        return None;
+    }
+    LATE_PER_MILLE.store(std::env::var("LATE").ok().and_then(|text| text.parse().ok()).unwrap_or(40), Ordering::Relaxed);
+    let accepted: Arc<Mutex<Vec<(String, String, bool)>>> = Arc::default();
+    let until = now_ms() + 70_000;
+    for client in 0..6u64 {
+        let (accepted, fronts) = (accepted.clone(), deployment.fronts.clone());
+        let first = deployment.next_id + 1_000_000 * (client + 1);
+        thread::spawn(move || {
+            let mut sent = 0;
+            while now_ms() < until {
+                sent += 1;
+                let id = format!("{:016x}", first + sent);
+                let prefix = ["/lookup/", "/roll/", "/recon/"][random(3) as usize];
+                let length = 50 + random(1_500);
+                let (count, cpu) = (1 + random(4), 500 + random(3_000));
+                let stage = format!("\"Count\":{count},\"Cpu\":{cpu},\"MemMb\":64,\"EstRuntimeMs\":{length}");
+                let body = job(&format!("ms={length};cpu={cpu}"), &format!("{{{stage}}},{{{stage},\"DependsOn\":[0]}}"), "");
+                let mut last = 0;
+                for turn in 0..8u64 {
+                    let front = fronts[((client + turn) % 2) as usize];
+                    last = call(front, "POST", &format!("{prefix}{id}"), "X-Deadline-Ms: 1500\r\n", &body, 1_500).map_or(0, |reply| reply.0);
+                    if !matches!(last, 0 | 502 | 504) {
+                        break;
+                    }
+                    sleep_ms(100);
+                }
+                let mut cancelled = false;
+                if last == 200 && random(8) == 0 {
+                    sleep_ms(random(800));
+                    cancelled = true;
+                    let reply = call(fronts[random(2) as usize], "DELETE", &format!("{prefix}{id}"), "X-Deadline-Ms: 1500\r\n", "", 1_500);
+                    note(&format!("client: DELETE {prefix}{id} -> {}", reply.map_or(0, |reply| reply.0)));
+                }
+                if last == 200 {
+                    accepted.lock().unwrap().push((prefix.to_owned(), id, cancelled));
+                }
+                sleep_ms(300 + random(600));
+            }
+        });
+    }
+    while now_ms() < until - 3_000 {
+        sleep_ms(300 + random(2_500));
+        let child = random(4) as usize;
+        match random(4) {
+            0 => {
+                note(&format!("kill process {child}"));
+                deployment.signal(child, "-KILL");
+                sleep_ms(random(1_500));
+                deployment.restart(child);
+            }
+            1 => {
+                note(&format!("SIGTERM to process {child}"));
+                deployment.signal(child, "-TERM");
+                deployment.restart(child);
+            }
+            _ => {
+                let length = 100 + random(2_500);
+                note(&format!("stop process {child} for {length} ms"));
+                deployment.signal(child, "-STOP");
+                sleep_ms(length);
+                deployment.signal(child, "-CONT");
+            }
+        }
+    }
+    LATE_PER_MILLE.store(0, Ordering::Relaxed);
+    sleep_ms(24_000);
+    let accepted = accepted.lock().unwrap().clone();
+    let (mut open, mut total) = (Vec::new(), 0);
+    for (prefix, id, cancelled) in &accepted {
+        total += 1;
+        let (status, body) = deployment.state(prefix, id);
+        let is_over = body.contains("completed") || (*cancelled && body.contains("cancelled"));
+        if status != 200 || !is_over {
+            open.push(format!("{prefix}{id} {status} {body}"));
+        }
+    }
+    let mut broken = JUDGE.lock().unwrap().take().map_or(Vec::new(), |judge| judge.broken);
+    broken.extend(open);
+    let text = format!("{total} jobs accepted, {} starts, broken: {broken:?}", STARTS.lock().unwrap().len());
+    Some(if broken.is_empty() { Ok(text) } else { Err(text) })
+}
