Review case 11: the jobs fall due after the end of the traffic

Need: the rule may be read as holding from finish_s after the traffic on. Added: case 11 uses timed jobs; ports of the stand-ins are checked together; a limit ends all processes of a run.

--- a/review/harness-3/harness.rs
+++ b/review/harness-3/harness.rs
@@ -421,6 +421,28 @@
 
 // ------------------------------------------------------------------------------------------------------ deployment
 
+/// Ids of all processes that this run started and has not ended yet.
+static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends a process of this run at once.
+fn end_process(child: &mut Child) {
+    PIDS.lock().unwrap().retain(|pid| *pid != child.id());
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+/// Ends the run with all its processes if it takes too long.
+fn limit_run(limit_ms: u64) {
+    thread::spawn(move || {
+        sleep_ms(limit_ms);
+        for pid in PIDS.lock().unwrap().iter() {
+            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        }
+        note("the scenario took too long");
+        std::process::exit(2);
+    });
+}
+
 struct Deployment {
     folder: PathBuf,
     children: Vec<Child>,
@@ -438,13 +460,18 @@
     (20 + (seed % 200) as u8, 1 + (seed / 200 % 250) as u8)
 }
 
-fn free_port(ips: &[String]) -> Option<u16> {
+/// The first of a group of ports that are free at all addresses: peers, control, clients, readiness.
+fn free_ports(ips: &[String]) -> Option<u16> {
+    const OFFSETS: [u16; 4] = [0, CONTROL_OFFSET, FRONT_OFFSET, READY_OFFSET];
     let first = 21_000 + (wall_ms() ^ u64::from(std::process::id())) % 8_000;
-    (0..500u64).map(|step| (first + step * 7) as u16).find(|port| {
-        ips.iter().all(|ip| TcpListener::bind(format!("{ip}:{port}")).is_ok())
-    })
+    let is_free = |port: u16| ips.iter().all(|ip| TcpListener::bind(format!("{ip}:{port}")).is_ok());
+    (0..200u64).map(|step| (first + step * 7) as u16).find(|port| OFFSETS.iter().all(|offset| is_free(port + offset)))
 }
 
+const CONTROL_OFFSET: u16 = 20;
+const FRONT_OFFSET: u16 = 22;
+const READY_OFFSET: u16 = 24;
+
 impl Deployment {
     fn start(workers: &[WorkerPlan], zones_note: &str) -> Option<Deployment> {
         let (a, b) = loopback_net();
@@ -452,8 +479,9 @@
         let core_ips: Vec<String> = (2..5).map(ip).collect();
         let edge_ips: Vec<String> = (10..12).map(ip).collect();
         let all: Vec<String> = core_ips.iter().chain(&edge_ips).cloned().collect();
-        let (peer_port, control_port) = (free_port(&all)?, free_port(&all)? + 1);
-        let (front_port, ready_port) = (control_port + 2, control_port + 4);
+        let peer_port = free_ports(&all)?;
+        let (control_port, front_port, ready_port) =
+            (peer_port + CONTROL_OFFSET, peer_port + FRONT_OFFSET, peer_port + READY_OFFSET);
         let folder = std::env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), wall_ms()));
         fs::create_dir_all(&folder).ok()?;
         let mut deployment = Deployment {
@@ -511,14 +539,14 @@
             .stderr(log)
             .spawn()
             .ok()?;
+        PIDS.lock().unwrap().push(child.id());
         self.children.push(child);
         Some(())
     }
 
     /// Ends a core process at once and starts it again with `Bootstrap` false, as the machine does.
     fn kill_and_start_again(&mut self, core: usize) {
-        let _ = self.children[core].kill();
-        let _ = self.children[core].wait();
+        end_process(&mut self.children[core]);
         sleep_ms(200);
         let name = format!("core-{core}");
         let path = self.folder.join(format!("{name}.json"));
@@ -536,6 +564,7 @@
 
     fn restart(&mut self, child: usize) {
         let _ = self.children[child].wait();
+        PIDS.lock().unwrap().retain(|pid| *pid != self.children[child].id());
         sleep_ms(200);
         let (name, role) = if child < 3 { (format!("core-{child}"), "control") } else { (format!("edge-{}", child - 3), "data-plane") };
         let path = self.folder.join(format!("{name}.json"));
@@ -648,10 +677,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for child in &mut self.children {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.children.iter_mut().for_each(end_process);
         if std::env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -738,7 +764,8 @@
     let _ = RECORD.set(Record { started: Instant::now(), file: Mutex::new(file) });
     note(&format!("scenario {scenario}, trouble {trouble}"));
     // Ends the run in any case; the processes end with their deployment, which `run` owns.
-    let verdict = scenarios::run(scenario, trouble);
+    limit_run(116_000);
+    let verdict = std::panic::catch_unwind(|| scenarios::run(scenario, trouble)).unwrap_or(None);
     let (code, text) = match verdict {
         Some(Ok(text)) => (0, format!("the rule held: {text}")),
         Some(Err(text)) => (1, format!("the rule was broken: {text}")),
--- a/review/harness-3/scenarios.rs
+++ b/review/harness-3/scenarios.rs
@@ -92,28 +92,37 @@
             return None;
         }
     }
+    // The jobs are handed in now and fall due from 16 s on, which is later than `finish_s` after the last request.
+    const JOBS: u64 = 200;
+    const BETWEEN_MS: u64 = 130;
+    let (first_due, due_wall) = (now_ms() + 18_000, wall_ms() + 18_000);
     let mut jobs = Vec::new();
-    let until = now_ms() + 26_000;
-    while now_ms() < until {
-        let near = job("ms=300;cpu=1000", r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":2000,"Affinity":"r1"}"#, "");
-        let (id, status) = deployment.submit("/roll/", &near, "small, data on rack r1");
+    for number in 0..JOBS {
+        let times = format!(",\"Repeat\":1,\"IntervalMs\":1000,\"StartAtMs\":{}", due_wall + number * BETWEEN_MS);
+        let near = job("ms=300;cpu=1000", r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":2000,"Affinity":"r1"}"#, &times);
+        let (id, status) = deployment.submit("/roll/", &near, "small, timed, data on rack r1");
         if status == 200 {
-            jobs.push((id, now_ms()));
+            jobs.push((id, first_due + number * BETWEEN_MS));
         }
-        sleep_ms(130);
     }
-    sleep_ms(6_000);
+    let last_request = now_ms();
+    note(&format!("the traffic ends; the first job falls due {} ms later", first_due.saturating_sub(last_request)));
+    while now_ms() < first_due + JOBS * BETWEEN_MS + 6_000 {
+        sleep_ms(100);
+    }
+    let (used, total) = deployment.room();
+    note(&format!("in use: {used} of {total} thousandths of a core"));
     let (mut longest, mut late, mut never) = (0, 0, 0);
-    for (id, accepted) in &jobs {
+    for (id, due) in &jobs {
         let Some(at) = first_start(id) else {
             never += 1;
             continue;
         };
-        let waited = at.saturating_sub(*accepted);
+        let waited = at.saturating_sub(*due);
         longest = longest.max(waited);
         if waited >= 3_000 {
             late += 1;
-            note(&format!("job {id} had nothing running for {waited} ms"));
+            note(&format!("job {id} had nothing running for {waited} ms after it fell due"));
         }
     }
     let text = format!("of {} jobs {late} had nothing running for 3 s, {never} never started, the longest wait was {longest} ms", jobs.len());
