--- a/review/harness-3/harness.rs
+++ b/review/harness-3/harness.rs
@@ -136,6 +136,7 @@
     started_ms: u64,
     /// How long it runs; 0: until it is stopped.
     length_ms: u64,
+    fails: bool,
 }
 
 #[derive(Default)]
@@ -244,7 +245,7 @@
             .filter_map(|(task, run)| {
                 let is_done = run.length_ms > 0 && now >= run.started_ms + run.length_ms;
                 match (is_done, lapsed) {
-                    (true, _) => Some((task.clone(), "done")),
+                    (true, _) => Some((task.clone(), if run.fails { "failed" } else { "done" })),
                     (false, true) => Some((task.clone(), "lapsed")),
                     (false, false) => None,
                 }
@@ -293,7 +294,7 @@
         note(&format!("worker {} starts {task} attempt {attempt} ({cpu} of {} thousandths of a core, {used} in use)", self.id, self.cpu));
         STARTS.lock().unwrap().push((now, self.id.clone(), task.to_owned(), attempt));
         judge(|judge| judge.started(task, &self.id, attempt));
-        state.running.insert(task.to_owned(), Run { attempt, cpu, started_ms: now, length_ms: spec_value(spec, "ms") });
+        state.running.insert(task.to_owned(), Run { attempt, cpu, started_ms: now, length_ms: spec_value(spec, "ms"), fails: spec_value(spec, "fail") > 0 });
         (200, format!("{{\"NowMs\":{now}}}"))
     }
 
@@ -576,6 +577,18 @@
         }
     }
 
+    /// The core process that answers for the configuration itself, which only the leader does.
+    fn leader(&self) -> Option<usize> {
+        (0..40).find_map(|_| {
+            let leads = |control: &SocketAddr| matches!(call(*control, "GET", "/v1/config", "", "", 1_000), Some((200, ..)));
+            let found = self.controls.iter().position(leads);
+            if found.is_none() {
+                sleep_ms(100);
+            }
+            found
+        })
+    }
+
     /// Megabytes in the data folder of a core process.
     fn data_mb(&self, core: usize) -> u64 {
         let entries = fs::read_dir(self.folder.join(format!("core-{core}-data")));
--- a/review/harness-3/scenarios.rs
+++ b/review/harness-3/scenarios.rs
@@ -11,6 +11,11 @@
         "paused" => paused(trouble),
         "prefix" => prefix(trouble),
         "probe" => probe(),
+        "released" => released(trouble),
+        "cancelled" => cancelled(trouble),
+        "founding" => founding(),
+        "failing" => failing(trouble),
+        "rolled" => rolled(trouble),
         "chaos" => chaos(),
         "memory" => memory(trouble),
         _ => None,
@@ -414,3 +419,226 @@
     let text = format!("{total} jobs accepted, {} starts, broken: {broken:?}", STARTS.lock().unwrap().len());
     Some(if broken.is_empty() { Ok(text) } else { Err(text) })
 }
+
+/// Not a case: lasting tasks that fail as soon as they start, beside small jobs.
+fn failing(trouble: bool) -> Verdict {
+    let mut plan: Vec<WorkerPlan> = vec![(16_000, "a", "r1"); 4];
+    plan.extend([(16_000, "b", "r2"); 4]);
+    let mut deployment = Deployment::start(&plan, "")?;
+    if !deployment.put_configuration(0, &configuration(1, &[("/lookup/", 0), ("/roll/", 1), ("/recon/", 2)])) || !deployment.warm_up("/lookup/") {
+        return None;
+    }
+    if trouble {
+        for _ in 0..4 {
+            let lasting = job("cpu=100;ms=1;fail=1", r#"{"Count":20,"Cpu":100,"MemMb":16,"EstRuntimeMs":300,"LongRunning":true}"#, "");
+            deployment.submit("/recon/", &lasting, "lasting, fails at once");
+        }
+    }
+    sleep_ms(3_000);
+    let before = STARTS.lock().unwrap().len();
+    let (mut longest, mut refused) = (0, 0);
+    for _ in 0..100 {
+        let body = job("ms=50;cpu=100", r#"{"Count":1,"Cpu":100,"MemMb":16,"EstRuntimeMs":50}"#, "");
+        let (id, status) = deployment.submit("/lookup/", &body, "small");
+        let accepted = now_ms();
+        if status != 200 {
+            refused += 1;
+            continue;
+        }
+        while first_start(&id).is_none() && now_ms() < accepted + 10_000 {
+            sleep_ms(10);
+        }
+        longest = longest.max(now_ms() - accepted);
+        sleep_ms(50);
+    }
+    let starts = STARTS.lock().unwrap().len() - before;
+    Some(Ok(format!("{starts} starts, longest wait {longest} ms, {refused} refused, data MB {}", deployment.data_mb(0))))
+}
+
+/// Timed jobs with their data on a full rack, while the leader is stopped by SIGTERM once.
+fn rolled(trouble: bool) -> Verdict {
+    let mut plan: Vec<WorkerPlan> = vec![(16_000, "a", "r1")];
+    plan.extend([(16_000, "a", "r2"); 4]);
+    let mut deployment = Deployment::start(&plan, "(1 in rack r1, 4 in r2)")?;
+    if !deployment.put_configuration(0, &configuration(1, &[("/roll/", 1), ("/recon/", 2)])) || !deployment.warm_up("/roll/") {
+        return None;
+    }
+    let full = job("cpu=16000", r#"{"Count":1,"Cpu":16000,"MemMb":256,"EstRuntimeMs":300,"Affinity":"r1","LongRunning":true}"#, "");
+    let (full_id, status) = deployment.submit("/recon/", &full, "lasting, fills rack r1");
+    if status != 200 {
+        return None;
+    }
+    sleep_ms(2_500);
+    first_start(&full_id)?;
+    let (first_due, due_wall) = (now_ms() + 18_000, wall_ms() + 18_000);
+    let mut jobs = Vec::new();
+    for number in 0..100u64 {
+        let times = format!(",\"Repeat\":1,\"IntervalMs\":1000,\"StartAtMs\":{}", due_wall + number * 130);
+        let near = job("ms=300;cpu=1000", r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":2000,"Affinity":"r1"}"#, &times);
+        let (id, status) = deployment.submit("/roll/", &near, "small, timed, data on rack r1");
+        if status == 200 {
+            jobs.push((id, first_due + number * 130));
+        }
+    }
+    while now_ms() < first_due + 6_000 {
+        sleep_ms(20);
+    }
+    if trouble {
+        let leader = deployment.leader()?;
+        note(&format!("SIGTERM to core-{leader}, which leads"));
+        deployment.signal(leader, "-TERM");
+        deployment.restart(leader);
+        note("it is started again");
+    }
+    while now_ms() < first_due + 100 * 130 + 6_000 {
+        sleep_ms(100);
+    }
+    let (mut longest, mut late, mut never) = (0, 0, 0);
+    for (id, due) in &jobs {
+        let Some(at) = first_start(id) else {
+            never += 1;
+            continue;
+        };
+        let waited = at.saturating_sub(*due);
+        longest = longest.max(waited);
+        if waited >= 3_000 {
+            late += 1;
+            note(&format!("job {id} had nothing running for {waited} ms after it fell due"));
+        }
+    }
+    let text = format!("of {} jobs {late} had nothing running for 3 s, {never} never started, the longest wait was {longest} ms", jobs.len());
+    Some(if late + never == 0 { Ok(text) } else { Err(format!("LOST: {text}")) })
+}
+
+/// Not a case: a search. First starts with processes killed and one disk lost in the first moments.
+fn founding() -> Verdict {
+    let seed = std::env::var("SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1u64);
+    RANDOM.store(seed.wrapping_mul(0x9876_5432_1abc_def1), Ordering::Relaxed);
+    let (mut tried, mut slow, mut slowest) = (0, Vec::new(), 0);
+    while now_ms() < 85_000 {
+        tried += 1;
+        let mut deployment = Deployment::start(&[(16_000, "a", "r1")], "")?;
+        let began = now_ms();
+        let mut wiped = false;
+        let rounds = 1 + random(3);
+        let mut text = String::new();
+        for _ in 0..rounds {
+            sleep_ms(random([12, 40, 150, 600][random(4) as usize]));
+            let victims = 1 + random(7);
+            for core in 0..3 {
+                if victims & (1 << core) != 0 {
+                    end_process(&mut deployment.children[core]);
+                }
+            }
+            let wipe = (!wiped && random(3) == 0).then(|| (0..3).find(|core| victims & (1 << core) != 0).unwrap_or(0));
+            let _ = write!(text, "{} ms kill {victims:03b} wipe {wipe:?}; ", now_ms() - began);
+            if let Some(core) = wipe {
+                wiped = true;
+                let data = deployment.folder.join(format!("core-{core}-data"));
+                let _ = fs::remove_dir_all(&data);
+                let _ = fs::create_dir_all(&data);
+            }
+            sleep_ms(random(400));
+            for core in 0..3 {
+                if victims & (1 << core) != 0 {
+                    deployment.restart(core);
+                }
+            }
+        }
+        let from = now_ms();
+        let taken = deployment.put_configuration(0, &configuration(1, &[("/lookup/", 0)]));
+        let took = now_ms() - from;
+        slowest = slowest.max(took);
+        if !taken || took > 12_000 {
+            note(&format!("SLOW {took} ms taken {taken}: {text} {}", deployment.folder.display()));
+            slow.push(format!("{took} ms {taken}: {text}"));
+        }
+    }
+    let text = format!("{tried} first starts, slowest {slowest} ms, {} over 12 s: {slow:?}", slow.len());
+    Some(if slow.is_empty() { Ok(text) } else { Err(text) })
+}
+
+/// A small job is held back by a large one, which is then cancelled.
+fn cancelled(trouble: bool) -> Verdict {
+    let plan = [(16_000, "a", "r1"), (16_000, "a", "r1"), (16_000, "a", "r2"), (16_000, "b", "r2")];
+    let mut deployment = Deployment::start(&plan, "(kinds a, a, a, b)")?;
+    let body = configuration(1, &[("/lookup/", 0), ("/roll/", 1), ("/recon/", 2)]);
+    if !deployment.put_configuration(0, &body) || !deployment.warm_up("/lookup/") {
+        return None;
+    }
+    let lasting = job("cpu=1000", r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":300,"Constraints":"b","LongRunning":true}"#, "");
+    let (lasting_id, status) = deployment.submit("/recon/", &lasting, "lasting, 1 core on kind b");
+    sleep_ms(2_500);
+    if status != 200 {
+        return None;
+    }
+    first_start(&lasting_id)?;
+    let large = job("ms=2000;cpu=16000", r#"{"Count":1,"Cpu":16000,"MemMb":1024,"EstRuntimeMs":2000,"Constraints":"b"}"#, "");
+    let (large_id, status) = if trouble { deployment.submit("/recon/", &large, "large, 16 cores on kind b") } else { (String::new(), 200) };
+    sleep_ms(2_000);
+    let small = job("ms=500;cpu=1200", r#"{"Count":1,"Cpu":1200,"MemMb":256,"EstRuntimeMs":500,"Constraints":"b"}"#, "");
+    let (id, second) = deployment.submit("/lookup/", &small, "small, first priority, 1.2 cores on kind b");
+    if status != 200 || second != 200 {
+        return None;
+    }
+    sleep_ms(1_000);
+    if trouble {
+        let reply = call(deployment.fronts[0], "DELETE", &format!("/recon/{large_id}"), "X-Deadline-Ms: 3000\r\n", "", 3_000);
+        note(&format!("client: DELETE /recon/{large_id} -> {}", reply.map_or(0, |reply| reply.0)));
+    }
+    let cancelled = now_ms();
+    while first_start(&id).is_none() && now_ms() < cancelled + 40_000 {
+        sleep_ms(100);
+    }
+    Some(match first_start(&id) {
+        Some(at) if at.saturating_sub(cancelled) < 3_000 => Ok(format!("it started {} ms after the cancel", at.saturating_sub(cancelled))),
+        at => Err(format!("LOST: the small job started at {at:?}, cancelled at {cancelled}, state {}", deployment.state("/lookup/", &id).1)),
+    })
+}
+
+/// A small job is held back by a large one for a moment. The large one runs elsewhere and ends.
+fn released(trouble: bool) -> Verdict {
+    let mut deployment = Deployment::start(&[(16_000, "a", "r1"), (16_000, "b", "r2")], "(kinds a, b)")?;
+    let body = configuration(1, &[("/lookup/", 0), ("/roll/", 1), ("/recon/", 2)]);
+    if !deployment.put_configuration(0, &body) || !deployment.warm_up("/lookup/") {
+        return None;
+    }
+    let lasting = job("cpu=1000", r#"{"Count":1,"Cpu":1000,"MemMb":256,"EstRuntimeMs":300,"Constraints":"b","LongRunning":true}"#, "");
+    let (lasting_id, status) = deployment.submit("/recon/", &lasting, "lasting, 1 core on kind b");
+    let usual = job("ms=4000;cpu=8000", r#"{"Count":1,"Cpu":8000,"MemMb":256,"EstRuntimeMs":4000,"Constraints":"a"}"#, "");
+    let (usual_id, second) = deployment.submit("/roll/", &usual, "usual, 8 cores on kind a for 4 s");
+    sleep_ms(500);
+    if status != 200 || second != 200 {
+        return None;
+    }
+    (first_start(&lasting_id)?, first_start(&usual_id)?);
+    let large = job("ms=2000;cpu=16000", r#"{"Count":1,"Cpu":16000,"MemMb":1024,"EstRuntimeMs":2000}"#, "");
+    let mut large_id = String::new();
+    if trouble {
+        let (id, status) = deployment.submit("/recon/", &large, "large, 16 cores on any kind");
+        if status != 200 {
+            return None;
+        }
+        large_id = id;
+    }
+    sleep_ms(2_000);
+    let small = job("ms=500;cpu=1200", r#"{"Count":1,"Cpu":1200,"MemMb":256,"EstRuntimeMs":500,"Constraints":"b"}"#, "");
+    let (id, status) = deployment.submit("/lookup/", &small, "small, first priority, 1.2 cores on kind b");
+    if status != 200 {
+        return None;
+    }
+    let accepted = now_ms();
+    while first_start(&id).is_none() && now_ms() < accepted + 35_000 {
+        sleep_ms(100);
+    }
+    if trouble {
+        note(&format!("the large job: {}", deployment.state("/recon/", &large_id).1));
+    }
+    let (used, total) = deployment.room();
+    note(&format!("in use at the end: {used} of {total} thousandths of a core"));
+    Some(match first_start(&id) {
+        Some(at) if at.saturating_sub(accepted) < 3_000 => Ok(format!("the small job started after {} ms", at.saturating_sub(accepted))),
+        Some(at) => Err(format!("LOST: the small job had nothing running for {} ms", at - accepted)),
+        None => Err(format!("LOST: the small job had nothing running for 35000 ms, state {}", deployment.state("/lookup/", &id).1)),
+    })
+}
