--- a/review/harness-3/scenarios.rs
+++ b/review/harness-3/scenarios.rs
@@ -18,7 +18,7 @@
         "failing" => failing(trouble),
         "rolled" => rolled(trouble),
         "chaos" => chaos(),
-        "memory" => memory(trouble),
+        "memory" => memory(trouble), // not a case: review/1 shows the same
         _ => None,
     }
 }
