--- a/review/harness-3/harness.rs
+++ b/review/harness-3/harness.rs
@@ -237,6 +237,18 @@
 
 /// Every start that a worker took: moment, worker, task, attempt.
 static STARTS: Mutex<Vec<(u64, String, String, u64)>> = Mutex::new(Vec::new());
+/// Starts and ends are written down for each task whose number is a multiple of it; all are counted.
+static NOTED_TASKS: AtomicU64 = AtomicU64::new(1);
+
+fn note_task(task: &str, line: &str) {
+    let number = task.rsplit('.').next().and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    if number % NOTED_TASKS.load(Ordering::Relaxed) == 0 {
+        note(line);
+    }
+}
+
+/// When the last run of each task ended.
+static ENDED: Mutex<BTreeMap<String, u64>> = Mutex::new(BTreeMap::new());
 
 impl Worker {
     fn end(&self, state: &mut WorkerState, task: &str, how: &'static str) {
@@ -246,8 +258,9 @@
         state.finished.push((number, task.to_owned(), run.attempt, how));
         let over = state.over.entry(task.to_owned()).or_default();
         *over = (*over).max(run.attempt);
-        note(&format!("worker {} ends {task} attempt {} {how}", self.id, run.attempt));
+        note_task(task, &format!("worker {} ends {task} attempt {} {how}", self.id, run.attempt));
         judge(|judge| judge.ended(task, &self.id, run.attempt));
+        ENDED.lock().unwrap().insert(task.to_owned(), now_ms());
         if how == "failed" {
             *FAILS.lock().unwrap().entry(task.to_owned()).or_default() += 1;
         }
@@ -325,7 +338,7 @@
         }
         let is_grey = self.id == format!("i-{:04x}", GREY_WORKER.load(Ordering::Relaxed));
         let fails = spec_value(spec, "fail") > 0 || is_grey || random(1_000) < FAIL_PER_MILLE.load(Ordering::Relaxed);
-        note(&format!("worker {} starts {task} attempt {attempt} ({cpu} of {} thousandths of a core, {used} in use)", self.id, self.cpu));
+        note_task(task, &format!("worker {} starts {task} attempt {attempt} ({cpu} of {} thousandths of a core, {used} in use)", self.id, self.cpu));
         STARTS.lock().unwrap().push((now, self.id.clone(), task.to_owned(), attempt));
         judge(|judge| judge.started(task, &self.id, attempt));
         state.running.insert(task.to_owned(), Run { attempt, cpu, started_ms: now, length_ms, fails });
--- a/review/harness-3/scenarios.rs
+++ b/review/harness-3/scenarios.rs
@@ -18,6 +18,7 @@
         "failing" => failing(trouble),
         "rolled" => rolled(trouble),
         "chaos" => chaos(),
+        "cancels" => cancels(trouble),
         "memory" => memory(trouble), // not a case: review/1 shows the same
         _ => None,
     }
@@ -834,3 +835,87 @@
         }
     }
 }
+
+/// Large jobs run, and the client of one of them cancels it; without `trouble` the jobs have 100 tasks each. Sizes can be given
+/// for trials.
+fn cancels(trouble: bool) -> Verdict {
+    let given = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
+    let (jobs, workers, cancels) = (given("JOBS", 2), given("WORKERS", 4), given("CANCELS", 1));
+    let tasks = if trouble { given("TASKS", 10_000) } else { 100 };
+    if trouble {
+        NOTED_TASKS.store(250, Ordering::Relaxed);
+        note("of the starts and ends of tasks each 250th of a job is written down; all are counted");
+    }
+    let plan: Vec<WorkerPlan> = vec![(64_000, "a", "r1"); workers as usize];
+    let mut deployment = Deployment::start(&plan, "(64 cores each)")?;
+    if !deployment.put_configuration(0, &configuration(1, &[("/lookup/", 0), ("/roll/", 1)])) || !deployment.warm_up("/roll/") {
+        return None;
+    }
+    let cpu = (64_000 * workers / (jobs * tasks) * 9 / 10).min(1_000);
+    let body = job(&format!("ms=60000;cpu={cpu}"), &format!(r#"{{"Count":{tasks},"Cpu":{cpu},"MemMb":1,"EstRuntimeMs":60000}}"#), "");
+    let mut ids = Vec::new();
+    for _ in 0..jobs {
+        let (id, status) = deployment.submit("/roll/", &body, &format!("{tasks} tasks of a minute"));
+        if status != 200 {
+            return None;
+        }
+        ids.push(id);
+    }
+    let begun = |ids: &[String]| STARTS.lock().unwrap().iter().filter(|start| ids.iter().any(|id| start.2.starts_with(id.as_str()))).count() as u64;
+    while begun(&ids) < jobs * tasks && now_ms() < 40_000 {
+        sleep_ms(50);
+    }
+    note(&format!("{} of {} tasks started", begun(&ids), jobs * tasks));
+    if begun(&ids) < jobs * tasks {
+        return None;
+    }
+    sleep_ms(4_000);
+    let mut asked = Vec::new();
+    for (number, id) in ids.iter().take(cancels as usize).enumerate() {
+        let front = deployment.fronts[number % deployment.fronts.len()];
+        let reply = call(front, "DELETE", &format!("/roll/{id}"), "X-Deadline-Ms: 3000\r\n", "", 3_000);
+        let status = reply.map_or(0, |reply| reply.0);
+        note(&format!("client: DELETE /roll/{id} -> {status}"));
+        if (200..300).contains(&status) {
+            asked.push((id.clone(), now_ms()));
+        }
+    }
+    if asked.is_empty() {
+        return None;
+    }
+    // Meanwhile small jobs of the first priority, for the record alone.
+    let (until, mut small) = (now_ms() + 20_000, Vec::new());
+    while now_ms() < until {
+        let lookup = job("ms=200;cpu=100", r#"{"Count":1,"Cpu":100,"MemMb":1,"EstRuntimeMs":200}"#, "");
+        let sent = now_ms();
+        let (id, status) = deployment.submit("/lookup/", &lookup, "small, first priority");
+        small.push((id, sent, status));
+        sleep_ms(500);
+    }
+    let ended = ENDED.lock().unwrap().clone();
+    let starts: Vec<String> = STARTS.lock().unwrap().iter().map(|start| start.2.clone()).collect();
+    for (id, at) in &asked {
+        let over = |second: u64| {
+            let is_over = |task: &&String| task.starts_with(id.as_str()) && ended.get(*task).is_none_or(|end| *end > at + second * 1_000);
+            starts.iter().filter(is_over).count()
+        };
+        let left: Vec<String> = (0..=20).map(|second| over(second).to_string()).collect();
+        note(&format!("tasks of the cancelled job {id} that still run, second by second after the answer: {}", left.join(" ")));
+    }
+    let (mut late, mut longest) = (0, 0);
+    for (id, at) in &asked {
+        for (_, _, task, _) in STARTS.lock().unwrap().iter().filter(|start| start.2.starts_with(id.as_str())) {
+            let ran_on = ended.get(task).copied().unwrap_or(now_ms()).saturating_sub(*at);
+            longest = longest.max(ran_on);
+            late += u32::from(ran_on > 3_000 + 400);
+        }
+    }
+    let refused = small.iter().filter(|(.., status)| *status != 200).count();
+    let waits = small.iter().filter(|(.., status)| *status == 200).map(|(id, sent, _)| first_start(id).unwrap_or(now_ms()) - sent);
+    note(&format!("of {} small jobs {refused} were refused, the longest wait of the others was {} ms", small.len(), waits.max().unwrap_or(0)));
+    let text = format!(
+        "of {} cancelled tasks {late} ran on later than 3.4 s after the acknowledgement, the longest {longest} ms",
+        asked.len() as u64 * tasks
+    );
+    Some(if late == 0 { Ok(text) } else { Err(format!("UNASKED: {text}")) })
+}
