--- a/review/harness-3/harness.rs
+++ b/review/harness-3/harness.rs
@@ -491,6 +491,19 @@
     });
 }
 
+extern "C" {
+    fn prctl(option: i32, value: u64, third: u64, fourth: u64, fifth: u64) -> i32;
+}
+
+/// The program is killed by the system once the thread that starts it, the main one, ends in whatever way.
+fn dies_with_this_run(command: &mut Command) -> &mut Command {
+    use std::os::unix::process::CommandExt;
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // Only one system call is made between fork and exec.
+    unsafe { command.pre_exec(|| if prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }) }
+}
+
 struct Deployment {
     folder: PathBuf,
     children: Vec<Child>,
@@ -582,7 +595,7 @@
         // `WITHOUT` names mechanisms of the leader to leave out, to find the one at fault.
         let without = std::env::var("WITHOUT").unwrap_or_default();
         let left_out = without.split(',').filter(|name| role == "control" && !name.is_empty());
-        let child = Command::new("target/system/sprucehatch-node")
+        let child = dies_with_this_run(&mut Command::new("target/system/sprucehatch-node"))
             .arg(role)
             .args(left_out.flat_map(|name| ["--without", name]))
             .env("SPRUCEHATCH_CONFIG", &path)
