Capacity reservations end, and are made only where what runs there ends

Cause: capacity was reserved on the worker nearest to fitting, whatever runs there, and again in each pass without any limit. Preemption counted it as in use.

Change: a reservation is made only on a worker on which enough is expected to end within 10 s, which lasting tasks never do. It ends once it has kept capacity for 1 s from a step whose job has nothing running or which lasts, and after 10 s in any case; then the service reserves nothing for 5 s. A step that has waited by choice before counts from the start of that wait, and waits for confirmations are told apart from those. The first priority takes reserved capacity of later ones before an attempt is preempted.

`closest_to_fitting` takes a predicate; its test against a plain scan now covers it with two predicates.

--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -56,6 +56,7 @@
             let examined_limit = examined_before + budget.workers();
             self.start_waiting(state, position, examined_limit, budget);
         }
+        self.note_denied_steps(state, position);
         let service = &self.services[position];
         budget.spend_workers(service.fleet.examined_count() - examined_before);
         if let Some(at) = service.next_retry_at() {
@@ -115,7 +116,9 @@
                 self.propose_gang(state, step, &workers);
                 self.services[position].remove_step(step);
             }
-            Choice::NoCapacity | Choice::RetryAt(_) => self.services[position].return_released_step(released),
+            Choice::NoCapacity | Choice::RetryAt(_) | Choice::AwaitConfirmations(_) => {
+                self.services[position].return_released_step(released);
+            }
             Choice::NotWaiting => self.services[position].remove_step(step),
         }
     }
--- a/crates/scheduler/src/leader/capacity_reservation.rs
+++ b/crates/scheduler/src/leader/capacity_reservation.rs
@@ -9,11 +9,13 @@
     step: StepKey,
     worker: WorkerKey,
     reserved: Resources,
+    since: u64,
 }
 
 impl CapacityReservation {
-    pub(super) fn new(step: StepKey, worker: WorkerKey, reserved: Resources) -> Self {
-        Self { step, worker, reserved }
+    /// Creates a reservation that began at `since`, in nanoseconds of the monotonic clock.
+    pub(super) fn new(step: StepKey, worker: WorkerKey, reserved: Resources, since: u64) -> Self {
+        Self { step, worker, reserved, since }
     }
 
     /// The step that the capacity is reserved for.
@@ -31,6 +33,11 @@
         self.reserved
     }
 
+    /// When the reservation began, in nanoseconds of the monotonic clock.
+    pub(super) fn since(&self) -> u64 {
+        self.since
+    }
+
     /// The key under which the fleet books the reservation. No real step has this key.
     pub(super) fn reservation_key(&self) -> StepKey {
         StepKey { job: self.step.job, time: u32::MAX, step: u32::MAX }
--- a/crates/scheduler/src/leader/placement_choice.rs
+++ b/crates/scheduler/src/leader/placement_choice.rs
@@ -43,7 +43,7 @@
     let tasks_to_pack = if context.mechanisms.uses(Mechanism::Packing) { waiting_tasks } else { 0 };
     let demand = Demand { tasks_to_pack, ..demand_of(step, stage, avoid) };
     if fleet.packs_on_busy_worker(&demand, context.now.saturating_sub(MAX_PACKING_WAIT_NS)) {
-        return Choice::RetryAt(context.now + PACKING_RETRY_INTERVAL_NS);
+        return Choice::AwaitConfirmations(context.now + PACKING_RETRY_INTERVAL_NS);
     }
     if demand.affinity.is_some_and(|rack| fleet.knows_rack(rack)) {
         if let Some(worker) = fleet.place_in_affinity_rack(&demand) {
--- a/crates/scheduler/src/leader/preemption.rs
+++ b/crates/scheduler/src/leader/preemption.rs
@@ -64,6 +64,9 @@
                 self.timers.set_no_later(due, Timer::Admit);
                 continue;
             }
+            if self.yield_reservation_to(position, step) {
+                continue;
+            }
             let mut remaining_victims = victims.take().unwrap_or_else(|| self.victims(position));
             if !remaining_victims.is_empty() {
                 self.preempt_for_step(state, position, step, &mut remaining_victims);
--- a/crates/scheduler/src/leader/service/blocking.rs
+++ b/crates/scheduler/src/leader/service/blocking.rs
@@ -111,6 +111,17 @@
         suited.filter_map(|(_, steps)| steps.values().next().copied()).collect()
     }
 
+    /// Returns the steps without capacity of the classes that `suits` accepts, and all steps that wait for better
+    /// capacity.
+    pub(super) fn steps_of<'a>(
+        &'a self,
+        suits: impl Fn(&DemandClass) -> bool + 'a,
+    ) -> impl Iterator<Item = StepKey> + 'a {
+        let suited = self.without_capacity.iter().filter(move |(class, _)| suits(class));
+        let without_capacity = suited.flat_map(|(_, steps)| steps.values());
+        without_capacity.chain(self.retries.iter().map(|(_, step)| step)).copied()
+    }
+
     /// Moves the classes that `suits` accepts from those that no worker could carry to those without capacity.
     /// Returns their steps.
     pub(super) fn worker_found(&mut self, suits: impl Fn(&DemandClass) -> bool) -> Vec<StepKey> {
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -9,8 +9,9 @@
 use crate::placement::{Resources, WorkerKey};
 
 use super::blocking::DemandClass;
-use super::steps::WEIGHTS;
+use super::steps::{ReadyStep, Wait, WEIGHTS};
 use super::Service;
+use crate::leader::capacity_reservation::CapacityReservation;
 
 impl Service {
     /// Records that capacity was freed on a worker, so that blocked steps that fit there may be placed again.
@@ -37,12 +38,13 @@
         self.update_plan_heads(now);
     }
 
-    /// Blocks a step: no worker has capacity, or it is worth waiting for better capacity until `retry_at`.
-    pub(super) fn block(&mut self, step: StepKey, retry_at: Option<u64>) {
-        let Some(ready) = self.ready.get(&step) else { return };
+    /// Blocks a step until what it waits for has come.
+    pub(super) fn block(&mut self, step: StepKey, wait: Wait) {
+        let Some(ready) = self.ready.get_mut(&step) else { return };
+        ready.has_waited_by_choice |= matches!(wait, Wait::BetterCapacity(_));
         let (class, order) = (ready.class.clone(), ready.order);
         self.queues.park(&step);
-        if let Some(at) = retry_at {
+        if let Wait::BetterCapacity(at) | Wait::Confirmations(at) = wait {
             self.blocked.add_retry(step, at);
             // The next step of the class may have reasons not to wait.
             return self.unblock_next(&class);
@@ -90,6 +92,26 @@
         self.freed_on = workers;
     }
 
+    /// Returns the blocked steps that could start on the reserved worker if its capacity were not reserved. Of a gang,
+    /// at least one member could.
+    pub(in crate::leader) fn steps_denied_by(
+        &self,
+        reservation: CapacityReservation,
+    ) -> impl Iterator<Item = (StepKey, &ReadyStep)> {
+        let worker = reservation.worker();
+        let available = self.fleet.free_on(worker).map(|free| free.plus(reservation.reserved()));
+        let available = available.unwrap_or(Resources::ZERO);
+        let total = self.fleet.free().plus(reservation.reserved());
+        let fits = move |class: &DemandClass| {
+            class.need().fits_in(available)
+                && self.fleet.could_carry(worker, class.need(), class.constraint())
+        };
+        let denied = self.blocked.steps_of(fits).filter_map(|step| Some((step, self.ready.get(&step)?)));
+        denied.filter(move |(step, ready)| {
+            *step != reservation.step() && ready.need.fits_in(total) && fits(&ready.class)
+        })
+    }
+
     /// Handles workers that became usable: steps that no worker could carry before are blocked for want of capacity
     /// only, if one of these workers could carry them.
     fn reconsider_steps_without_worker(&mut self, workers: &[WorkerKey]) {
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -23,11 +23,11 @@
 use super::start_delay::StartDelay;
 
 pub(super) use steps::{
-    plan_of, Candidate, Choice, EnqueueRequest, NextStep, QueueEnd, ScanLimits, StepKind,
+    plan_of, Candidate, Choice, EnqueueRequest, NextStep, QueueEnd, ReadyStep, ScanLimits, StepKind,
 };
 
 use blocking::{BlockedSteps, DemandClass};
-use steps::{PlanHead, ReadyStep, WEIGHTS};
+use steps::{PlanHead, WEIGHTS};
 
 /// Workers and waiting steps of one service.
 #[derive(Debug)]
@@ -63,6 +63,10 @@
     pub(super) next_preemption_at: u64,
     /// The capacity that is reserved for a step.
     pub(super) reservation: Option<CapacityReservation>,
+    /// Since when reservations have kept capacity from a step that must not wait for long.
+    pub(super) capacity_denied_since: Option<u64>,
+    /// No reservation begins before this time.
+    pub(super) reservations_resume_at: u64,
     /// When the last admission pause for a gang began.
     pub(super) gang_pause_started_at: u64,
     /// The total capacity that the shares of the queue entries refer to.
@@ -92,6 +96,8 @@
             start_delays: [StartDelay::default(); WEIGHTS.len()],
             next_preemption_at: 0,
             reservation: None,
+            capacity_denied_since: None,
+            reservations_resume_at: 0,
             gang_pause_started_at: 0,
             needs_admission: false,
             progress_reported: false,
@@ -124,6 +130,7 @@
             preempted_until: 0,
             no_preemption_until: 0,
             since: waiting.since,
+            has_waited_by_choice: false,
             order,
         };
         self.ready.insert(waiting.step, ready);
--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -7,7 +7,7 @@
 use crate::ids::StepKey;
 use crate::placement::{Fleet, RESOURCE_COUNT};
 
-use super::steps::{Candidate, Choice, NextStep, ScanLimits};
+use super::steps::{Candidate, Choice, NextStep, ScanLimits, Wait};
 use super::Service;
 
 /// Maximum number of steps of a queue that one scan examines. Those without capacity are blocked, so that the next
@@ -17,8 +17,8 @@
 /// The result of a scan of at most `SCAN_DEPTH` steps of each queue.
 struct Scan {
     released: Option<(Released<StepKey, RESOURCE_COUNT>, Choice)>,
-    /// The steps without capacity, and until when each of them waits for better capacity.
-    blocked: BTreeMap<StepKey, Option<u64>>,
+    /// The steps without capacity, and what each of them waits for.
+    blocked: BTreeMap<StepKey, Wait>,
     limit_reached: bool,
 }
 
@@ -33,8 +33,8 @@
         loop {
             let scan = self.scan(limits, &mut choose);
             let has_blocked = !scan.blocked.is_empty();
-            for (step, retry_at) in scan.blocked {
-                self.block(step, retry_at);
+            for (step, wait) in scan.blocked {
+                self.block(step, wait);
             }
             if let Some((released, choice)) = scan.released {
                 return NextStep::Step(released, choice);
@@ -55,7 +55,7 @@
     ) -> Scan {
         let availability = self.fleet.free().shares_of(self.fleet.total());
         let Self { queues, ready, fleet, .. } = self;
-        let mut blocked: BTreeMap<StepKey, Option<u64>> = BTreeMap::new();
+        let mut blocked: BTreeMap<StepKey, Wait> = BTreeMap::new();
         // The first step with capacity of each queue. The queues may ask for the same step again.
         let mut chosen: Vec<(StepKey, Choice)> = Vec::new();
         let mut limit_reached = false;
@@ -70,7 +70,7 @@
             let Some(waiting) = ready.get(step) else { return false };
             let Some(first) = waiting.tasks.first() else { return false };
             if !candidate.is_covered {
-                blocked.insert(*step, None);
+                blocked.insert(*step, Wait::Capacity);
                 return false;
             }
             if limits.steps == 0 || fleet.examined_count() >= limits.workers_examined {
@@ -80,15 +80,16 @@
             limits.steps -= 1;
             let (task, since) = (step.task(*first), waiting.since);
             let choice = choose(fleet, Candidate { task, since, waiting_tasks: waiting.tasks.len() as u64 });
-            let retry_at = match choice {
-                Choice::NoCapacity => None,
-                Choice::RetryAt(at) => Some(at),
+            let wait = match choice {
+                Choice::NoCapacity => Wait::Capacity,
+                Choice::RetryAt(at) => Wait::BetterCapacity(at),
+                Choice::AwaitConfirmations(at) => Wait::Confirmations(at),
                 Choice::Task(_) | Choice::Gang(_) | Choice::NotWaiting => {
                     chosen.push((*step, choice));
                     return true;
                 }
             };
-            blocked.insert(*step, retry_at);
+            blocked.insert(*step, wait);
             false
         });
         let released = released.map(|released| {
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -33,6 +33,8 @@
     pub(in crate::leader) no_preemption_until: u64,
     /// When the step began to wait.
     pub(in crate::leader) since: u64,
+    /// Whether the step once waited for better capacity than there was.
+    pub(in crate::leader) has_waited_by_choice: bool,
     /// Position among the steps of its service.
     pub(super) order: i64,
 }
@@ -48,10 +50,24 @@
     NoCapacity,
     /// There is capacity, but it is worth waiting for better capacity until this time.
     RetryAt(u64),
+    /// A worker with tasks of the step has capacity, and first has starts to confirm. The step is placed again at this
+    /// time.
+    AwaitConfirmations(u64),
     /// The step no longer waits.
     NotWaiting,
 }
 
+/// What a blocked step waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wait {
+    /// Any capacity.
+    Capacity,
+    /// Better capacity, until this time.
+    BetterCapacity(u64),
+    /// Confirmations of starts, until this time.
+    Confirmations(u64),
+}
+
 /// The result of a scan of the queues.
 #[derive(Debug)]
 pub(in crate::leader) enum NextStep {
@@ -132,7 +148,11 @@
     pub(in crate::leader) fn start_count(&self) -> u64 {
         match self {
             Choice::Gang(workers) => workers.len().max(1) as u64,
-            Choice::Task(_) | Choice::NoCapacity | Choice::RetryAt(_) | Choice::NotWaiting => 1,
+            Choice::Task(_)
+            | Choice::NoCapacity
+            | Choice::RetryAt(_)
+            | Choice::AwaitConfirmations(_)
+            | Choice::NotWaiting => 1,
         }
     }
 }
--- a/crates/scheduler/tests/placement_search.rs
+++ b/crates/scheduler/tests/placement_search.rs
@@ -209,11 +209,19 @@
             && fleet.may_fit_ejected(&demand) == any(&|worker| worker.ejected && could(worker))
             && fleet.could_fit_not_ejected(&demand) == any(&|worker| !worker.ejected && could(worker))
             && fleet.could_ever_fit(&demand) == (!is_barred && any(&could))
-            && fleet.closest_to_fitting(&demand) == self.closest_to_fitting(task, &could)
+            && [false, true].into_iter().all(|odd_only| {
+                let is_allowed = |key: &WorkerKey| !odd_only || key % 2 == 1;
+                fleet.closest_to_fitting(&demand, is_allowed)
+                    == self.closest_to_fitting(task, &|key, worker| is_allowed(&key) && could(worker))
+            })
     }
 
-    fn closest_to_fitting(&self, task: &Task, could: &dyn Fn(&Worker) -> bool) -> Option<WorkerKey> {
-        let candidates = self.workers.iter().filter(|(_, worker)| worker.usable && could(worker));
+    fn closest_to_fitting(
+        &self,
+        task: &Task,
+        could: &dyn Fn(WorkerKey, &Worker) -> bool,
+    ) -> Option<WorkerKey> {
+        let candidates = self.workers.iter().filter(|(key, worker)| worker.usable && could(**key, worker));
         let shortfall = |worker: &Worker| {
             let lacking = task.need.minus(worker.free()).shares_of(task.need);
             lacking.into_iter().fold(0.0, f64::max)
