Fleets record each worker that can take more, so that no end of a wait wakes nobody

Cause: each place that gives capacity back had to name the worker to wake blocked steps. The release of a reservation whose step starts elsewhere didn't, and the removal of a job didn't ask for a pass at all.

Change: the fleet records each worker with more free capacity, or that may take starts again, where the change is made; a pass is due while anything is recorded. A renewed reservation changes its amount in place of a release and a new booking. A step that leaves the queues takes its reservation with it. Found on the way: other labels of a worker were never reported to placement. `Leader::missed_wake_up` finds a blocked step that has room and that nothing will place again; the scheduler's cluster and the simulation check it after each turn.

--- a/crates/scheduler/src/leader/admission.rs
+++ b/crates/scheduler/src/leader/admission.rs
@@ -12,7 +12,7 @@
 use super::demand::demand_of;
 use super::event_loop::Leader;
 use super::placement_choice::{choose, PlacementContext};
-use super::service::{Choice, NextStep, ScanLimits};
+use super::service::{Choice, NextStep, ScanLimits, Service};
 use super::timers::Timer;
 use super::turn_budget::TurnBudget;
 
@@ -29,7 +29,7 @@
         let mut budget = self.admission_budget.for_turn(self.now);
         let (first, count) = (self.next_service, self.services.len());
         for position in (0..count).map(|turn| (first + turn) % count) {
-            if !self.services[position].needs_admission {
+            if !self.services[position].needs_admission() {
                 continue;
             }
             self.next_service = position;
@@ -39,7 +39,7 @@
             self.admit_within(state, position, &mut budget);
         }
         self.admission_budget = budget;
-        if self.services.iter().any(|service| service.needs_admission) {
+        if self.services.iter().any(Service::needs_admission) {
             self.timers.set_no_later(self.now + NEXT_TURN_DELAY_NS, Timer::Admit);
         }
     }
@@ -93,7 +93,7 @@
                 NextStep::LimitReached => break,
             }
         }
-        self.services[position].needs_admission = true;
+        self.services[position].request_admission();
     }
 
     fn start_released(
--- a/crates/scheduler/src/leader/capacity_reservation.rs
+++ b/crates/scheduler/src/leader/capacity_reservation.rs
@@ -18,6 +18,11 @@
         Self { step, worker, reserved, since }
     }
 
+    /// The same reservation with another amount.
+    pub(super) fn resized(self, reserved: Resources) -> Self {
+        Self { reserved, ..self }
+    }
+
     /// The step that the capacity is reserved for.
     pub(super) fn step(&self) -> StepKey {
         self.step
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -279,7 +279,7 @@
                 Timer::ReleaseGangs => self.release_gangs(),
                 // Sessions are polled at the end of each turn.
                 Timer::PollWorkers => {}
-                Timer::Admit => self.services.iter_mut().for_each(|service| service.needs_admission = true),
+                Timer::Admit => self.services.iter_mut().for_each(Service::request_admission),
             }
         }
     }
--- a/crates/scheduler/src/leader/gang_pause.rs
+++ b/crates/scheduler/src/leader/gang_pause.rs
@@ -9,7 +9,7 @@
 use super::event_loop::Leader;
 use super::mechanisms::Mechanism;
 use super::placement_choice::{choose_gang, PlacementContext};
-use super::service::{Choice, StepKind};
+use super::service::{Choice, Service, StepKind};
 use super::timers::Timer;
 
 /// How long a gang waits without capacity before other starts pause for it.
@@ -55,4 +55,10 @@
         self.timers.set_no_later(until, Timer::Admit);
         true
     }
+
+    /// Returns whether the last pause of a service for a gang has not ended yet.
+    pub(super) fn is_paused_for_gang(&self, service: &Service) -> bool {
+        let started_at = service.gang_pause_started_at;
+        started_at > 0 && self.now < started_at + GANG_PAUSE_NS
+    }
 }
--- a/crates/scheduler/src/leader/instances.rs
+++ b/crates/scheduler/src/leader/instances.rs
@@ -102,6 +102,9 @@
         let available = instance.available;
         let capacity = Resources { cpu: available.cpu, mem_mb: available.mem_mb, gpu: available.gpu };
         let warm_at = now + instance.warmup_left_ms.saturating_mul(NANOS_PER_MS);
+        if entry.listing.as_ref().is_some_and(|before| before.labels != instance.labels) {
+            entry.reported = None;
+        }
         let was_draining = entry.listing.as_ref().is_some_and(|before| before.draining);
         entry.listing = Some(Listing {
             capacity,
--- a/crates/scheduler/src/leader/occupancy.rs
+++ b/crates/scheduler/src/leader/occupancy.rs
@@ -69,10 +69,7 @@
     /// steps that found no worker to start on are placed again.
     pub(super) fn start_settled(&mut self, key: &AttemptKey) {
         let Some(attempt) = self.attempts.get(key) else { return };
-        let service = &mut self.services[attempt.service];
-        if service.fleet.start_settled(attempt.worker) {
-            service.capacity_freed(attempt.worker);
-        }
+        self.services[attempt.service].fleet.start_settled(attempt.worker);
     }
 
     /// Releases the capacity of a finished attempt.
@@ -83,7 +80,6 @@
         let Some(attempt) = self.attempts.remove(key) else { return };
         let service = &mut self.services[attempt.service];
         service.fleet.release(attempt.worker, key.task.step_key(), attempt.need);
-        service.capacity_freed(attempt.worker);
         if let Some(entry) = self.workers.get_mut(&attempt.worker) {
             entry.assigned.retain(|assigned| assigned != key);
         }
--- a/crates/scheduler/src/leader/reservations.rs
+++ b/crates/scheduler/src/leader/reservations.rs
@@ -54,26 +54,42 @@
     }
 
     fn renew_reservation(&mut self, state: &State, position: usize, reservation: CapacityReservation) {
-        let has_to_end = self.has_to_end(position, reservation);
-        let service = &mut self.services[position];
-        service.fleet.release(reservation.worker(), reservation.reservation_key(), reservation.reserved());
-        let usable = self.workers.get(&reservation.worker()).is_some_and(|entry| entry.is_usable(self.now));
-        let first = service.ready(reservation.step()).and_then(|ready| ready.tasks.first().copied());
+        let (step, worker) = (reservation.step(), reservation.worker());
+        let usable = self.workers.get(&worker).is_some_and(|entry| entry.is_usable(self.now));
+        let service = &self.services[position];
+        let first = service.ready(step).and_then(|ready| ready.tasks.first().copied());
         let (Some(index), true) = (first, usable) else {
-            service.capacity_freed(reservation.worker());
-            return;
+            return self.services[position].release_reservation(reservation);
         };
-        if self.start_task(state, position, reservation.step().task(index)) {
-            self.services[position].task_started_outside_queue(reservation.step(), index, self.now);
-            return;
+        let free = service.fleet.free_on(worker).unwrap_or(Resources::ZERO);
+        let available = free.plus(reservation.reserved());
+        let need = state.open_stage(step).map_or(Resources::ZERO, need_of);
+        let fits_there = need.fits_in(available) && service.fleet.takes_single_tasks(worker);
+        if fits_there {
+            self.services[position].release_reservation(reservation);
         }
-        if has_to_end {
-            let service = &mut self.services[position];
-            service.capacity_freed(reservation.worker());
-            service.reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
+        if self.start_task(state, position, step.task(index)) {
+            if !fits_there {
+                self.services[position].release_reservation(reservation);
+            }
+            return self.services[position].task_started_outside_queue(step, index, self.now);
+        }
+        if fits_there || self.has_to_end(position, reservation) {
+            self.services[position].reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
+            if !fits_there {
+                self.services[position].release_reservation(reservation);
+            }
             return;
         }
-        self.reserve_capacity(state, position, reservation.step(), reservation.worker(), reservation.since());
+        self.resize_reservation(position, reservation, need.min(available));
+    }
+
+    /// Changes how much is reserved on the reservation's worker.
+    fn resize_reservation(&mut self, position: usize, reservation: CapacityReservation, reserved: Resources) {
+        let service = &mut self.services[position];
+        service.fleet.resize_reservation(reservation.worker(), reservation.reserved(), reserved);
+        service.reservation = Some(reservation.resized(reserved));
+        self.timers.set_no_later(reservation.since() + MAX_RESERVATION_NS, Timer::Admit);
     }
 
     /// Ends the reservation if it keeps capacity from a step of the first priority for one of a later priority. This
@@ -86,8 +102,7 @@
             return false;
         }
         service.reservation = None;
-        service.fleet.release(reservation.worker(), reservation.reservation_key(), reservation.reserved());
-        service.capacity_freed(reservation.worker());
+        service.release_reservation(reservation);
         service.reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
         true
     }
@@ -118,29 +133,20 @@
         // If the task fits, this pass starts it. A reservation would take the capacity away from the task.
         let fits = fleet.free_on(worker).is_some_and(|free| demand.need.fits_in(free));
         if !fits {
-            let now = *now;
-            self.reserve_capacity(state, position, step, worker, now);
+            self.reserve_capacity(state, position, step, worker);
         }
     }
 
     /// Reserves the free capacity of the worker, up to what the step's next task needs.
-    fn reserve_capacity(
-        &mut self,
-        state: &State,
-        position: usize,
-        step: StepKey,
-        worker: WorkerKey,
-        since: u64,
-    ) {
-        let stage = state.open_stage(step);
-        let Some(stage) = stage.filter(|stage| stage.anti_affinity == 0) else { return };
+    fn reserve_capacity(&mut self, state: &State, position: usize, step: StepKey, worker: WorkerKey) {
+        let Some(stage) = state.open_stage(step) else { return };
         let service = &mut self.services[position];
         let Some(free) = service.fleet.free_on(worker) else { return };
         let reserved = need_of(stage).min(free);
-        let reservation = CapacityReservation::new(step, worker, reserved, since);
+        let reservation = CapacityReservation::new(step, worker, reserved, self.now);
         service.fleet.reserve(worker, reservation.reservation_key(), reserved);
         service.reservation = Some(reservation);
-        self.timers.set_no_later(since + MAX_RESERVATION_NS, Timer::Admit);
+        self.timers.set_no_later(self.now + MAX_RESERVATION_NS, Timer::Admit);
     }
 
     /// Records since when reservations have kept capacity from a step that must not wait for long. Must be called at
--- a/crates/scheduler/src/leader/service/blocking.rs
+++ b/crates/scheduler/src/leader/service/blocking.rs
@@ -11,7 +11,7 @@
 
 /// What decides whether there is capacity for a step. Steps of the same class fail for lack of capacity together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct DemandClass {
+pub(in crate::leader) struct DemandClass {
     plan: usize,
     /// Amounts of each resource that one task or one gang member needs.
     need: [u64; RESOURCE_COUNT],
@@ -50,13 +50,13 @@
     }
 
     /// What one task or one gang member needs.
-    pub(super) fn need(&self) -> Resources {
+    pub(in crate::leader) fn need(&self) -> Resources {
         let [cpu, mem_mb, gpu] = self.need;
         Resources { cpu, mem_mb, gpu }
     }
 
     /// The label that the worker must have.
-    pub(super) fn constraint(&self) -> Option<&str> {
+    pub(in crate::leader) fn constraint(&self) -> Option<&str> {
         (!self.constraint.is_empty()).then_some(self.constraint.as_str())
     }
 }
@@ -99,6 +99,12 @@
         true
     }
 
+    /// Returns the first step of each class that is blocked for want of capacity or of a worker.
+    pub(super) fn first_of_all_classes(&self) -> impl Iterator<Item = StepKey> + '_ {
+        let classes = self.without_capacity.values().chain(self.without_worker.values());
+        classes.filter_map(|steps| steps.values().next().copied())
+    }
+
     /// Returns the first step of a class that is blocked for want of capacity.
     pub(super) fn first_of(&self, class: &DemandClass) -> Option<StepKey> {
         let steps = self.without_capacity.get(class).or_else(|| self.without_worker.get(class))?;
--- a/crates/scheduler/src/leader/service/capacity.rs
+++ b/crates/scheduler/src/leader/service/capacity.rs
@@ -1,7 +1,9 @@
 //! Handling of freed capacity: which blocked steps may be placed again.
 //!
-//! Workers with freed capacity are collected, so that one turn needs only one pass over the classes of blocked
-//! steps.
+//! The fleet records each worker that can take more, so that no change that frees capacity can forget to wake the
+//! steps that wait. One turn needs only one pass over the classes of blocked steps.
+
+use std::collections::BTreeSet;
 
 use mqos::{PlanOptions, Queues};
 
@@ -14,25 +16,23 @@
 use crate::leader::capacity_reservation::CapacityReservation;
 
 impl Service {
-    /// Records that capacity was freed on a worker, so that blocked steps that fit there may be placed again.
-    pub(in crate::leader) fn capacity_freed(&mut self, worker: WorkerKey) {
-        self.needs_admission = true;
-        self.freed_on.push(worker);
+    /// Returns whether something changed that may allow a step to start.
+    pub(in crate::leader) fn needs_admission(&self) -> bool {
+        self.admission_requested || self.fleet.has_freed()
     }
 
-    /// Records that a worker was added or may take starts again.
-    pub(in crate::leader) fn worker_usable(&mut self, worker: WorkerKey) {
-        self.capacity_freed(worker);
-        self.usable_since.push(worker);
+    /// Requests an admission pass.
+    pub(in crate::leader) fn request_admission(&mut self) {
+        self.admission_requested = true;
     }
 
     /// Updates the queues with the changes since the last admission pass.
     pub(in crate::leader) fn prepare_pass(&mut self, now: u64) {
-        self.needs_admission = false;
-        let usable_since = std::mem::take(&mut self.usable_since);
-        if !usable_since.is_empty() {
+        self.admission_requested = false;
+        let improved = self.fleet.take_improved();
+        if !improved.is_empty() {
             self.update_shares();
-            self.reconsider_steps_without_worker(&usable_since);
+            self.reconsider_steps_without_worker(&improved);
         }
         self.unblock_steps(now);
         self.update_plan_heads(now);
@@ -75,9 +75,7 @@
     /// Unblocks, of each class that fits on a worker with freed capacity, the first step; and the steps whose wait
     /// for better capacity is over or that fit there.
     fn unblock_steps(&mut self, now: u64) {
-        let mut workers = std::mem::take(&mut self.freed_on);
-        workers.sort_unstable();
-        workers.dedup();
+        let workers = self.fleet.take_freed();
         let free = workers.iter().filter_map(|key| self.fleet.free_on(*key));
         let max_free = free.fold(Resources::ZERO, Resources::max);
         let has_room = |class: &DemandClass| {
@@ -88,8 +86,17 @@
         let step_fits = |step: &StepKey| self.ready.get(step).is_some_and(|ready| has_room(&ready.class));
         unblocked.extend(self.blocked.due_retries(now, step_fits));
         unblocked.into_iter().for_each(|step| self.unblock(step));
-        workers.clear();
-        self.freed_on = workers;
+    }
+
+    /// Returns the first blocked step of each class of demands.
+    pub(in crate::leader) fn blocked_classes(&self) -> impl Iterator<Item = StepKey> + '_ {
+        self.blocked.first_of_all_classes()
+    }
+
+    /// Releases the capacity of a reservation.
+    pub(in crate::leader) fn release_reservation(&mut self, reservation: CapacityReservation) {
+        let (worker, key) = (reservation.worker(), reservation.reservation_key());
+        self.fleet.release(worker, key, reservation.reserved());
     }
 
     /// Returns the blocked steps that could start on the reserved worker if its capacity were not reserved. Of a gang,
@@ -114,7 +121,7 @@
 
     /// Handles workers that became usable: steps that no worker could carry before are blocked for want of capacity
     /// only, if one of these workers could carry them.
-    fn reconsider_steps_without_worker(&mut self, workers: &[WorkerKey]) {
+    fn reconsider_steps_without_worker(&mut self, workers: &BTreeSet<WorkerKey>) {
         let Self { blocked, fleet, .. } = self;
         let could_carry = |class: &DemandClass| {
             workers.iter().any(|key| fleet.could_carry(*key, class.need(), class.constraint()))
--- a/crates/scheduler/src/leader/service/mod.rs
+++ b/crates/scheduler/src/leader/service/mod.rs
@@ -16,7 +16,7 @@
 use mqos::{PlanOptions, Queues};
 
 use crate::ids::{StepKey, TaskKey};
-use crate::placement::{Fleet, Resources, WorkerKey, RESOURCE_COUNT};
+use crate::placement::{Fleet, Resources, RESOURCE_COUNT};
 
 use super::capacity_reservation::CapacityReservation;
 use super::mechanisms::{Mechanism, Mechanisms};
@@ -43,10 +43,6 @@
     /// Steps that found no capacity, and for which no capacity that fits has been freed since. They are parked in
     /// their queues.
     blocked: BlockedSteps,
-    /// Workers on which capacity was freed since blocked steps were last checked.
-    freed_on: Vec<WorkerKey>,
-    /// Workers that became usable since the shares of the queue entries and the blocked steps were last checked.
-    usable_since: Vec<WorkerKey>,
     /// All waiting steps that some worker could carry, by plan and order.
     by_plan_and_order: BTreeMap<(usize, i64), StepKey>,
     /// Those of them that are of the first plan and no gangs, by order. Attempts may be preempted for them.
@@ -55,8 +51,8 @@
     plan_heads: [Option<PlanHead>; WEIGHTS.len()],
     /// Recent start delays of the steps of each plan.
     start_delays: [StartDelay; WEIGHTS.len()],
-    /// Whether something changed that may allow a step to start.
-    pub(super) needs_admission: bool,
+    /// Whether an admission pass was requested. Changes of the fleet need no request.
+    admission_requested: bool,
     /// Whether any worker has ever reported progress.
     pub(super) progress_reported: bool,
     /// The earliest time of the next preemption for the first plan.
@@ -88,8 +84,6 @@
             queues: Queues::new(&WEIGHTS.map(|weight| PlanOptions { weight })),
             ready: BTreeMap::new(),
             blocked: BlockedSteps::default(),
-            freed_on: Vec::new(),
-            usable_since: Vec::new(),
             by_plan_and_order: BTreeMap::new(),
             urgent: BTreeMap::new(),
             plan_heads: [None; WEIGHTS.len()],
@@ -99,7 +93,7 @@
             capacity_denied_since: None,
             reservations_resume_at: 0,
             gang_pause_started_at: 0,
-            needs_admission: false,
+            admission_requested: false,
             progress_reported: false,
             shares_total: Resources::ZERO,
             share_updates: 0,
@@ -113,7 +107,7 @@
         if waiting.tasks.is_empty() {
             return;
         }
-        self.needs_admission = true;
+        self.request_admission();
         if let Some(ready) = self.ready.get_mut(&waiting.step) {
             ready.tasks.extend(waiting.tasks);
             return;
@@ -178,6 +172,9 @@
     pub(super) fn remove_step(&mut self, step: StepKey) {
         self.queues.remove(&step);
         self.remove_from_heads(step);
+        if let Some(reservation) = self.reservation.take_if(|reservation| reservation.step() == step) {
+            self.release_reservation(reservation);
+        }
         let Some(ready) = self.ready.remove(&step) else { return };
         if !self.blocked.remove(&step, &ready.class, ready.order) {
             self.unblock_next(&ready.class);
--- a/crates/scheduler/src/leader/service/steps.rs
+++ b/crates/scheduler/src/leader/service/steps.rs
@@ -23,7 +23,7 @@
     /// Resources of one queue entry: a task, or a whole gang.
     pub(in crate::leader) need: Resources,
     /// The steps that find capacity or fail together with this one.
-    pub(super) class: DemandClass,
+    pub(in crate::leader) class: DemandClass,
     /// The indices of the waiting tasks. For a gang, always all members.
     pub(in crate::leader) tasks: BTreeSet<u32>,
     pub(in crate::leader) gang: bool,
--- a/crates/scheduler/src/placement/choose.rs
+++ b/crates/scheduler/src/placement/choose.rs
@@ -250,6 +250,33 @@
         self.slot(key).is_some_and(|slot| slot.has_label(label) && need.fits_in(slot.free()))
     }
 
+    /// Whether a worker that is not ejected takes starts of single tasks now, whatever its capacity.
+    pub fn takes_single_tasks(&self, key: WorkerKey) -> bool {
+        self.slot(key).is_some_and(Slot::takes_single_tasks)
+    }
+
+    /// A worker that takes single tasks and has room for `tasks` of them with this need, at most `limit` of them on
+    /// one worker; `None` if even all workers together do not. This is for checks and doesn't count as work.
+    pub fn any_with_room(
+        &self,
+        need: Resources,
+        constraint: Option<&str>,
+        tasks: u64,
+        limit: impl Fn(WorkerKey) -> u64,
+    ) -> Option<WorkerKey> {
+        let label = self.required_label(constraint)?;
+        let candidates = self.free_index.with_label(label)?.fewest_candidates(need);
+        let slots = candidates.iter().map(|(_, position)| &self.slots[*position]);
+        let mut found: u64 = 0;
+        for slot in slots.filter(|slot| slot.takes_single_tasks()) {
+            found = found.saturating_add(need.times_in(slot.free(), limit(slot.key).min(tasks)));
+            if found >= tasks {
+                return Some(slot.key);
+            }
+        }
+        None
+    }
+
     /// Resolves a label: `Some(None)` if no label is required, `None` if no worker has ever had the label.
     fn required_label(&self, constraint: Option<&str>) -> Option<Option<Symbol>> {
         match constraint {
--- a/crates/scheduler/src/placement/fleet.rs
+++ b/crates/scheduler/src/placement/fleet.rs
@@ -7,7 +7,7 @@
 use super::slot::{Slot, StepCount, Symbol, Symbols, WorkerKey};
 use crate::ids::StepKey;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of starts that one worker may have to confirm. This is enough to keep all order calls to the worker busy
 /// during a commit, and bounds what the next leader finds in doubt.
@@ -44,7 +44,9 @@
 /// starts, including ejected ones.
 ///
 /// The totals, the indexes and the blocks always match the slots: every change of a slot goes through
-/// `change_slot`, `add_slot` or `remove_slot`. Blocks do not depend on reservations.
+/// `change_slot`, `add_slot` or `remove_slot`. Blocks do not depend on reservations. These functions also record
+/// the workers that can take more than before, so that no capacity is given back without notice: whoever waits for
+/// capacity is woken by [`Fleet::take_freed`] and [`Fleet::take_improved`].
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub(super) slots: Vec<Slot>,
@@ -70,6 +72,11 @@
     ejected: usize,
     /// Searches that found no worker since capacity was last released or a worker last changed.
     pub(super) failed_searches: RefCell<FailedSearches>,
+    /// Workers that can take more since `take_freed` was last called: capacity was released on them, or they may take
+    /// starts that they could not take before.
+    freed: BTreeSet<WorkerKey>,
+    /// Those of them that are new, may take starts again, or have other properties than before.
+    improved: BTreeSet<WorkerKey>,
     /// Number of slots and blocks examined by searches since the last call of `take_examined_count`.
     examined_count: Cell<u64>,
 }
@@ -95,13 +102,15 @@
         let (capacity, usable, ejected) = (facts.capacity.min(MAX_CAPACITY), facts.usable, facts.ejected);
         match self.position_by_key.get(&key).copied() {
             Some(position) => {
-                let before = self.slots[position].capacity;
+                let former = self.slots[position].clone();
+                let before = former.capacity;
                 self.remove_from_rack(position);
                 self.change_slot(position, |slot| {
                     (slot.capacity, slot.quality) = (capacity, quality);
                     (slot.usable, slot.ejected) = (usable, ejected);
                     (slot.rack, slot.labels) = (rack, labels);
                 });
+                self.record_improvement(position, &former);
                 self.add_to_rack(position);
                 self.update_block(position / SLOTS_PER_BLOCK);
                 self.largest = self.largest.max(capacity);
@@ -180,6 +189,34 @@
         true
     }
 
+    /// Changes how much a step without an own task on the worker has reserved there, from `before` to `after`. Returns
+    /// false and changes nothing if less than `before` is reserved on the worker.
+    pub fn resize_reservation(&mut self, key: WorkerKey, before: Resources, after: Resources) -> bool {
+        let Some(position) = self.position_by_key.get(&key).copied() else { return false };
+        if !before.fits_in(self.slots[position].reserved) {
+            return false;
+        }
+        self.failed_searches.get_mut().clear();
+        self.change_slot(position, |slot| slot.reserved = slot.reserved.minus(before).plus(after));
+        true
+    }
+
+    /// Takes the workers that can take more since this was last called: capacity was released on them, or they may
+    /// take starts that they could not take before.
+    pub fn take_freed(&mut self) -> BTreeSet<WorkerKey> {
+        std::mem::take(&mut self.freed)
+    }
+
+    /// Takes the workers that are new, may take starts again, or have other properties since this was last called.
+    pub fn take_improved(&mut self) -> BTreeSet<WorkerKey> {
+        std::mem::take(&mut self.improved)
+    }
+
+    /// Whether any worker can take more since `take_freed` was last called.
+    pub fn has_freed(&self) -> bool {
+        !self.freed.is_empty()
+    }
+
     /// Records that a start on a worker was decided. Once `MAX_PENDING_STARTS` are not confirmed, the worker takes no
     /// single task; gangs are placed as a whole and do not have this limit. `now` is compared with that of
     /// [`Fleet::packs_on_busy_worker`] only.
@@ -192,18 +229,18 @@
         }
     }
 
-    /// Records that a start on a worker is confirmed, or will not take place. Returns whether the worker takes
-    /// further tasks from now on.
-    pub fn start_settled(&mut self, key: WorkerKey) -> bool {
-        let Some(position) = self.position_by_key.get(&key).copied() else { return false };
+    /// Records that a start on a worker is confirmed, or will not take place. The worker takes further tasks once few
+    /// starts are left to confirm.
+    pub fn start_settled(&mut self, key: WorkerKey) {
+        let Some(position) = self.position_by_key.get(&key).copied() else { return };
         let slot = &mut self.slots[position];
         slot.pending_starts = slot.pending_starts.saturating_sub(1);
         if slot.awaits_confirmations_since.is_none() || slot.pending_starts > RESUMING_PENDING_STARTS {
-            return false;
+            return;
         }
         slot.awaits_confirmations_since = None;
         self.failed_searches.get_mut().clear();
-        true
+        self.freed.insert(key);
     }
 
     /// Total capacity of all workers that may take starts, including ejected ones.
@@ -271,18 +308,39 @@
     /// Changes a slot and updates the totals and the index by free capacity.
     fn change_slot(&mut self, position: usize, change: impl FnOnce(&mut Slot)) {
         let slot = &mut self.slots[position];
-        let before = totals_of(slot);
+        let (before, free_before) = (totals_of(slot), slot.free());
         self.free_index.remove(position, slot);
         change(slot);
         self.free_index.insert(position, slot);
         let after = totals_of(slot);
+        if slot.may_take_starts() && !slot.free().fits_in(free_before) {
+            self.freed.insert(slot.key);
+        }
         self.ejected = self.ejected + after.ejected - before.ejected;
         self.total = self.total.minus(before.total).plus(after.total);
         self.free = self.free.minus(before.free).plus(after.free);
         debug_assert!(self.free.fits_in(self.total), "more is free than there is");
     }
 
+    /// Records that a worker may take starts that it could not take before its properties changed.
+    fn record_improvement(&mut self, position: usize, former: &Slot) {
+        let slot = &self.slots[position];
+        let may_start_again =
+            (slot.usable && !former.usable) || (slot.may_take_starts() && !former.may_take_starts());
+        let has_changed = !slot.capacity.fits_in(former.capacity)
+            || slot.labels != former.labels
+            || slot.rack != former.rack;
+        if may_start_again || (slot.may_take_starts() && has_changed) {
+            self.freed.insert(slot.key);
+            self.improved.insert(slot.key);
+        }
+    }
+
     fn add_slot(&mut self, slot: Slot) {
+        if slot.may_take_starts() {
+            self.freed.insert(slot.key);
+            self.improved.insert(slot.key);
+        }
         let totals = totals_of(&slot);
         self.ejected += totals.ejected;
         self.total = self.total.plus(totals.total);
@@ -305,6 +363,8 @@
             self.free_index.insert(position, &self.slots[last]);
         }
         let slot = self.slots.swap_remove(position);
+        self.freed.remove(&slot.key);
+        self.improved.remove(&slot.key);
         for count in &slot.steps {
             remove_key(&mut self.by_step, count.step, slot.key);
         }
--- a/crates/scheduler/src/placement/slot.rs
+++ b/crates/scheduler/src/placement/slot.rs
@@ -71,6 +71,11 @@
         self.usable || self.ejected
     }
 
+    /// Whether the worker takes starts of single tasks now, and not as a last resort only.
+    pub(super) fn takes_single_tasks(&self) -> bool {
+        self.usable && self.awaits_confirmations_since.is_none()
+    }
+
     /// Whether the worker has a label, if one is required.
     pub(super) fn has_label(&self, required: Option<Symbol>) -> bool {
         required.is_none_or(|label| self.labels.contains(&label))
--- a/crates/scheduler/tests/blocked_steps.rs
+++ b/crates/scheduler/tests/blocked_steps.rs
@@ -157,3 +157,16 @@
     assert!(cluster.run_until_state(ORDINARY, "completed", 8_000), "{}", cluster.job_state(ORDINARY));
     cluster.assert_no_violations();
 }
+
+/// A worker that gains a label, or becomes larger, wakes the steps that it suits now.
+#[test]
+fn changed_properties_of_a_worker_wake_blocked_steps() {
+    let mut cluster = cluster_behind("/a/", 1, &labelled("late-label"));
+    cluster.send_job("/a/", ORDINARY, job(stage(6_000)));
+    cluster.run_for_ms(500);
+    cluster.workers.get_mut("i-1").expect("the worker").instance.labels.push("late-label".to_owned());
+    cluster.workers.get_mut("i-2").expect("the worker").instance.available.cpu = 6_000;
+    assert!(cluster.run_until_state(FIRST_HOPELESS, "completed", 4_000), "the labelled job waits");
+    assert!(cluster.run_until_state(ORDINARY, "completed", 4_000), "the large job waits");
+    cluster.assert_no_violations();
+}
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -254,6 +254,9 @@
             leader.set_lease(self.now, self.now + LEADER_LEASE_NS);
         }
         leader.flush(&self.state, self.now, &mut out);
+        if let Some(missed) = leader.missed_wake_up(&self.state) {
+            self.immediate_violations.push(format!("MISSED WAKE-UP: {missed}"));
+        }
         let awaits_input = leader.awaits_input();
         for output in out {
             self.handle_output(output);
--- a/crates/scheduler/tests/pending_starts.rs
+++ b/crates/scheduler/tests/pending_starts.rs
@@ -128,3 +128,19 @@
     assert!(cluster.run_until(3_400, |cluster| cluster.running() == 0), "{} run", cluster.running());
     cluster.assert_no_violations();
 }
+
+/// A job that waits only because the worker has too many starts to confirm starts once the worker has confirmed some.
+#[test]
+fn confirmed_starts_wake_the_steps_that_waited_for_them() {
+    let mut cluster = Cluster::new(1);
+    cluster.run_for_ms(1_500);
+    let lasting = |count| JobSpec {
+        spec: "text".to_owned(),
+        stages: vec![Stage { count, cpu: 10, mem_mb: 1, est_runtime_ms: 600_000, ..Stage::default() }],
+        ..JobSpec::default()
+    };
+    cluster.send_job("/a/", 0x100, lasting(32));
+    cluster.send_job("/a/", 0x200, lasting(1));
+    assert!(cluster.run_until(1_000, |cluster| cluster.running() == 33), "{} run", cluster.running());
+    cluster.assert_no_violations();
+}
--- a/crates/scheduler/tests/reservations.rs
+++ b/crates/scheduler/tests/reservations.rs
@@ -206,6 +206,36 @@
     cluster
 }
 
+/// Review case 9: once a large job had started on another worker than the one on which capacity was reserved for it,
+/// nobody looked again at a small job that the reservation had held back.
+#[test]
+fn end_of_a_reservation_wakes_those_that_it_kept_waiting() {
+    let mut cluster = cluster_with_denied_job();
+    assert!(cluster.run_until_state(LARGE, "running", 1_000), "{}", cluster.job_state(LARGE));
+    assert!(cluster.run_until(100, |cluster| cluster.job_state(SMALL) != "pending"));
+    cluster.assert_no_violations();
+}
+
+/// The same once the large job is cancelled.
+#[test]
+fn cancel_of_a_reservations_job_wakes_those_that_it_kept_waiting() {
+    let mut cluster = cluster_with_denied_job();
+    cluster.send_cancel("/a/", LARGE);
+    assert!(cluster.run_until(100, |cluster| cluster.job_state(SMALL) != "pending"));
+    cluster.assert_no_violations();
+}
+
+/// The same once the worker with the reservation drains and another one with its label comes.
+#[test]
+fn loss_of_a_reservations_worker_wakes_those_that_it_kept_waiting() {
+    let mut cluster = cluster_with_denied_job();
+    cluster.add_worker("i-late", 12, 4_000);
+    cluster.workers.get_mut("i-late").expect("the worker").instance.labels.push(LABEL.to_owned());
+    cluster.workers.get_mut(LABELLED).expect("the worker").instance.draining = true;
+    assert!(cluster.run_until(2_500, |cluster| cluster.job_state(SMALL) != "pending"));
+    cluster.assert_no_violations();
+}
+
 /// A job of the first priority takes capacity that is reserved for a later one, before anything is preempted for it.
 #[test]
 fn reservation_yields_to_the_first_priority_before_preemption() {
--- a/crates/simulation/src/core_process/leading.rs
+++ b/crates/simulation/src/core_process/leading.rs
@@ -59,6 +59,9 @@
                 leader.set_lease(self.now, lease_until);
             }
             leader.flush(&self.state, self.now, &mut self.leader_outputs);
+            if let Some(missed) = leader.missed_wake_up(&self.state) {
+                self.out.push(CoreOutput::Failed(format!("missed wake-up: {missed}")));
+            }
         }
     }
 
