The count of pending jobs holds jobs of which no server has begun a task

MIXED breaks under half of the jobs that were accepted visible_ms + 2 s before.

Cause: a job counted as begun from the commit of the intent to start a task, before the order is sent, and stayed so if the start was refused, got no answer or waited to be sent.

Change: the leader adds the jobs with a committed start of which no server has confirmed, listed or ended a task. A new leader takes a job as not begun until a server lists it, unless the log shows a task that is done, has failed or has a checkpoint. `State` and `job explain` follow. Nothing is written, stored or sent that wasn't before.

The simulation's oracle judges counts now, with tests of its own.

Changed test: `reads_and_counts_show_the_job_state` read `running` at the very moment at which the worker began, two milliseconds before its answer can reach the leader. It now reads once the answer has arrived; the assertions are the same.

--- a/crates/scheduler/src/leader/attempt_progress.rs
+++ b/crates/scheduler/src/leader/attempt_progress.rs
@@ -16,6 +16,7 @@
 impl Leader {
     pub(super) fn attempt_started(&mut self, key: AttemptKey) {
         let now = self.now;
+        self.note_begun(&key);
         if let Some(delay) = self.attempts.confirm_start(&key, now) {
             self.start_pace.record_confirmation(now, delay);
             self.start_settled(&key);
--- a/crates/scheduler/src/leader/client_requests.rs
+++ b/crates/scheduler/src/leader/client_requests.rs
@@ -58,7 +58,7 @@
         let path_id = job_id::parse(rest).ok();
         match request.call {
             OneOfcall::count(_) if rest.is_empty() => {
-                let pending = state.pending_jobs(&prefix_key(route));
+                let pending = self.pending_jobs(state, &prefix_key(route));
                 Some(ClientReply { pending, ..reply(Outcome::COUNT) })
             }
             OneOfcall::count(_) => Some(reply(Outcome::NO_ROUTE)),
@@ -70,7 +70,7 @@
             }
             OneOfcall::read(read) if path_id == Some(read.id) => {
                 let job = state.job(read.id).filter(|job| belongs_to_route(job, route));
-                Some(job.map_or_else(|| reply(Outcome::NO_SUCH_JOB), state_reply))
+                Some(job.map_or_else(|| reply(Outcome::NO_SUCH_JOB), |job| self.state_reply(read.id, job)))
             }
             OneOfcall::cancel(cancel) if path_id == Some(cancel.id) => {
                 self.cancel(state, token, route, cancel.id)
@@ -132,6 +132,10 @@
         None
     }
 
+    fn state_reply(&self, id: u64, job: &Job) -> ClientReply {
+        ClientReply { state: self.state_text(id, job).to_owned(), ..reply(Outcome::STATE) }
+    }
+
     /// Answers all requests that wait for the submission of the job.
     pub(super) fn reply_submits(&mut self, name: &JobName, reply: &ClientReply, out: &mut Vec<Output>) {
         for token in self.pending_clients.take_submits(name) {
@@ -151,7 +155,3 @@
 pub(super) fn belongs_to_route(job: &Job, route: &Route) -> bool {
     job.prefix_key().strip_prefix(route.host.as_str()) == Some(route.path_prefix.as_str())
 }
-
-fn state_reply(job: &Job) -> ClientReply {
-    ClientReply { state: job.state_text().to_owned(), ..reply(Outcome::STATE) }
-}
--- a/crates/scheduler/src/leader/committed_changes.rs
+++ b/crates/scheduler/src/leader/committed_changes.rs
@@ -100,6 +100,7 @@
     fn job_ended(&mut self, job: u64) {
         let tasks = self.open_job_tasks.remove(&job).unwrap_or(0);
         self.open_tasks = self.open_tasks.saturating_sub(tasks);
+        self.begun_jobs.remove(job);
         self.unschedule_job(job);
         for service in &mut self.services {
             service.remove_job(job);
@@ -128,7 +129,10 @@
                     service.remove_task(*task);
                 }
             }
-            StateChange::AttemptStarted { key, .. } => self.intent_committed(state, *key),
+            StateChange::AttemptStarted { key, .. } => {
+                self.note_committed_start(state, *key);
+                self.intent_committed(state, *key);
+            }
             StateChange::StartDropped { key, .. } => {
                 self.release(key);
                 self.enqueue_task(state, key.task);
@@ -179,6 +183,9 @@
 
     fn attempt_finished(&mut self, key: &AttemptKey, outcome: AttemptOutcome) {
         self.record_finished(*key, outcome);
+        if matches!(outcome, AttemptOutcome::Ended(_)) {
+            self.note_begun(key);
+        }
         if outcome == AttemptOutcome::Ended(EndKind::ALONE) {
             self.record_gang_member_timeout(*key);
         }
--- a/crates/scheduler/src/leader/event_loop.rs
+++ b/crates/scheduler/src/leader/event_loop.rs
@@ -12,6 +12,7 @@
 
 use super::attempts::{Attempts, FailedOn};
 use super::batch::Batch;
+use super::begun_jobs::BegunJobs;
 use super::clock::WallClock;
 use super::held_gangs::HeldGangs;
 use super::history::AttemptHistory;
@@ -93,6 +94,8 @@
     pub(super) open_tasks: u64,
     /// Number of tasks of each open job.
     pub(super) open_job_tasks: HashMap<u64, u64>,
+    /// Which open jobs have begun.
+    pub(super) begun_jobs: BegunJobs,
     pub(super) schedule: Schedule,
     /// Earliest time at which further occurrences are queued, because a turn has queued as many as it may.
     pub(super) schedule_resumes_at: u64,
@@ -146,6 +149,7 @@
             failed_on: BTreeMap::new(),
             open_tasks: 0,
             open_job_tasks: HashMap::new(),
+            begun_jobs: BegunJobs::default(),
             schedule: Schedule::default(),
             schedule_resumes_at: 0,
             timers: Timers::default(),
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -12,6 +12,7 @@
 mod attempt_progress;
 mod attempts;
 mod batch;
+mod begun_jobs;
 mod cancellations;
 mod capacity_reservation;
 mod client_requests;
--- a/crates/scheduler/src/leader/recovery.rs
+++ b/crates/scheduler/src/leader/recovery.rs
@@ -138,6 +138,7 @@
     /// Enqueues the waiting steps of an open job.
     fn recover_steps(&mut self, state: &State, job: u64) {
         self.job_opened(state, job);
+        self.recover_begun_job(state, job);
         let Some(work) = state.open_work(job) else { return };
         if work.is_scheduled() {
             return;
--- a/crates/scheduler/src/leader/reports/job.rs
+++ b/crates/scheduler/src/leader/reports/job.rs
@@ -30,7 +30,7 @@
         let past_attempts = self.history.of_job(id).map(|attempt| past_report(attempt, now));
         Some(JobReport {
             id: configuration::job_id::format(id),
-            state: job.state_text().to_owned(),
+            state: self.state_text(id, job).to_owned(),
             queue: job.prefix_key().to_owned(),
             service: submit.map_or_else(String::new, |submit| submit.service.clone()),
             priority: submit.map_or(0, |submit| submit.priority),
--- a/crates/scheduler/src/state/job.rs
+++ b/crates/scheduler/src/state/job.rs
@@ -14,6 +14,9 @@
 use super::done_repeats::DoneRepeats;
 use super::task::{ActiveAttempt, Step, Task};
 
+/// State text of an open job of which no task has begun.
+pub const JOB_PENDING: &str = "pending";
+
 /// An accepted job, until the end of its retention time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
@@ -67,6 +70,11 @@
         &self.prefix_key
     }
 
+    /// Host and path prefix under which the job was submitted, shared with the other jobs of the prefix.
+    pub fn shared_prefix_key(&self) -> &Arc<str> {
+        &self.prefix_key
+    }
+
     /// Specification and progress; `None` once the job has ended and none of its attempts may run.
     pub fn work(&self) -> Option<&Work> {
         self.work.as_deref()
@@ -86,10 +94,11 @@
         self.open_work().is_some_and(|work| !work.started)
     }
 
-    /// The state of the job as clients see it.
+    /// The state of the job, as far as the log shows it: a job counts as running from the commit of a start on. The
+    /// leader knows whether the start has taken place.
     pub fn state_text(&self) -> &'static str {
         match self.phase {
-            JobPhase::OPEN if self.is_pending() => "pending",
+            JobPhase::OPEN if self.is_pending() => JOB_PENDING,
             JobPhase::OPEN => "running",
             JobPhase::COMPLETED => "completed",
             JobPhase::JOB_FAILED => "failed",
@@ -226,6 +235,15 @@
         self.is_repeat_done(key.time) || self.task(key).is_some_and(|task| task.done)
     }
 
+    /// Whether the log shows that a worker has begun a task of the job: a task is done, has failed or has saved a
+    /// checkpoint. Other attempts may have begun too without leaving a trace.
+    pub fn shows_begun_task(&self) -> bool {
+        let has_trace = |task: &Task| task.done || task.failures > 0 || !task.checkpoint.is_empty();
+        let mut steps = self.repeats.values().flat_map(|repeat| &repeat.steps);
+        self.done_repeats.count() > 0
+            || steps.any(|step| step.gang_failures > 0 || step.tasks.iter().any(has_trace))
+    }
+
     /// Number of tasks of the step that are done.
     pub fn done_in_step(&self, key: StepKey) -> u32 {
         self.step(key).map_or(0, |step| step.done)
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -29,7 +29,7 @@
 pub use configuration::AcceptedConfiguration;
 pub use digest::{ConfigurationDigest, ConfigurationKey};
 pub use error::{SnapshotError, UncommittedCall};
-pub use job::{Job, JobRepeat, Work};
+pub use job::{Job, JobRepeat, Work, JOB_PENDING};
 pub use retention::{CANCEL_TOMBSTONE_RETENTION_MS, ENDED_JOB_RETENTION_MS};
 pub use task::{ActiveAttempt, Task};
 pub use workers::Worker;
@@ -136,7 +136,7 @@
         self.workers.get(instance)
     }
 
-    /// Number of jobs of a prefix that wait for their first start.
+    /// Number of open jobs of a prefix without a committed start.
     pub fn pending_jobs(&self, prefix_key: &str) -> u64 {
         self.pending_by_prefix.get(prefix_key).copied().unwrap_or(0)
     }
--- a/crates/scheduler/tests/cluster/worker.rs
+++ b/crates/scheduler/tests/cluster/worker.rs
@@ -61,6 +61,8 @@
     /// Whether all calls to the worker are lost.
     pub is_unreachable: bool,
     pub fails_all_runs: bool,
+    /// How starts are refused, without any effect; `None` if they are not.
+    pub refuses_starts: Option<Refusal>,
     /// Whether runs that start from now on save their progress when they end.
     pub saves_progress: bool,
     /// Sequence number of the end of each attempt.
@@ -96,6 +98,7 @@
             stalls_runs: false,
             is_unreachable: false,
             fails_all_runs: false,
+            refuses_starts: None,
             saves_progress: false,
             ended: BTreeMap::new(),
             lease_expired_at: None,
@@ -160,6 +163,9 @@
         let refused =
             |reason| (CallOutcome::Refused { now_ms: Some(Self::now_ms(now)), reason }, None::<AttemptKey>);
         let answer = CallOutcome::Answer { now_ms: Self::now_ms(now) };
+        if let (WorkerRequest::Start { .. }, Some(reason)) = (request, self.refuses_starts) {
+            return refused(reason);
+        }
         let fencing_token = match request {
             WorkerRequest::Start { fencing_token, .. }
             | WorkerRequest::Stop { fencing_token, .. }
--- a/crates/scheduler/tests/leader_answers.rs
+++ b/crates/scheduler/tests/leader_answers.rs
@@ -59,6 +59,8 @@
     assert_eq!(cluster.count("/a/").unwrap().pending, 1);
     cluster.add_worker("i-9", 9, 4_000);
     assert!(cluster.run_until(3_000, |cluster| cluster.running() == 1));
+    // The leader knows once the worker's answer has arrived.
+    cluster.run_for_ms(2);
     assert_eq!(cluster.read("/a/", JOB).unwrap().state, "running");
     assert_eq!(cluster.count("/a/").unwrap().pending, 0);
     cluster.run_until_state(JOB, "completed", 3_000);
--- a/crates/simulation/src/oracle/jobs.rs
+++ b/crates/simulation/src/oracle/jobs.rs
@@ -34,8 +34,66 @@
     }
 }
 
-/// MIXED: a job must not be shown as completed before all of its tasks have ended successfully.
-pub fn mixed(_connectivity: &Connectivity<'_>, history: &History, out: &mut Vec<Violation>) {
+/// Time in addition to `visible_ms` after which an accepted job must be counted as pending until it has begun.
+const COUNTED_AFTER_NS: u64 = 2 * SECOND;
+
+/// MIXED: a job must not be shown as completed before all of its tasks have ended successfully, and a count of pending
+/// jobs must not be under half of the jobs that have not begun.
+pub fn mixed(connectivity: &Connectivity<'_>, history: &History, out: &mut Vec<Violation>) {
+    completed_too_early(history, out);
+    undercounted(connectivity, history, out);
+}
+
+/// MIXED: a machine in contact must not give under half of the jobs without due times that were accepted a while
+/// before and have not begun.
+fn undercounted(connectivity: &Connectivity<'_>, history: &History, out: &mut Vec<Violation>) {
+    let counts: Vec<_> = history
+        .calls
+        .iter()
+        .filter_map(|call| match (call.kind, &call.answer) {
+            (CallKind::Count, Some((at, Answer::Count(pending)))) => Some((call, *at, *pending)),
+            _ => None,
+        })
+        .collect();
+    if counts.is_empty() {
+        return;
+    }
+    let waits = pending_spans(history);
+    for (call, at, pending) in counts {
+        if !connectivity.is_in_contact_through(call.edge, call.sent_at, at) {
+            continue;
+        }
+        let visible = ms(connectivity.bounds.visible_ms) + COUNTED_AFTER_NS;
+        let counted = |(queue, accepted_at, until): &&(usize, u64, u64)| {
+            Queue::ALL[*queue].prefix == call.prefix && accepted_at + visible < call.sent_at && *until > at
+        };
+        let waiting = waits.iter().filter(counted).count() as u64;
+        if pending * 2 < waiting {
+            let text =
+                format!("a count of {} gives {pending}, and {waiting} jobs have not begun", call.prefix);
+            out.push(Violation::new(Rule::Mixed, at, text));
+        }
+    }
+}
+
+/// For each accepted job without due times: its queue, its acceptance, and when it had begun or a client first asked to
+/// cancel it (`u64::MAX` if neither).
+fn pending_spans(history: &History) -> Vec<(usize, u64, u64)> {
+    let mut until: HashMap<u64, u64> = HashMap::new();
+    let starts = history.runs.iter().map(|run| (run.key.task.job, run.started_at));
+    let cancels = history.calls.iter().filter(|call| call.kind == CallKind::Cancel);
+    for (job, at) in starts.chain(cancels.map(|call| (call.job, call.sent_at))) {
+        let first = until.entry(job).or_insert(at);
+        *first = (*first).min(at);
+    }
+    let untimed = acceptances(history).into_iter().filter_map(|(id, accepted_at)| {
+        let plan = history.jobs.get(&id).filter(|plan| plan.body.repeat == 0)?;
+        Some((plan.queue, accepted_at, until.get(&id).copied().unwrap_or(u64::MAX)))
+    });
+    untimed.collect()
+}
+
+fn completed_too_early(history: &History, out: &mut Vec<Violation>) {
     let mut reported = BTreeSet::new();
     let mut done: HashMap<TaskKey, u64> = HashMap::new();
     for run in &history.runs {
--- a/crates/simulation/src/site.rs
+++ b/crates/simulation/src/site.rs
@@ -64,6 +64,8 @@
     pub load_changes: Vec<LoadChange>,
     /// Jobs that clients submit in addition to those drawn from the queues.
     pub added_jobs: Vec<AddedJob>,
+    /// Time between two counts of each queue's pending jobs, in nanoseconds; `None` if clients do not ask for them.
+    pub count_interval: Option<u64>,
     /// The queues with their mix of jobs.
     pub queues: &'static [Queue; 4],
     /// The services.
@@ -120,6 +122,7 @@
             jobs_per_s: 5.0,
             load_changes: Vec::new(),
             added_jobs: Vec::new(),
+            count_interval: None,
             queues: &Queue::ALL,
             services: vec![
                 ServiceSite {
--- a/crates/simulation/src/world/setting_up.rs
+++ b/crates/simulation/src/world/setting_up.rs
@@ -14,7 +14,7 @@
 use crate::site::{ServiceSite, Site};
 use crate::time::{ms, SECOND};
 use crate::workers::{Fleet, Worker};
-use crate::workload::{add_jobs, make_day, rack_name, WORKER_KINDS};
+use crate::workload::{add_jobs, make_day, rack_name, Queue, WORKER_KINDS};
 
 /// Processes start within this time of each other, in nanoseconds.
 const START_SPREAD_NS: u64 = 300_000_000;
@@ -129,6 +129,14 @@
         for (job, plan) in self.jobs.iter().enumerate() {
             self.queue.push(plan.submit_at, Event::JobComes { job });
         }
+        if let Some(interval) = self.site.count_interval {
+            let (from, until) = (self.site.traffic_start, self.site.day_length());
+            for at in (from..until).step_by(interval as usize) {
+                for queue in &Queue::ALL {
+                    self.queue.push(at, Event::ClientCounts { prefix: queue.prefix.to_owned() });
+                }
+            }
+        }
         for (fault, planned) in self.faults.iter().enumerate() {
             self.queue.push(planned.at, Event::FaultBegins { fault });
         }
--- a/crates/simulation/tests/oracle.rs
+++ b/crates/simulation/tests/oracle.rs
@@ -4,7 +4,9 @@
 
 use messages::job::EndKind;
 use scheduler::placement::Resources;
-use simulation::history::{Answer, CallKind, DrainRead, History, IdleJob, ProcessFault, Span, UnknownOrder};
+use simulation::history::{
+    Answer, CallKind, ClientCall, DrainRead, History, IdleJob, ProcessFault, Span, UnknownOrder,
+};
 use simulation::oracle::Rule;
 use simulation::time::{ms, DAY_BEGINS_MS, SECOND};
 use support::*;
@@ -293,3 +295,31 @@
     let fault = ProcessFault { machine: 0, at: SECOND, text: "busy loop".to_owned() };
     assert_eq!(violations_after(|day| day.process_faults.push(fault)), [Rule::ProcessFault]);
 }
+
+/// Violations after a second job is accepted that never begins, and a count that is asked for `after` its acceptance
+/// gives `pending`.
+fn violations_with_count(after: u64, pending: u64) -> Vec<Rule> {
+    violations_after(|day| {
+        let accepted_at = 20 * SECOND;
+        let waiting = JOB + 1;
+        let mut plan = day.jobs[&JOB].clone();
+        plan.id = waiting;
+        day.jobs.insert(waiting, plan);
+        let submission = call(CallKind::Submit, accepted_at, Answer::Done);
+        day.calls.push(ClientCall { job: waiting, ..submission });
+        let count = call(CallKind::Count, accepted_at + after, Answer::Count(pending));
+        day.configurations[0].prefixes.push(count.prefix.clone());
+        day.calls.push(ClientCall { job: 0, ..count });
+    })
+}
+
+#[test]
+fn detects_count_under_half_of_the_jobs_that_have_not_begun() {
+    assert_eq!(violations_with_count(8 * SECOND, 0), [Rule::Mixed]);
+}
+
+#[test]
+fn allows_count_of_at_least_half_and_count_that_is_not_due() {
+    assert_eq!(violations_with_count(8 * SECOND, 1), []);
+    assert_eq!(violations_with_count(3 * SECOND, 0), []);
+}
