Soak: large tasks beside lasting ones, and refused starts, come and go beside faults

Now large jobs wait beside a lasting task on the only worker of a label while urgent jobs ask for that label, and jobs whose starts a stand-in refuses with 503 must be counted as pending, by the rule's own bound (half of them, 5 s after their acceptance).

--- a/crates/demo/src/worker.rs
+++ b/crates/demo/src/worker.rs
@@ -12,6 +12,8 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
+/// `Spec` of tasks whose starts workers refuse, as an unhealthy worker does.
+const REFUSED_SPEC: &str = "refused";
 /// Maximum duration of the worker lease.
 const MAX_WORKER_LEASE_MS: u64 = 6_000;
 /// Interval of polling for ended attempts while a lease renewal waits.
@@ -163,6 +165,9 @@
     fn start(&mut self, request: WorkerRequest) -> Reply {
         self.advance();
         let now_ms = self.now_ms();
+        if request.spec == REFUSED_SPEC {
+            return Reply { status: StatusCode::SERVICE_UNAVAILABLE, body: "{}".to_owned() };
+        }
         if request.deadline_ms <= now_ms {
             return self.refuse("late");
         }
--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -16,6 +16,8 @@
 pub const URGENT_PREFIX: &str = "/urgent/";
 /// Path prefix of the queue of the service with workers that has the last priority.
 pub const BULK_PREFIX: &str = "/bulk/";
+/// Path prefix of the queue whose tasks the workers refuse to start.
+pub const REFUSED_PREFIX: &str = "/refused/";
 /// Path of a core process's own status.
 const STATUS_PATH: &str = "/v1/admin/status";
 pub const ACCEPTED: u16 = 200;
@@ -49,6 +51,8 @@
     pub urgent: Vec<String>,
     /// Number of times that all loads were in place.
     pub load_rounds: u64,
+    /// Number of counts of pending jobs that were checked.
+    pub counts: u64,
     /// Whether the loads are to be taken away.
     pub ends_loads: bool,
     /// Whether no load is in place.
@@ -251,7 +255,12 @@
 }
 
 fn configuration(version: u64) -> String {
-    let routes = [(PREFIX, 1, "s"), (URGENT_PREFIX, 0, SERVICE), (BULK_PREFIX, 2, SERVICE)];
+    let routes = [
+        (PREFIX, 1, "s"),
+        (URGENT_PREFIX, 0, SERVICE),
+        (BULK_PREFIX, 2, SERVICE),
+        (REFUSED_PREFIX, 3, SERVICE),
+    ];
     let timeout_ms = 3_000 + version % 7;
     let route = |(prefix, priority, service): (&str, u32, &str)| {
         format!(
--- a/crates/node/tests/soak/soak_run.rs
+++ b/crates/node/tests/soak/soak_run.rs
@@ -89,7 +89,7 @@
     run.check_state(&calls).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     run.stop_all().unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
     println!(
-        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {} cancelled after leaving, {} of them unknown, {} rounds of loads, {} urgent jobs beside them, {:.1} s",
+        "seed {seed}: {cores} core machines, {edges} edges, {} served, {} refused, {} cut, {} changes, {} cancelled after leaving, {} of them unknown, {} rounds of loads, {} urgent jobs and {} counts beside them, {:.1} s",
         calls.served,
         calls.refused,
         calls.cut,
@@ -98,6 +98,7 @@
         calls.cancelled.iter().filter(|(_, was_unknown)| *was_unknown).count(),
         calls.load_rounds,
         calls.urgent.len(),
+        calls.counts,
         began.elapsed().as_secs_f64(),
     );
 }
