--- a/crates/scheduler/src/leader/reservations.rs
+++ b/crates/scheduler/src/leader/reservations.rs
@@ -75,11 +75,10 @@
             return self.services[position].task_started_outside_queue(step, index, self.now);
         }
         if fits_there || self.has_to_end(position, reservation) {
-            self.services[position].reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
             if !fits_there {
                 self.services[position].release_reservation(reservation);
             }
-            return;
+            return self.pause_reservations(position);
         }
         self.resize_reservation(position, reservation, need.min(available));
     }
@@ -103,10 +102,15 @@
         }
         service.reservation = None;
         service.release_reservation(reservation);
-        service.reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
+        self.pause_reservations(position);
         true
     }
 
+    /// Lets other steps of the service have their turn before the next reservation.
+    fn pause_reservations(&mut self, position: usize) {
+        self.services[position].reservations_resume_at = self.now + RESERVATION_PAUSE_NS;
+    }
+
     /// Returns whether the reservation must make way for other steps.
     fn has_to_end(&self, position: usize, reservation: CapacityReservation) -> bool {
         let denied_since = self.services[position].capacity_denied_since;
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! end.
 
 mod blocks;
+mod capacity_queries;
 mod choose;
 mod explain;
 mod failed_searches;
