Needs and free capacity are shares of the same total

What callers saw: a task that fits on the only free worker of a service waits beside it.

Cause: a waiting step's need is its share of the total capacity as of when that last changed by over a tenth; it was compared with what is free as a share of the total now. After a smaller growth the task counts as larger than all that is free, and is parked again at each wake-up.

Change: the scan takes both as shares of the total that the needs refer to.

--- a/crates/scheduler/src/leader/service/scan.rs
+++ b/crates/scheduler/src/leader/service/scan.rs
@@ -53,7 +53,8 @@
         limits: &mut ScanLimits,
         choose: &mut impl FnMut(&Fleet, Candidate) -> Choice,
     ) -> Scan {
-        let availability = self.fleet.free().shares_of(self.fleet.total());
+        // In the unit of the needs, which refer to an earlier total until the shares are computed again.
+        let availability = self.fleet.free().shares_of(self.shares_total);
         let Self { queues, ready, fleet, .. } = self;
         let mut blocked: BTreeMap<StepKey, Wait> = BTreeMap::new();
         // The first step with capacity of each queue. The queues may ask for the same step again.
--- a/crates/scheduler/tests/blocked_steps.rs
+++ b/crates/scheduler/tests/blocked_steps.rs
@@ -170,3 +170,21 @@
     assert!(cluster.run_until_state(ORDINARY, "completed", 4_000), "the large job waits");
     cluster.assert_no_violations();
 }
+
+/// While the total capacity has grown by less than makes the shares be computed again, a task that fits on the only free
+/// worker counted as larger than all that is free.
+#[test]
+fn task_starts_on_the_last_free_worker_after_a_small_growth_of_the_service() {
+    let mut cluster = Cluster::new(10);
+    cluster.run_for_ms(1_500);
+    cluster.add_worker("i-late", 40, 4_000);
+    cluster.run_for_ms(2_500);
+    let whole_worker = Stage { count: 1, est_runtime_ms: 60_000, ..stage(4_000) };
+    for number in 0..10 {
+        cluster.send_job("/a/", FIRST_HOPELESS + number, job(whole_worker.clone()));
+    }
+    assert!(cluster.run_until(1_000, |cluster| cluster.running() == 10));
+    cluster.send_job("/a/", ORDINARY, job(whole_worker));
+    assert!(cluster.run_until(1_000, |cluster| cluster.running() == 11), "{}", cluster.job_state(ORDINARY));
+    cluster.assert_no_violations();
+}
