The table of begun jobs stands apart from the leader that asks it

Need: begun_jobs.rs held the table that the event loop owns and the leader's functions that use it, so that the two files imported each other.

Change: the leader's functions move to pending_count.rs as they are.

--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -39,6 +39,7 @@
 mod occupancy;
 mod outlier_detector;
 mod own_lateness;
+mod pending_count;
 mod pending_requests;
 mod placement_choice;
 mod poll_queue;
